--- a/packages/daemon/chiveshelf/daemon/Daemon.cpp
+++ b/packages/daemon/chiveshelf/daemon/Daemon.cpp
@@ -33,6 +33,7 @@
     , m_tableAgent(context, m_platform, m_tables)
     , m_members({ m_settings.hostName, m_settings.dataCentre, m_settings.peerAddress, MemberState::Live, 0 })
     , m_membership(context, m_platform, m_members)
+    , m_datagrams(context)
     , m_peerServer(context)
     , m_peerClient(context)
     , m_scheduler(context, m_peerServer, m_tables, m_settings.dataCentre)
@@ -46,7 +47,7 @@
 
 Result<void> Daemon::start()
 {
-    for (const auto& started : { m_peerServer.start(m_settings.peerAddress), m_admin.start(m_settings.adminAddress),
+    for (const auto& started : { m_datagrams.start(m_settings.peerAddress), m_peerServer.start(m_settings.peerAddress), m_admin.start(m_settings.adminAddress),
              m_entry.start(m_settings.callerAddress) }) {
         if (!started)
             return started;
--- a/packages/daemon/chiveshelf/daemon/Daemon.h
+++ b/packages/daemon/chiveshelf/daemon/Daemon.h
@@ -6,6 +6,7 @@
 #include "chiveshelf/dispatch/SchedulerService.h"
 #include "chiveshelf/entry/EntryService.h"
 #include "chiveshelf/membership/MembershipService.h"
+#include "chiveshelf/peer/DatagramChannel.h"
 #include "chiveshelf/peer/PeerClient.h"
 #include "chiveshelf/tables/TableAgent.h"
 
@@ -38,6 +39,7 @@
     TableAgent m_tableAgent;
     MemberDirectory m_members;
     MembershipService m_membership;
+    peer::DatagramChannel m_datagrams;
     peer::PeerServer m_peerServer;
     peer::PeerClient m_peerClient;
     SchedulerService m_scheduler;
--- /dev/null
+++ b/packages/peer/chiveshelf/peer/DatagramChannel.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "chiveshelf/core/Address.h"
+#include "chiveshelf/peer/Codec.h"
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+namespace chiveshelf::peer {
+
+// Identifies a datagram type on the wire. Numbers are never reused.
+enum class DatagramType : std::uint8_t {
+    Gossip = 1,
+    TablesAnnouncement = 2,
+    QuarantineNotice = 3,
+};
+
+// A message that is sent as one datagram, without a reply.
+template <typename T>
+concept Datagram = requires
+{
+    {
+        T::datagramType
+        } -> std::convertible_to<DatagramType>;
+};
+
+// Sends and receives typed datagrams on the peer address. Register a handler per type with handle(), then call start().
+// Delivery is not assured; what must arrive is repeated by its sender.
+class DatagramChannel {
+public:
+    explicit DatagramChannel(boost::asio::io_context&);
+    DatagramChannel(const DatagramChannel&) = delete;
+    DatagramChannel& operator=(const DatagramChannel&) = delete;
+
+    // Registers the handler of one type. It gets the sender's address and must not block.
+    template <Datagram Message>
+    void handle(std::function<void(const Address&, Message)> handler)
+    {
+        m_handlers[Message::datagramType] = [handler = std::move(handler)](const Address& from, const std::string& bytes) {
+            auto message = decode<Message>(bytes);
+            if (message)
+                handler(from, std::move(*message));
+        };
+    }
+
+    // Binds and begins to receive. Fails with Unavailable if the address can not be bound.
+    Result<void> start(const Address&);
+    void stop();
+
+    // Sends a message. One that is longer than a datagram may be is dropped and logged.
+    template <Datagram Message>
+    void send(const Address& to, const Message& message)
+    {
+        sendBytes(to, Message::datagramType, encode(message));
+    }
+
+    std::uint64_t sentBytes() const { return m_sentBytes; }
+    std::uint64_t receivedBytes() const { return m_receivedBytes; }
+
+private:
+    boost::asio::awaitable<void> receiveLoop();
+    void sendBytes(const Address& to, DatagramType, const std::string& payload);
+
+    boost::asio::io_context& m_context;
+    boost::asio::ip::udp::socket m_socket;
+    std::map<DatagramType, std::function<void(const Address&, const std::string&)>> m_handlers;
+    std::uint64_t m_sentBytes = 0;
+    std::uint64_t m_receivedBytes = 0;
+};
+
+}
--- a/packages/peer/chiveshelf/peer/peer.h
+++ b/packages/peer/chiveshelf/peer/peer.h
@@ -6,6 +6,7 @@
 // Dependencies: core, Asio, cereal.
 
 #include "chiveshelf/peer/Codec.h"
+#include "chiveshelf/peer/DatagramChannel.h"
 #include "chiveshelf/peer/MessageType.h"
 #include "chiveshelf/peer/PeerClient.h"
 #include "chiveshelf/peer/PeerServer.h"
