Model a whole engine and a store in the fakes

The fake runner only slept for the whole prompt and had neither a cache nor commands, and there was no fake store, so nothing about cache blocks could be tested.

FakeRunner now has slots with a priority queue, a prefill rate shared by running requests, a prefix cache with LRU eviction, usage with cached and imported tokens, resume and cancel, export and import of blocks with a store, late and lossy cache events, lagging load reports, commands with fencing tokens (checked or ignored) and a crash on a marked prompt. It checks the owner of each block it reads and counts violations in GET /control/stats. FakeStore has a memory and a disk tier behind a link of limited speed, two-step writes and a generation for each start. Faults are switched over PUT /control/faults, speeds and sizes are flags.

A waiter for a change of a sequence has a timer of its own: with one shared timer two streams of a request would wake each other without end.

--- a/fakes/fakes/FakeRunner.cpp
+++ b/fakes/fakes/FakeRunner.cpp
@@ -1,6 +1,7 @@
 #include "fakes/FakeRunner.h"
 
 #include "chiveshelf/core/Hash.h"
+#include "chiveshelf/core/Priority.h"
 #include "chiveshelf/http/SseParser.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -8,23 +9,31 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <nlohmann/json.hpp>
 
 namespace fakes {
 
 namespace asio = boost::asio;
 namespace http = chiveshelf::http;
+using Clock = std::chrono::steady_clock;
 using http::Status;
 using http::Verb;
 using nlohmann::json;
 
 namespace {
 
-    constexpr std::size_t bytesPerToken = 4;
-    constexpr auto sendPollInterval = std::chrono::milliseconds(2);
+    constexpr std::size_t bytesPerPromptToken = 4;
+    // Prompt tokens computed in one step, so that requests share the compute rate evenly.
+    constexpr std::int64_t prefillStepTokens = 256;
     constexpr std::string_view streamsPrefix = "/v1/streams/";
+    // A queued request gets its response header after this time, so that its client sees progress.
+    constexpr auto headerDelay = std::chrono::milliseconds(500);
+    constexpr auto keptAfterEnd = std::chrono::seconds(30);
+    constexpr std::size_t keptRecords = 200;
+    constexpr http::CallLimits storeLimits { std::chrono::milliseconds(200), std::chrono::milliseconds(500) };
+    constexpr http::CallLimits exportLimits { std::chrono::milliseconds(200), std::chrono::milliseconds(10'000) };
+    constexpr std::int64_t defaultImportLimitMs = 5'000;
 
-    asio::awaitable<void> sleepFor(asio::io_context& context, std::chrono::microseconds time)
+    asio::awaitable<void> sleepUntil(asio::io_context& context, Clock::time_point time)
     {
         asio::steady_timer timer(context, time);
         boost::system::error_code ec;
@@ -36,6 +45,11 @@
         return http::makeResponse(status, json { { "error", { { "code", code } } } }.dump());
     }
 
+    BlockOwner parseOwner(const json& body, const std::string& version)
+    {
+        return { body.value("organisation", ""), body.value("model", ""), body.value("adapter", ""), version };
+    }
+
 }
 
 std::string answerToken(const std::string& prompt, std::int64_t index)
@@ -47,37 +61,51 @@
     : m_context(context)
     , m_model(std::move(model))
     , m_server(context, {}, [this](http::Exchange& exchange) { return handle(exchange); })
+    , m_client(context)
+    , m_cache(m_model.cacheBlocks, m_model.eventDelay, m_model.eventLossPercent, m_model.seed)
 {
 }
 
 chiveshelf::Result<void> FakeRunner::start(const chiveshelf::Address& address)
 {
+    m_report = loadReport();
+    asio::co_spawn(m_context, sampleLoad(), asio::detached);
     return m_server.start(address);
 }
 
 asio::awaitable<void> FakeRunner::handle(http::Exchange& exchange)
 {
-    const auto text = exchange.request().target();
+    const auto& request = exchange.request();
+    const auto text = request.target();
     const auto target = http::parseTarget({ text.data(), text.size() });
-    const auto method = exchange.request().method();
-    if (target.path == "/v1/completions" && method == Verb::post) {
+    const bool isPost = request.method() == Verb::post;
+    if (target.path.starts_with("/control/")) {
+        co_await exchange.respond(control(target, request));
+        co_return;
+    }
+    // A stalled runner keeps its connections and answers nothing.
+    while (m_isStalled)
+        co_await sleepUntil(m_context, Clock::now() + headerDelay);
+    if (target.path == "/v1/completions" && isPost) {
         co_await complete(exchange);
         co_return;
     }
     if (target.path.starts_with(streamsPrefix)) {
-        const auto id = target.path.substr(streamsPrefix.size());
-        const auto it = m_sequences.find(id);
-        if (it == m_sequences.end()) {
-            co_await exchange.respond(errorResponse(Status::not_found, "not_found"));
-        } else if (method == Verb::delete_) {
-            it->second->isCancelled = true;
-            co_await exchange.respond(http::makeResponse(Status::ok, "{}"));
-        } else {
-            co_await sendFrom(exchange, id, target.number("after", 0));
-        }
+        co_await stream(exchange, target);
         co_return;
     }
-    co_await exchange.respond(errorResponse(Status::not_found, "not_found"));
+    auto response = errorResponse(Status::not_found, "not_found");
+    if (target.path == "/v1/load") {
+        response = http::makeResponse(Status::ok, m_report.dump());
+    } else if (target.path == "/v1/events") {
+        const json body { { "events", m_cache.events(target.number("after", 0)) } };
+        response = http::makeResponse(Status::ok, body.dump());
+    } else if (target.path == "/v1/kv/export" && isPost) {
+        response = co_await exportBlocks(request.body());
+    } else if (target.path == "/v1/commands" && isPost) {
+        response = command(request.body());
+    }
+    co_await exchange.respond(std::move(response));
 }
 
 asio::awaitable<void> FakeRunner::complete(http::Exchange& exchange)
@@ -89,38 +117,331 @@
     }
     const auto expected = body.value("expected_version", "");
     if (!expected.empty() && expected != m_model.version) {
+        ++m_counters["wrong_version"];
         co_await exchange.respond(errorResponse(Status::conflict, "wrong_version"));
         co_return;
     }
+    if (m_loading > 0) {
+        co_await exchange.respond(errorResponse(Status::service_unavailable, "loading"));
+        co_return;
+    }
     auto sequence = std::make_shared<Sequence>();
     sequence->prompt = body.value("prompt", "");
-    sequence->promptTokens = static_cast<std::int64_t>((sequence->prompt.size() + bytesPerToken - 1) / bytesPerToken);
+    sequence->owner = parseOwner(body, m_model.version);
+    sequence->expectedVersion = expected;
+    sequence->blocks = body.value("blocks", std::vector<std::string> {});
+    for (const auto& record : body.value("import", json::array()))
+        sequence->imports[record.value("key", "")] = record;
+    sequence->promptTokens = static_cast<std::int64_t>((sequence->prompt.size() + bytesPerPromptToken - 1) / bytesPerPromptToken);
     sequence->maxTokens = body.value("max_tokens", std::int64_t { 16 });
     sequence->produced = body.value("resume_from", std::int64_t { 0 });
+    const auto priority = chiveshelf::priorityFromName(body.value("priority", "standard"));
+    sequence->priority = static_cast<int>(priority.value_or(chiveshelf::Priority::Standard));
+    sequence->order = ++m_order;
     const auto offset = sequence->produced;
     const auto id = body.value("request_id", "");
+    std::erase_if(m_sequences, [](const auto& entry) { return entry.second->hasEnded() && Clock::now() - entry.second->endedAt > keptAfterEnd; });
     m_sequences[id] = sequence;
-    asio::co_spawn(m_context, generate(id), asio::detached);
-    co_await sendFrom(exchange, id, offset);
+    m_queue.push_back(sequence);
+    startQueued();
+    co_await sendFrom(exchange, id, sequence, offset);
+}
+
+asio::awaitable<void> FakeRunner::stream(http::Exchange& exchange, const http::Target& target)
+{
+    const auto id = target.path.substr(streamsPrefix.size());
+    const auto it = m_sequences.find(id);
+    if (it == m_sequences.end()) {
+        co_await exchange.respond(errorResponse(Status::not_found, "not_found"));
+        co_return;
+    }
+    const auto sequence = it->second;
+    if (exchange.request().method() != Verb::delete_) {
+        ++m_counters["resumes"];
+        co_await sendFrom(exchange, id, sequence, target.number("after", 0));
+        co_return;
+    }
+    ++m_counters["cancels"];
+    std::erase(m_queue, sequence);
+    if (!sequence->hasEnded())
+        change(*sequence, SequenceState::Cancelled);
+    co_await exchange.respond(http::makeResponse(Status::ok, "{}"));
+}
+
+void FakeRunner::change(Sequence& sequence, SequenceState state)
+{
+    sequence.state = state;
+    if (sequence.hasEnded())
+        sequence.endedAt = Clock::now();
+    wakeWaiters(sequence);
+}
+
+void FakeRunner::wakeWaiters(Sequence& sequence)
+{
+    for (auto* timer : sequence.waiters)
+        timer->cancel();
+}
+
+asio::awaitable<void> FakeRunner::waitForChange(SequencePointer sequence, std::chrono::milliseconds limit)
+{
+    boost::system::error_code ec;
+    asio::steady_timer timer(m_context, limit);
+    sequence->waiters.insert(&timer);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    sequence->waiters.erase(&timer);
+}
+
+void FakeRunner::startQueued()
+{
+    while (m_running < m_model.slots && !m_queue.empty()) {
+        const auto it = std::min_element(m_queue.begin(), m_queue.end(),
+            [](const auto& a, const auto& b) { return std::tie(a->priority, a->order) < std::tie(b->priority, b->order); });
+        const auto sequence = *it;
+        m_queue.erase(it);
+        if (!sequence->expectedVersion.empty() && sequence->expectedVersion != m_model.version) {
+            ++m_counters["wrong_version"];
+            change(*sequence, SequenceState::WrongVersion);
+            continue;
+        }
+        ++m_running;
+        m_counters["max_running"] = std::max<std::int64_t>(m_counters["max_running"], m_running);
+        change(*sequence, SequenceState::Running);
+        asio::co_spawn(m_context, run(sequence), asio::detached);
+    }
 }
 
-asio::awaitable<void> FakeRunner::generate(std::string id)
+asio::awaitable<void> FakeRunner::run(SequencePointer sequence)
 {
-    const auto sequence = m_sequences[id];
-    co_await sleepFor(m_context, m_model.prefillPerToken * sequence->promptTokens);
-    while (sequence->produced < sequence->maxTokens && !sequence->isCancelled) {
-        co_await sleepFor(m_context, m_model.perToken);
+    if (!m_model.crashMarker.empty() && sequence->prompt.find(m_model.crashMarker) != std::string::npos)
+        std::_Exit(1);
+    ++m_counters["completions"];
+    co_await prefill(sequence);
+    auto next = Clock::now();
+    while (sequence->produced < sequence->maxTokens && sequence->state == SequenceState::Running) {
+        next += std::chrono::duration_cast<Clock::duration>(m_model.perToken * m_slowFactor);
+        co_await sleepUntil(m_context, next);
         ++sequence->produced;
+        wakeWaiters(*sequence);
     }
+    if (sequence->state == SequenceState::Running)
+        change(*sequence, SequenceState::Done);
+    for (const auto& key : sequence->held)
+        m_cache.release(key);
+    --m_running;
+    startQueued();
+}
+
+void FakeRunner::recordViolation(const std::string& text)
+{
+    ++m_counters["violations"];
+    if (m_violations.size() < keptRecords)
+        m_violations.push_back(text);
+}
+
+void FakeRunner::useCachedBlock(Sequence& sequence, const std::string& key)
+{
+    const auto& owner = m_cache.owner(key);
+    if (owner != sequence.owner)
+        recordViolation("block " + key + " of " + owner.organisation + "/" + owner.version + " read by " + sequence.owner.organisation + "/" + sequence.owner.version);
+    m_cache.hold(key);
+    sequence.held.push_back(key);
 }
 
-asio::awaitable<void> FakeRunner::sendFrom(http::Exchange& exchange, std::string id, std::int64_t offset)
+asio::awaitable<void> FakeRunner::prefill(SequencePointer sequence)
 {
-    const auto sequence = m_sequences[id];
+    std::size_t block = 0;
+    while (block < sequence->blocks.size() && sequence->state == SequenceState::Running) {
+        const auto& key = sequence->blocks[block];
+        const bool isCached = m_cache.contains(key);
+        if (!isCached && (!sequence->imports.contains(key) || !co_await importBlock(sequence, key)))
+            break;
+        useCachedBlock(*sequence, key);
+        auto& tokens = isCached ? sequence->cachedTokens : sequence->importedTokens;
+        tokens += std::min(m_model.blockTokens, sequence->promptTokens - sequence->cachedTokens - sequence->importedTokens);
+        ++block;
+    }
+    auto left = sequence->promptTokens - sequence->cachedTokens - sequence->importedTokens;
+    m_counters["cached_tokens"] += sequence->cachedTokens;
+    m_counters["imported_tokens"] += sequence->importedTokens;
+    m_counters["computed_tokens"] += left;
+    auto inBlock = std::int64_t { 0 };
+    while (left > 0 && sequence->state == SequenceState::Running) {
+        const auto step = std::min({ left, prefillStepTokens, m_model.blockTokens - inBlock });
+        m_computeFreeAt = std::max(m_computeFreeAt, Clock::now())
+            + std::chrono::duration_cast<Clock::duration>(m_model.prefillPerToken * static_cast<double>(step) * m_slowFactor);
+        co_await sleepUntil(m_context, m_computeFreeAt);
+        left -= step;
+        inBlock += step;
+        if (inBlock < m_model.blockTokens)
+            continue;
+        inBlock = 0;
+        if (block < sequence->blocks.size() && m_cache.add(sequence->blocks[block], sequence->owner))
+            useCachedBlock(*sequence, sequence->blocks[block]);
+        ++block;
+    }
+}
+
+asio::awaitable<bool> FakeRunner::importBlock(SequencePointer sequence, std::string key)
+{
+    const auto record = sequence->imports[key];
+    const auto address = chiveshelf::parseAddress(record.value("store", ""));
+    if (!address)
+        co_return false;
+    const auto deadline = Clock::now() + std::chrono::milliseconds(record.value("limit_ms", defaultImportLimitMs));
+    const auto target = "/blocks/" + key + "?generation=" + std::to_string(record.value("generation", std::int64_t { 0 }));
+    ++m_counters["import_attempts"];
+    auto opened = co_await m_client.open(*address, http::makeRequest(Verb::get, target), storeLimits);
+    std::string data;
+    bool isWhole = opened && (*opened)->status() == 200;
+    while (isWhole && Clock::now() < deadline) {
+        (*opened)->setProgressLimit(std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(deadline - Clock::now())));
+        const auto piece = co_await (*opened)->readSome();
+        isWhole = piece.has_value();
+        if (!isWhole || piece->empty())
+            break;
+        data += *piece;
+    }
+    isWhole = isWhole && Clock::now() < deadline;
+    if (isWhole && m_checksImports)
+        isWhole = static_cast<std::int64_t>(data.size()) == record.value("length", std::int64_t { 0 }) && blockChecksum(key, data) == record.value("checksum", "");
+    if (!isWhole) {
+        ++m_counters["import_failures"];
+        co_return false;
+    }
+    const auto owner = readBlockData(key, data);
+    if (!owner)
+        recordViolation("imported data of block " + key + " is incomplete or of another block");
+    if (m_cache.contains(key))
+        co_return true;
+    co_return m_cache.add(key, owner.value_or(BlockOwner {}));
+}
+
+asio::awaitable<http::Response> FakeRunner::exportBlocks(std::string text)
+{
+    const auto body = json::parse(text, nullptr, false);
+    const auto address = body.is_object() ? chiveshelf::parseAddress(body.value("store", "")) : chiveshelf::parseAddress("");
+    if (!address)
+        co_return errorResponse(Status::bad_request, "invalid_request");
+    const auto owner = parseOwner(body, body.value("version", ""));
+    const auto generation = std::to_string(body.value("generation", std::int64_t { 0 }));
+    auto records = json::array();
+    bool isFull = false;
+    for (const auto& key : body.value("blocks", std::vector<std::string> {})) {
+        if (!m_cache.contains(key))
+            break;
+        if (m_cache.owner(key) != owner) {
+            recordViolation("export of block " + key + " of another owner");
+            break;
+        }
+        m_cache.hold(key);
+        const auto data = makeBlockData(key, owner, static_cast<std::size_t>(m_model.blockTokens * m_model.bytesPerToken));
+        auto request = http::makeRequest(Verb::put, "/blocks/" + key + "?generation=" + generation, data, "application/octet-stream");
+        request.set("X-Block-Length", std::to_string(data.size()));
+        request.set("X-Block-Checksum", blockChecksum(key, data));
+        const auto response = co_await m_client.send(*address, std::move(request), exportLimits);
+        m_cache.release(key);
+        if (!response || response->result_int() >= 300) {
+            ++m_counters["export_failures"];
+            isFull = response && response->result() == Status::insufficient_storage;
+            break;
+        }
+        ++m_counters["exported_blocks"];
+        records.push_back({ { "key", key }, { "length", data.size() }, { "checksum", blockChecksum(key, data) } });
+    }
+    const json out { { "records", records }, { "store_full", isFull } };
+    co_return http::makeResponse(Status::ok, out.dump());
+}
+
+http::Response FakeRunner::command(const std::string& text)
+{
+    const auto body = json::parse(text, nullptr, false);
+    if (!body.is_object() || !body.contains("command"))
+        return errorResponse(Status::bad_request, "invalid_request");
+    const auto token = body.value("fencing_token", std::int64_t { 0 });
+    if (m_model.checksFencingToken && token < m_fencingToken) {
+        ++m_counters["stale_commands"];
+        return errorResponse(Status::conflict, "stale_token");
+    }
+    m_fencingToken = std::max(m_fencingToken, token);
+    if (m_commands.size() < keptRecords)
+        m_commands.push_back(body);
+    ++m_counters["commands"];
+    const auto name = body.value("command", "");
+    if (name == "load_version" || name == "load_adapter") {
+        asio::co_spawn(m_context, loadWeights(body.value("version", m_model.version), body.value("adapter", m_adapter)), asio::detached);
+    } else if (name == "set_role") {
+        m_role = body.value("role", "");
+    } else {
+        return errorResponse(Status::bad_request, "unknown_command");
+    }
+    return http::makeResponse(Status::accepted, "{}");
+}
+
+asio::awaitable<void> FakeRunner::loadWeights(std::string version, std::string adapter)
+{
+    ++m_loading;
+    m_counters["max_loading"] = std::max<std::int64_t>(m_counters["max_loading"], m_loading);
+    co_await sleepUntil(m_context, Clock::now() + m_model.loadTime);
+    --m_loading;
+    ++m_counters["loads"];
+    m_model.version = std::move(version);
+    m_adapter = std::move(adapter);
+    m_cache.clear();
+    startQueued();
+}
+
+asio::awaitable<void> FakeRunner::sampleLoad()
+{
+    while (true) {
+        co_await sleepUntil(m_context, Clock::now() + m_model.reportLag);
+        m_report = loadReport();
+    }
+}
+
+json FakeRunner::loadReport() const
+{
+    return { { "queue", m_queue.size() }, { "running", m_running }, { "version", m_model.version }, { "adapter", m_adapter }, { "role", m_role },
+        { "loading", m_loading > 0 }, { "free_blocks", m_cache.freeBlocks() } };
+}
+
+http::Response FakeRunner::control(const http::Target& target, const http::Request& request)
+{
+    if (target.path == "/control/stats") {
+        json out = m_counters;
+        out["violations"] = m_counters["violations"];
+        out["violation_list"] = m_violations;
+        out["command_list"] = m_commands;
+        out["fencing_token"] = m_fencingToken;
+        out["now"] = loadReport();
+        return http::makeResponse(Status::ok, out.dump());
+    }
+    const auto body = json::parse(request.body(), nullptr, false);
+    if (target.path == "/control/faults" && request.method() == Verb::put && body.is_object()) {
+        m_slowFactor = body.value("slow_factor", m_slowFactor);
+        m_isStalled = body.value("stall", m_isStalled);
+        m_checksImports = body.value("check_imports", m_checksImports);
+        if (body.value("evict_all", false))
+            m_cache.clear();
+        return http::makeResponse(Status::ok, "{}");
+    }
+    return errorResponse(Status::not_found, "not_found");
+}
+
+asio::awaitable<void> FakeRunner::sendFrom(http::Exchange& exchange, std::string id, SequencePointer sequence, std::int64_t offset)
+{
+    const auto headerDeadline = Clock::now() + headerDelay;
+    while (sequence->state == SequenceState::Queued && Clock::now() < headerDeadline)
+        co_await waitForChange(sequence, headerDelay);
+    if (sequence->state == SequenceState::WrongVersion) {
+        co_await exchange.respond(errorResponse(Status::conflict, "wrong_version"));
+        co_return;
+    }
     auto started = co_await exchange.startStream(Status::ok, "text/event-stream", {});
-    while (started && offset < sequence->maxTokens && !sequence->isCancelled) {
-        if (offset >= sequence->produced) {
-            co_await sleepFor(m_context, sendPollInterval);
+    while (started && offset < sequence->maxTokens && (!sequence->hasEnded() || offset < sequence->produced)) {
+        if (sequence->state == SequenceState::Cancelled)
+            break;
+        if (m_isStalled || offset >= sequence->produced) {
+            co_await waitForChange(sequence, headerDelay);
             continue;
         }
         const json chunk { { "id", id }, { "index", offset },
@@ -130,9 +451,16 @@
     }
     if (!started)
         co_return;
+    if (sequence->state == SequenceState::WrongVersion) {
+        const json error { { "error", { { "code", "wrong_version" }, { "message", "weights changed while queued" } } } };
+        co_await exchange.write(http::formatSseEvent(error.dump()));
+        co_await exchange.finishStream();
+        co_return;
+    }
+    const bool isCancelled = sequence->state == SequenceState::Cancelled;
     const json last { { "id", id }, { "index", offset },
-        { "choices", { { { "index", 0 }, { "text", "" }, { "finish_reason", sequence->isCancelled ? "cancelled" : "length" } } } },
-        { "usage", { { "prompt_tokens", sequence->promptTokens }, { "cached_tokens", 0 }, { "imported_tokens", 0 }, { "completion_tokens", sequence->maxTokens } } } };
+        { "choices", { { { "index", 0 }, { "text", "" }, { "finish_reason", isCancelled ? "cancelled" : "length" } } } },
+        { "usage", { { "prompt_tokens", sequence->promptTokens }, { "cached_tokens", sequence->cachedTokens }, { "imported_tokens", sequence->importedTokens }, { "completion_tokens", sequence->produced } } } };
     co_await exchange.write(http::formatSseEvent(last.dump()) + http::formatSseEvent("[DONE]"));
     co_await exchange.finishStream();
 }
--- a/fakes/fakes/FakeRunner.h
+++ b/fakes/fakes/FakeRunner.h
@@ -1,21 +1,43 @@
 #pragma once
 
+#include "chiveshelf/http/Client.h"
 #include "chiveshelf/http/Server.h"
+#include "fakes/PrefixCache.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
 
 #include <map>
 #include <set>
 
 namespace fakes {
 
-// Speeds and limits of a fake runner.
+// Speeds, limits and habits of a fake runner.
 struct RunnerModel {
     std::string version = "v1";
     int slots = 8;
+    // Time to compute one prompt token. Requests that compute at the same time share this rate.
     std::chrono::microseconds prefillPerToken { 20 };
     std::chrono::milliseconds perToken { 5 };
+    std::size_t cacheBlocks = 64;
+    std::int64_t blockTokens = 4'000;
+    // Bytes of exported block data for each token.
+    std::int64_t bytesPerToken = 64;
+    std::chrono::milliseconds loadTime { 250 };
+    // Age of the load report.
+    std::chrono::milliseconds reportLag { 100 };
+    std::chrono::milliseconds eventDelay { 200 };
+    int eventLossPercent = 5;
+    std::uint32_t seed = 1;
+    // A runner that does not check accepts commands with an old fencing token.
+    bool checksFencingToken = true;
+    // A prompt with this text ends the process.
+    std::string crashMarker = "CRASH-THE-RUNNER";
 };
 
-// Stand-in for a model engine. Its answer to a prompt is a fixed function of the prompt, so that callers can check it.
+// Stand-in for a model engine: continuous batching with slots and a priority queue, a prefix cache, import and export of
+// blocks, commands. Its answer to a prompt is a fixed function of the prompt, so that callers can check it. It checks that each
+// block it reads is whole and belongs to the request, and counts violations in GET /control/stats.
 class FakeRunner {
 public:
     FakeRunner(boost::asio::io_context&, RunnerModel);
@@ -23,23 +45,79 @@
     chiveshelf::Result<void> start(const chiveshelf::Address&);
 
 private:
+    enum class SequenceState {
+        Queued,
+        Running,
+        Done,
+        Cancelled,
+        WrongVersion,
+    };
+
     struct Sequence {
+        bool hasEnded() const { return state != SequenceState::Queued && state != SequenceState::Running; }
+
         std::string prompt;
+        BlockOwner owner;
+        std::vector<std::string> blocks;
+        std::map<std::string, nlohmann::json> imports;
+        std::string expectedVersion;
+        int priority = 1;
+        std::uint64_t order = 0;
         std::int64_t promptTokens = 0;
+        std::int64_t cachedTokens = 0;
+        std::int64_t importedTokens = 0;
         std::int64_t maxTokens = 0;
         std::int64_t produced = 0;
-        bool isCancelled = false;
+        SequenceState state = SequenceState::Queued;
+        std::vector<std::string> held;
+        // Timers of those who wait for a change; cancelled on each.
+        std::set<boost::asio::steady_timer*> waiters;
+        std::chrono::steady_clock::time_point endedAt;
     };
+    using SequencePointer = std::shared_ptr<Sequence>;
 
     boost::asio::awaitable<void> handle(chiveshelf::http::Exchange&);
     boost::asio::awaitable<void> complete(chiveshelf::http::Exchange&);
-    boost::asio::awaitable<void> generate(std::string id);
-    boost::asio::awaitable<void> sendFrom(chiveshelf::http::Exchange&, std::string id, std::int64_t offset);
+    boost::asio::awaitable<void> stream(chiveshelf::http::Exchange&, const chiveshelf::http::Target&);
+    boost::asio::awaitable<void> sendFrom(chiveshelf::http::Exchange&, std::string id, SequencePointer, std::int64_t offset);
+    boost::asio::awaitable<void> waitForChange(SequencePointer, std::chrono::milliseconds limit);
+    boost::asio::awaitable<void> run(SequencePointer);
+    boost::asio::awaitable<void> prefill(SequencePointer);
+    boost::asio::awaitable<bool> importBlock(SequencePointer, std::string key);
+    boost::asio::awaitable<chiveshelf::http::Response> exportBlocks(std::string body);
+    boost::asio::awaitable<void> loadWeights(std::string version, std::string adapter);
+    boost::asio::awaitable<void> sampleLoad();
+    chiveshelf::http::Response command(const std::string& body);
+    chiveshelf::http::Response control(const chiveshelf::http::Target&, const chiveshelf::http::Request&);
+    nlohmann::json loadReport() const;
+    void useCachedBlock(Sequence&, const std::string& key);
+    void recordViolation(const std::string& text);
+    void startQueued();
+    void change(Sequence&, SequenceState);
+    static void wakeWaiters(Sequence&);
 
     boost::asio::io_context& m_context;
     RunnerModel m_model;
     chiveshelf::http::Server m_server;
-    std::map<std::string, std::shared_ptr<Sequence>> m_sequences;
+    chiveshelf::http::Client m_client;
+    PrefixCache m_cache;
+    std::map<std::string, SequencePointer> m_sequences;
+    std::vector<SequencePointer> m_queue;
+    int m_running = 0;
+    std::uint64_t m_order = 0;
+    std::chrono::steady_clock::time_point m_computeFreeAt;
+    nlohmann::json m_report;
+    std::string m_adapter;
+    std::string m_role;
+    int m_loading = 0;
+    std::int64_t m_fencingToken = 0;
+    // Whether imported data is compared with the length and checksum of its record.
+    bool m_checksImports = true;
+    double m_slowFactor = 1;
+    bool m_isStalled = false;
+    std::map<std::string, std::int64_t> m_counters;
+    nlohmann::json m_violations = nlohmann::json::array();
+    nlohmann::json m_commands = nlohmann::json::array();
 };
 
 // Returns token `index` of the answer to a prompt.
--- /dev/null
+++ b/fakes/fakes/FakeStore.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "chiveshelf/http/Server.h"
+
+#include <map>
+#include <memory>
+
+namespace fakes {
+
+// Sizes and speeds of a fake store.
+struct StoreModel {
+    std::int64_t memoryBytes = 64 * 1024 * 1024;
+    std::int64_t diskBytes = 256 * 1024 * 1024;
+    // Speed of the link, shared by all transfers in both directions, in bytes/s.
+    std::int64_t linkBytesPerSecond = 200 * 1024 * 1024;
+    // Speed at which blocks of the disk tier are read, in bytes/s.
+    std::int64_t diskBytesPerSecond = 100 * 1024 * 1024;
+};
+
+// Faults that a test switches on over PUT /control/faults. A number applies to that many operations.
+struct StoreFaults {
+    // Reads that end after half of the block although the response looks whole.
+    int truncate = 0;
+    // Reads that return the data of another block.
+    int swap = 0;
+    // Reads during which the block is evicted; the connection is cut half-way.
+    int evictDuringRead = 0;
+    // Refuses every write with 507.
+    bool isFull = false;
+    // Speed of the link while it is above 0, in bytes/s.
+    std::int64_t linkBytesPerSecond = 0;
+    // Delay of every answer, in ms.
+    std::int64_t delayMs = 0;
+};
+
+// Stand-in for a store host with a memory and a disk tier behind one link. A block can be read only after its commit; the
+// least recently used blocks move to disk and are evicted from there.
+class FakeStore {
+public:
+    FakeStore(boost::asio::io_context&, StoreModel);
+
+    chiveshelf::Result<void> start(const chiveshelf::Address&);
+
+private:
+    using Data = std::shared_ptr<const std::string>;
+
+    struct Block {
+        Data data;
+        std::int64_t length = 0;
+        std::string checksum;
+        bool isCommitted = false;
+        bool isOnDisk = false;
+        std::uint64_t lastUse = 0;
+    };
+
+    boost::asio::awaitable<void> handle(chiveshelf::http::Exchange&);
+    boost::asio::awaitable<chiveshelf::http::Response> put(std::string key, const chiveshelf::http::Request&, std::int64_t generation);
+    boost::asio::awaitable<void> get(chiveshelf::http::Exchange&, std::string key, std::int64_t generation);
+    chiveshelf::http::Response commit(const std::string& key, std::int64_t generation);
+    chiveshelf::http::Response lookUp(const std::string& body);
+    chiveshelf::http::Response status() const;
+    chiveshelf::http::Response control(const chiveshelf::http::Target&, const chiveshelf::http::Request&);
+    boost::asio::awaitable<void> transfer(std::int64_t bytes);
+    std::int64_t tierBytes(bool isOnDisk) const;
+    void makeRoom();
+
+    boost::asio::io_context& m_context;
+    StoreModel m_model;
+    StoreFaults m_faults;
+    chiveshelf::http::Server m_server;
+    std::map<std::string, Block> m_blocks;
+    std::int64_t m_generation;
+    std::uint64_t m_useCount = 0;
+    std::map<std::string, std::int64_t> m_counters;
+    std::chrono::steady_clock::time_point m_linkFreeAt;
+};
+
+}
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -83,6 +83,17 @@
     waitForPort(address, "/control/runs");
 }
 
+void Fleet::startStore(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra)
+{
+    if (!m_stores.contains(name))
+        m_stores[name] = { name, nextAddress(backendPort), dataCentre };
+    const auto& address = m_stores[name].address;
+    std::vector<std::string> arguments { "--listen", toString(address) };
+    arguments.insert(arguments.end(), extra.begin(), extra.end());
+    m_processes[name] = std::make_unique<ChildProcess>("fake_store", arguments, logPath(name));
+    waitForPort(address, "/status");
+}
+
 void Fleet::startHost(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra)
 {
     if (!m_hosts.contains(name)) {
@@ -118,6 +129,8 @@
     bookings.kind = chiveshelf::PoolKind::Service;
     for (const auto& [name, backend] : m_backends)
         (m_isService.contains(name) ? bookings : desk).runners.push_back(backend);
+    for (const auto& [name, store] : m_stores)
+        desk.stores.push_back(store);
     if (!desk.runners.empty()) {
         tables.pools.push_back(desk);
         tables.routes.push_back({ "desk", "*", "desk-model", "", "desk", chiveshelf::Priority::Standard, std::nullopt, 1 });
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -30,6 +30,7 @@
     void startPlatform();
     void startRunner(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra = {});
     void startService(const std::string& name, const std::string& dataCentre);
+    void startStore(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra = {});
 
     // Starts an entry host. `extra` are more flags.
     void startHost(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra = {});
@@ -37,7 +38,7 @@
     // Writes the platform's list of hosts.
     void listHosts();
 
-    // Returns tables with the pool "desk" of all runners and the pool "bookings" of all services.
+    // Returns tables with the pool "desk" of all runners and stores and the pool "bookings" of all services.
     chiveshelf::Tables defaultTables() const;
 
     // Applies tables with chivesctl. Returns its exit code.
@@ -51,6 +52,7 @@
     const std::map<std::string, HostAddresses>& hosts() const { return m_hosts; }
     chiveshelf::Address platform() const;
     const chiveshelf::Address& backend(const std::string& name) const { return m_backends.at(name).address; }
+    const chiveshelf::Address& store(const std::string& name) const { return m_stores.at(name).address; }
 
     // A file or folder of this test's own for logs.
     std::string logPath(const std::string& name) const;
@@ -66,6 +68,7 @@
     std::map<std::string, HostAddresses> m_hosts;
     std::map<std::string, chiveshelf::Backend> m_backends;
     std::map<std::string, bool> m_isService;
+    std::map<std::string, chiveshelf::Backend> m_stores;
 };
 
 }
