Name values before co_await, and add the demo

Cause: a host aborted (SIGABRT, invalid pointer in free) in the second it began to renew slots. g++ 12 copies a braced temporary inside a co_await expression bitwise into the coroutine frame and destroys it twice. Ruled out: a double close of a peer link; the backtrace ends in the destructor of the InFlight temporary of the awaited call.

--- a/fakes/fakes/FakeRunner.cpp
+++ b/fakes/fakes/FakeRunner.cpp
@@ -71,7 +71,8 @@
             co_await exchange.respond(errorResponse(Status::not_found, "not_found"));
         } else if (method == Verb::delete_) {
             it->second->isCancelled = true;
-            co_await exchange.respond(http::makeResponse(Status::ok, "{}"));
+            auto response = http::makeResponse(Status::ok, "{}");
+            co_await exchange.respond(std::move(response));
         } else {
             co_await sendFrom(exchange, id, target.number("after", 0));
         }
@@ -117,7 +118,8 @@
 asio::awaitable<void> FakeRunner::sendFrom(http::Exchange& exchange, std::string id, std::int64_t offset)
 {
     const auto sequence = m_sequences[id];
-    auto started = co_await exchange.startStream(Status::ok, "text/event-stream", {});
+    std::vector<std::pair<std::string, std::string>> headers;
+    auto started = co_await exchange.startStream(Status::ok, "text/event-stream", std::move(headers));
     while (started && offset < sequence->maxTokens && !sequence->isCancelled) {
         if (offset >= sequence->produced) {
             co_await sleepFor(m_context, sendPollInterval);
--- a/packages/dispatch/chiveshelf/dispatch/DispatchClient.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/DispatchClient.cpp
@@ -105,8 +105,10 @@
 asio::awaitable<void> DispatchClient::renew(std::string pool, std::vector<RunningRequest> requests)
 {
     const auto* host = owner(pool);
-    if (host)
-        co_await m_peers.call(host->peerAddress, InFlight { m_members.self().name, pool, std::move(requests) }, reportLimit);
+    if (!host)
+        co_return;
+    InFlight message { m_members.self().name, pool, std::move(requests) };
+    co_await m_peers.call(host->peerAddress, std::move(message), reportLimit);
 }
 
 }
--- a/packages/entry/chiveshelf/entry/AnswerWriter.cpp
+++ b/packages/entry/chiveshelf/entry/AnswerWriter.cpp
@@ -78,7 +78,8 @@
         if (!begun)
             co_return begun;
     }
-    co_return co_await m_exchange.write(event(text, {}, nullptr));
+    const auto data = event(text, "", nullptr);
+    co_return co_await m_exchange.write(data);
 }
 
 asio::awaitable<Result<void>> AnswerWriter::finish(const std::string& finishReason, const Usage& usage)
@@ -89,7 +90,8 @@
             if (!begun)
                 co_return begun;
         }
-        const auto written = co_await m_exchange.write(event({}, finishReason, &usage) + http::formatSseEvent("[DONE]"));
+        const auto data = event("", finishReason, &usage) + http::formatSseEvent("[DONE]");
+        const auto written = co_await m_exchange.write(data);
         if (!written)
             co_return written;
         co_return co_await m_exchange.finishStream();
--- a/packages/entry/chiveshelf/entry/EntryService.cpp
+++ b/packages/entry/chiveshelf/entry/EntryService.cpp
@@ -65,7 +65,8 @@
     const auto* route = tables->findModelRoute(headers.organisation, call->model);
     const auto* pool = route ? tables->findPool(route->pool) : nullptr;
     if (!pool) {
-        co_await refuse(exchange, { ErrorCode::NotFound, "no route for model '" + call->model + "'", Verdict::NotRun, std::nullopt }, headers);
+        const Error error { ErrorCode::NotFound, "no route for model '" + call->model + "'", Verdict::NotRun, std::nullopt };
+        co_await refuse(exchange, error, headers);
         co_return;
     }
     AnswerWriter writer(exchange, headers, *call);
@@ -79,7 +80,8 @@
     const auto* route = tables->findPathRoute(headers.organisation, path);
     const auto* pool = route ? tables->findPool(route->pool) : nullptr;
     if (!pool) {
-        co_await refuse(exchange, { ErrorCode::NotFound, "no route for path '" + path + "'", Verdict::NotRun, std::nullopt }, headers);
+        const Error error { ErrorCode::NotFound, "no route for path '" + path + "'", Verdict::NotRun, std::nullopt };
+        co_await refuse(exchange, error, headers);
         co_return;
     }
     ServiceCall call(m_ports.client, headers, *pool, m_dataCentre);
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,246 @@
+"""Starts chiveshelf with its stand-ins on loopback, shows its main job, and stops all that it started."""
+
+import argparse
+import http.client
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+BINARIES = pathlib.Path(__file__).resolve().parent.parent / "build" / "bin"
+LOOPBACK = "127.0.0.1"
+DATA_CENTRES = ("hartford", "providence")
+HOSTS_PER_DATA_CENTRE = 2
+RUNNERS_PER_DATA_CENTRE = 2
+START_LIMIT_S = 10
+MODEL = "rota-model"
+SHARED_PROMPT = "Staff handbook of the museum. " * 2000
+
+
+class Demo:
+    """Owns the processes and the addresses of one demonstration."""
+
+    def __init__(self, base_port):
+        self.next_port = base_port
+        self.processes = {}
+        self.hosts = {}
+        self.backends = {}
+        self.folder = tempfile.TemporaryDirectory(prefix="chiveshelf-demo-")
+
+    def address(self):
+        """Returns the next free loopback address."""
+        port = self.next_port
+        self.next_port += 1
+        return f"{LOOPBACK}:{port}"
+
+    def start(self, name, binary, *arguments):
+        """Starts one process and keeps its log in the demonstration's folder."""
+        with open(pathlib.Path(self.folder.name) / f"{name}.log", "wb") as log:
+            self.processes[name] = subprocess.Popen([BINARIES / binary, *arguments], stdout=log, stderr=log)
+
+    def start_all(self):
+        """Starts the stand-ins and the entry hosts, and loads the tables."""
+        self.platform = self.address()
+        self.start("platform", "fake_key_value", "--listen", self.platform)
+        for data_centre in DATA_CENTRES:
+            for n in range(1, RUNNERS_PER_DATA_CENTRE + 1):
+                self.start_backend(f"runner-{data_centre}-{n}", data_centre, "fake_runner")
+        self.start_backend("bookings-1", DATA_CENTRES[0], "fake_service")
+        for data_centre in DATA_CENTRES:
+            for n in range(1, HOSTS_PER_DATA_CENTRE + 1):
+                self.start_host(f"{data_centre}-{n}", data_centre)
+        wait_for(lambda: all(get(b["address"], "/control/ready") for b in self.backends.values()), "the stand-ins")
+        wait_for(lambda: get(self.platform, "/hosts"), "the platform")
+        hosts = [
+            {"name": name, "address": h["peer"], "admin_address": h["admin"], "data_centre": h["data_centre"], "leaving": False}
+            for name, h in self.hosts.items()
+        ]
+        request(self.platform, "PUT", "/control/hosts", json.dumps(hosts))
+        self.write_tables()
+        self.ctl("apply", str(self.tables_path()))
+        wait_for(lambda: self.in_force(1), "revision 1 on every host")
+
+    def start_backend(self, name, data_centre, binary):
+        address = self.address()
+        self.backends[name] = {"name": name, "address": address, "data_centre": data_centre, "binary": binary}
+        self.start(name, binary, "--listen", address)
+
+    def start_host(self, name, data_centre):
+        host = {"caller": self.address(), "admin": self.address(), "peer": self.address(), "data_centre": data_centre}
+        self.hosts[name] = host
+        self.start(
+            name, "chiveshelfd", "--host-name", name, "--data-centre", data_centre, "--listen", host["caller"],
+            "--admin-listen", host["admin"], "--peer-listen", host["peer"], "--platform", self.platform,
+        )  # fmt: skip
+
+    def tables_path(self):
+        return pathlib.Path(self.folder.name) / "tables.json"
+
+    def write_tables(self):
+        """Writes the tables: one pool of runners and one of plain services."""
+
+        def rows(binary):
+            wanted = [b for b in self.backends.values() if b["binary"] == binary]
+            return [{key: b[key] for key in ("name", "address", "data_centre")} for b in wanted]
+
+        tables = {
+            "routes": [
+                {"name": "rota", "organisation": "*", "model": MODEL, "pool": "rota-models", "priority": "urgent"},
+                {"name": "bookings", "organisation": "*", "path": "/bookings", "pool": "bookings"},
+            ],
+            "pools": [
+                {
+                    "name": "rota-models", "kind": "model", "model": MODEL, "version": "v1", "runners": rows("fake_runner"),
+                    "targets_ms": {"urgent": 5000, "standard": 10000, "batch": 30000},
+                },
+                {"name": "bookings", "kind": "service", "runners": rows("fake_service")},
+            ],
+        }  # fmt: skip
+        self.tables_path().write_text(json.dumps(tables, indent=2), encoding="utf-8")
+
+    def ctl(self, *arguments):
+        """Runs chivesctl and returns its output."""
+        command = [BINARIES / "chivesctl", *arguments, "--platform", self.platform]
+        return subprocess.run(command, check=True, capture_output=True, text=True).stdout
+
+    def in_force(self, revision):
+        states = [get(h["admin"], "/state") for name, h in self.hosts.items() if name in self.processes]
+        return all(s and json.loads(s)["tables_revision"] >= revision for s in states)
+
+    def stop_all(self):
+        for process in self.processes.values():
+            process.terminate()
+        for process in self.processes.values():
+            try:
+                process.wait(timeout=5)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self.folder.cleanup()
+
+
+def request(address, method, path, body=None, headers=None):
+    """Sends one request. Returns status, headers and body, or None if nothing answers."""
+    ip, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(ip, int(port), timeout=30)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        return response.status, dict(response.getheaders()), response.read().decode()
+    except OSError:
+        return None
+    finally:
+        connection.close()
+
+
+def get(address, path):
+    """Returns the body, or None if nothing answers. Any status counts as an answer."""
+    answer = request(address, "GET", path)
+    return answer[2] if answer else None
+
+
+def wait_for(condition, what):
+    deadline = time.monotonic() + START_LIMIT_S
+    while time.monotonic() < deadline:
+        if condition():
+            return
+        time.sleep(0.02)
+    raise SystemExit(f"demo: timed out waiting for {what}")
+
+
+def complete(host, prompt, organisation="gallery-one"):
+    """Streams one completion. Returns the text, the usage and the time to the first token in ms."""
+    ip, port = host["caller"].rsplit(":", 1)
+    connection = http.client.HTTPConnection(ip, int(port), timeout=30)
+    body = json.dumps({"model": MODEL, "prompt": prompt, "max_tokens": 12, "stream": True})
+    start = time.monotonic()
+    connection.request("POST", "/v1/completions", body, {"X-Organisation": organisation})
+    response = connection.getresponse()
+    text, usage, first = "", {}, None
+    for line in response:
+        if not line.startswith(b"data: ") or line.startswith(b"data: [DONE]"):
+            continue
+        event = json.loads(line[6:])
+        if "error" in event:
+            raise SystemExit(f"demo: request failed: {event['error']}")
+        first = first or (time.monotonic() - start) * 1000
+        text += event["choices"][0]["text"]
+        usage = event.get("usage", usage)
+    connection.close()
+    if response.status != 200:
+        raise SystemExit(f"demo: request refused with {response.status}")
+    return text, usage, first
+
+
+def show_returning_prompts(demo):
+    print("\n1. A conversation returns, each time to another host:")
+    prompt = SHARED_PROMPT
+    for turn, (name, host) in enumerate(demo.hosts.items(), 1):
+        text, usage, first = complete(host, prompt)
+        cached = usage["prompt_tokens_details"]["cached_tokens"]
+        print(f"   turn {turn} at {name}: first token after {first:.0f} ms, {usage['prompt_tokens']} prompt tokens, {cached} from cache")
+        prompt += text + f"\nquestion {turn}: who covers Saturday?\n"
+
+
+def show_idempotent_call(demo):
+    print("\n2. A booking with an Idempotency-Key, sent twice to different hosts:")
+    headers = {"X-Organisation": "gallery-one", "Idempotency-Key": "booking-17", "X-Operation": "booking-17"}
+    for name in (f"{DATA_CENTRES[0]}-1", f"{DATA_CENTRES[1]}-1"):
+        status, _, body = request(demo.hosts[name]["caller"], "POST", "/bookings/17", '{"guard":"Ruth"}', headers)
+        print(f"   {name}: status {status}, the service's own count is {json.loads(body)['runs']}")
+
+
+def show_table_edit(demo):
+    print("\n3. An operator edits a table:")
+    tables = json.loads(demo.tables_path().read_text(encoding="utf-8"))
+    tables["routes"][0]["weight"] = 5
+    demo.tables_path().write_text(json.dumps(tables), encoding="utf-8")
+    print("   chivesctl apply:", demo.ctl("apply", str(demo.tables_path())).strip())
+    start = time.monotonic()
+    wait_for(lambda: demo.in_force(2), "revision 2 on every host")
+    print(f"   in force on all {len(demo.hosts)} hosts {(time.monotonic() - start) * 1000:.0f} ms after that")
+
+
+def show_host_kill(demo):
+    victim = f"{DATA_CENTRES[0]}-1"
+    print(f"\n4. Entry host {victim} is killed; the other host of its data centre goes on:")
+    process = demo.processes.pop(victim)
+    process.kill()
+    process.wait()
+    _, usage, first = complete(demo.hosts[f"{DATA_CENTRES[0]}-2"], SHARED_PROMPT)
+    print(f"   answered, first token after {first:.0f} ms, {usage['completion_tokens']} tokens")
+
+
+def serve(demo):
+    """Prints all addresses as one JSON line and waits for an interrupt."""
+    print(json.dumps({"hosts": demo.hosts, "platform": demo.platform, "backends": demo.backends}), flush=True)
+    signal.sigwait({signal.SIGINT, signal.SIGTERM})
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--serve", action="store_true", help="leave the system running until interrupted")
+    parser.add_argument("--base-port", type=int, default=18000, help="first loopback port that is used")
+    arguments = parser.parse_args()
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM} if arguments.serve else set())
+    demo = Demo(arguments.base_port)
+    try:
+        demo.start_all()
+        if arguments.serve:
+            serve(demo)
+            return
+        print(f"{len(demo.hosts)} entry hosts in {len(DATA_CENTRES)} data centres, {len(demo.backends)} backends")
+        show_returning_prompts(demo)
+        show_idempotent_call(demo)
+        show_table_edit(demo)
+        show_host_kill(demo)
+    finally:
+        demo.stop_all()
+    print("\nAll processes stopped.")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/integration/WholePathTest.cpp
+++ b/tests/integration/WholePathTest.cpp
@@ -12,6 +12,7 @@
 class WholePathTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(WholePathTest);
     CPPUNIT_TEST(streamedCompletionThroughEveryHostReturnsAllTokens);
+    CPPUNIT_TEST(completionLongerThanRenewalIntervalReturnsAllTokens);
     CPPUNIT_TEST(plainCallThroughRouteKeepsMethodPathAndBody);
     CPPUNIT_TEST(requestAfterHostKillIsServedByAnotherHost);
     CPPUNIT_TEST_SUITE_END();
@@ -41,6 +42,14 @@
             CPPUNIT_ASSERT_EQUAL(expectedText(), streamedText(host));
     }
 
+    // Guards against a fault in the renewal of slots, which begins after a second: g++ 12 destroyed a braced temporary in the
+    // co_await expression twice, and the host aborted.
+    void completionLongerThanRenewalIntervalReturnsAllTokens()
+    {
+        for (const auto& [name, host] : m_fleet->hosts())
+            CPPUNIT_ASSERT_EQUAL(expectedText(longAnswerTokens), streamedText(host, longAnswerTokens));
+    }
+
     // Guards against a plain call that is changed on its way.
     void plainCallThroughRouteKeepsMethodPathAndBody()
     {
@@ -63,17 +72,20 @@
     }
 
 private:
-    static std::string expectedText()
+    static constexpr int shortAnswerTokens = 20;
+    static constexpr int longAnswerTokens = 400;
+
+    static std::string expectedText(int tokens = shortAnswerTokens)
     {
         std::string out;
-        for (int i = 0; i < 20; ++i)
+        for (int i = 0; i < tokens; ++i)
             out += fakes::answerToken("hello", i);
         return out;
     }
 
-    static std::string streamedText(const support::HostAddresses& host)
+    static std::string streamedText(const support::HostAddresses& host, int tokens = shortAnswerTokens)
     {
-        const json body { { "model", "desk-model" }, { "prompt", "hello" }, { "max_tokens", 20 }, { "stream", true } };
+        const json body { { "model", "desk-model" }, { "prompt", "hello" }, { "max_tokens", tokens }, { "stream", true } };
         const auto response = support::call(host.caller, Verb::post, "/v1/completions", { { "X-Organisation", "org-a" } }, body.dump());
         const auto events = support::sseEvents(response.body);
         if (events.empty() || events.back() != "[DONE]")
--- a/tests/support/HttpProbe.cpp
+++ b/tests/support/HttpProbe.cpp
@@ -33,7 +33,8 @@
     boost::asio::co_spawn(
         context,
         [&]() -> boost::asio::awaitable<void> {
-            const auto response = co_await client.send(address, request, { std::chrono::milliseconds(1'000), progress });
+            const http::CallLimits limits { std::chrono::milliseconds(1'000), progress };
+            const auto response = co_await client.send(address, request, limits);
             if (!response)
                 co_return;
             out.status = response->result_int();
