--- a/tests/support/ChildProcess.h
+++ b/tests/support/ChildProcess.h
@@ -22,6 +22,7 @@
     // Kills the process and waits for its end.
     void kill();
 
+    int id() const { return m_child.id(); }
     bool isRunning();
 
     // Waits for the process to end by itself. Returns its exit code, or -1 at the limit.
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -22,13 +22,24 @@
     constexpr std::uint16_t platformPort = 2380;
     constexpr std::uint16_t backendPort = 8000;
     constexpr auto startLimit = std::chrono::seconds(10);
+    constexpr int defaultNetwork = 10;
+
+    int networkFromEnvironment()
+    {
+        const char* network = std::getenv("CHIVESHELF_TEST_NETWORK");
+        return network ? std::atoi(network) : defaultNetwork;
+    }
 
 }
 
 Fleet::Fleet()
+    : Fleet(networkFromEnvironment())
+{
+}
+
+Fleet::Fleet(int network)
+    : m_network(network)
 {
-    const char* network = std::getenv("CHIVESHELF_TEST_NETWORK");
-    m_network = network ? std::atoi(network) : 10;
     m_folder = (std::filesystem::temp_directory_path() / ("chiveshelf-test-" + std::to_string(m_network))).string();
     std::filesystem::create_directories(m_folder);
 }
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -22,7 +22,11 @@
 // A system of real processes on loopback addresses of its own: the fake platform, fake runners, a fake service and entry hosts.
 class Fleet {
 public:
+    // Uses the loopback network of the test's environment.
     Fleet();
+
+    // Uses the loopback addresses 127.NETWORK.0.0/16.
+    explicit Fleet(int network);
     ~Fleet();
     Fleet(const Fleet&) = delete;
     Fleet& operator=(const Fleet&) = delete;
@@ -52,6 +56,8 @@
     chiveshelf::Address platform() const;
     const chiveshelf::Address& backend(const std::string& name) const { return m_backends.at(name).address; }
 
+    const chiveshelf::Backend& backendRow(const std::string& name) const { return m_backends.at(name); }
+
     // A file or folder of this test's own for logs.
     std::string logPath(const std::string& name) const;
 
