--- a/fakes/fakes/FakeRunner.cpp
+++ b/fakes/fakes/FakeRunner.cpp
@@ -165,7 +165,8 @@
     std::erase(m_queue, sequence);
     if (!sequence->hasEnded())
         change(*sequence, SequenceState::Cancelled);
-    co_await exchange.respond(http::makeResponse(Status::ok, "{}"));
+    auto response = http::makeResponse(Status::ok, "{}");
+    co_await exchange.respond(std::move(response));
 }
 
 void FakeRunner::change(Sequence& sequence, SequenceState state)
