Give the fake key-value service leases, limits and faults

Cause: the tables, idempotency and control work need a stand-in that behaves like the real service when it fails. The fake had neither leases nor faults.

It now has leases with expiry and revocation, a tombstone revision so that a watch ends when its key goes, token buckets for reads and writes (429), call counts by kind, and faults over the control port: three kinds of outage, delay, writes whose reply is lost, and a lagging host list. A second listener has faults of its own, so that one data centre can be cut off.

Ruled out: faults by source address, since every loopback connection has the same one.

Checked by hand over HTTP: a watch on a key bound to a 300 ms lease returned 404 after 0.29 s, and a write with `lose_replies` took effect without an answer. WholePathTest passes.

--- a/fakes/fakes/FakeKeyValue.cpp
+++ b/fakes/fakes/FakeKeyValue.cpp
@@ -4,6 +4,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+#include <cstdlib>
+
 namespace fakes {
 
 namespace asio = boost::asio;
@@ -13,8 +16,10 @@
 
 namespace {
 
-    constexpr auto watchPollInterval = std::chrono::milliseconds(5);
+    constexpr auto pollInterval = std::chrono::milliseconds(5);
     constexpr std::size_t maximumValueBytes = 1024 * 1024;
+    constexpr double defaultWritesPerSecond = 500;
+    constexpr double defaultReadsPerSecond = 2'000;
 
     http::Response withRevision(Status status, std::string body, std::uint64_t revision)
     {
@@ -23,58 +28,162 @@
         return response;
     }
 
+    std::string callKind(const http::Request& request, const http::Target& target)
+    {
+        if (target.path == "/hosts")
+            return "host_lists";
+        if (target.path.ends_with("/keepalive"))
+            return "keepalives";
+        if (target.path.starts_with("/leases"))
+            return "leases";
+        if (request.method() == Verb::put)
+            return "writes";
+        return target.query.contains("wait_ms") ? "watches" : "reads";
+    }
+
+}
+
+bool FakeKeyValue::RateLimit::take()
+{
+    const auto now = Clock::now();
+    tokens = std::min(perSecond, tokens + perSecond * std::chrono::duration<double>(now - filledAt).count());
+    filledAt = now;
+    if (tokens < 1)
+        return false;
+    tokens -= 1;
+    return true;
 }
 
 FakeKeyValue::FakeKeyValue(asio::io_context& context)
     : m_context(context)
-    , m_server(context, {}, [this](http::Exchange& exchange) { return handle(exchange); })
+    , m_writeLimit { defaultWritesPerSecond, defaultWritesPerSecond, Clock::now() }
+    , m_readLimit { defaultReadsPerSecond, defaultReadsPerSecond, Clock::now() }
 {
 }
 
 chiveshelf::Result<void> FakeKeyValue::start(const chiveshelf::Address& address)
 {
-    return m_server.start(address);
+    auto& listener = *m_listeners.emplace_back(std::make_unique<Listener>());
+    listener.server = std::make_unique<http::Server>(m_context, http::ServerLimits {},
+        [this, &listener](http::Exchange& exchange) { return handle(listener, exchange); });
+    return listener.server->start(address);
 }
 
-asio::awaitable<void> FakeKeyValue::handle(http::Exchange& exchange)
+void FakeKeyValue::setHosts(nlohmann::json hosts)
 {
-    auto response = co_await answer(exchange.request());
-    co_await exchange.respond(std::move(response));
+    m_hostLists.push_back({ Clock::now(), std::move(hosts) });
 }
 
-asio::awaitable<http::Response> FakeKeyValue::answer(const http::Request& request)
+asio::awaitable<void> FakeKeyValue::handle(Listener& listener, http::Exchange& exchange)
 {
-    const auto text = request.target();
+    const auto text = exchange.request().target();
     const auto target = http::parseTarget({ text.data(), text.size() });
-    ++m_callCount;
-    if (target.path == "/hosts" && request.method() == Verb::get)
-        co_return http::makeResponse(Status::ok, m_hosts.dump());
-    if (target.path == "/control/hosts" && request.method() == Verb::put) {
-        m_hosts = nlohmann::json::parse(request.body(), nullptr, false);
-        co_return http::makeResponse(Status::ok, "{}");
+    auto response = control(listener, exchange.request(), target);
+    if (!response) {
+        ++m_callCounts[callKind(exchange.request(), target)];
+        response = co_await answer(listener, exchange, target);
     }
-    if (target.path == "/control/stats")
-        co_return http::makeResponse(Status::ok, nlohmann::json { { "calls", m_callCount } }.dump());
-    if (target.path.starts_with("/kv/")) {
-        const auto key = target.path.substr(4);
-        if (request.method() == Verb::get)
-            co_return co_await read(key, target);
-        if (request.method() == Verb::put)
-            co_return write(key, target, request.body());
+    if (response)
+        co_await exchange.respond(std::move(*response));
+    else
+        exchange.abort();
+}
+
+FakeKeyValue::MaybeResponse FakeKeyValue::control(Listener& listener, const http::Request& request, const http::Target& target)
+{
+    constexpr std::string_view keyPath = "/control/kv/";
+    if (target.path == "/control/hosts")
+        setHosts(nlohmann::json::parse(request.body(), nullptr, false));
+    else if (target.path == "/control/faults")
+        setFaults(listener, request.body());
+    else if (target.path.starts_with(keyPath))
+        put(m_entries[target.path.substr(keyPath.size())], request.body(), 0);
+    else if (target.path != "/control/stats")
+        return std::nullopt;
+    nlohmann::json stats { { "calls", 0 } };
+    for (const auto& [kind, count] : m_callCounts) {
+        stats[kind] = count;
+        stats["calls"] = stats["calls"].get<std::uint64_t>() + count;
     }
-    co_return http::makeResponse(Status::not_found, "{}");
+    return http::makeResponse(Status::ok, stats.dump());
+}
+
+void FakeKeyValue::setFaults(Listener& listener, const std::string& body)
+{
+    listener.faults = nlohmann::json::parse(body, nullptr, false);
+    if (!listener.faults.is_object())
+        listener.faults = nlohmann::json::object();
+    m_writeLimit.perSecond = listener.faults.value("writes_per_second", defaultWritesPerSecond);
+    m_readLimit.perSecond = listener.faults.value("reads_per_second", defaultReadsPerSecond);
+}
+
+asio::awaitable<void> FakeKeyValue::pause(std::chrono::milliseconds duration)
+{
+    boost::system::error_code ec;
+    asio::steady_timer timer(m_context, duration);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+// Returns the response of an outage, or nothing. In the mode `close` the exchange is aborted.
+asio::awaitable<FakeKeyValue::MaybeResponse> FakeKeyValue::applyFaults(Listener& listener, http::Exchange& exchange)
+{
+    while (listener.mode() == "silent" && !exchange.peerHasClosed())
+        co_await pause(pollInterval);
+    if (listener.mode() == "unavailable")
+        co_return http::makeResponse(Status::service_unavailable, "{}");
+    if (listener.mode() != "none")
+        exchange.abort();
+    co_return std::nullopt;
+}
+
+asio::awaitable<FakeKeyValue::MaybeResponse> FakeKeyValue::answer(Listener& listener, http::Exchange& exchange, http::Target target)
+{
+    const auto delay = std::chrono::milliseconds(listener.faults.value("delay_ms", 0));
+    if (delay.count() > 0)
+        co_await pause(delay);
+    auto outage = co_await applyFaults(listener, exchange);
+    if (outage || exchange.peerHasClosed())
+        co_return outage;
+    expireLeases();
+    const auto& request = exchange.request();
+    const bool isRead = request.method() == Verb::get;
+    if (!(isRead ? m_readLimit : m_writeLimit).take())
+        co_return http::makeResponse(Status::too_many_requests, "{}");
+    if (target.path == "/hosts" && isRead)
+        co_return hosts(listener);
+    if (target.path == "/leases" && request.method() == Verb::post)
+        co_return grantLease(request.body());
+    if (target.path.starts_with("/leases/"))
+        co_return changeLease(request, target.path);
+    if (!target.path.starts_with("/kv/"))
+        co_return http::makeResponse(Status::not_found, "{}");
+    const auto key = target.path.substr(4);
+    if (isRead)
+        co_return co_await read(listener, exchange, key, target);
+    auto response = write(key, target, request.body());
+    const auto repliesToLose = listener.faults.value("lose_replies", 0);
+    if (response.result() != Status::ok || repliesToLose == 0)
+        co_return response;
+    listener.faults["lose_replies"] = repliesToLose - 1;
+    co_return std::nullopt;
 }
 
-asio::awaitable<http::Response> FakeKeyValue::read(std::string key, const http::Target& target)
+asio::awaitable<FakeKeyValue::MaybeResponse> FakeKeyValue::read(Listener& listener, http::Exchange& exchange, std::string key,
+    const http::Target& target)
 {
     const auto after = static_cast<std::uint64_t>(target.number("after", 0));
-    const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(target.number("wait_ms", 0));
-    asio::steady_timer timer(m_context);
-    while (m_entries[key].revision <= after && std::chrono::steady_clock::now() < deadline) {
-        boost::system::error_code ec;
-        timer.expires_after(watchPollInterval);
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    const auto deadline = Clock::now() + std::chrono::milliseconds(target.number("wait_ms", 0));
+    const auto hasChanged = [&] {
+        const auto& entry = m_entries[key];
+        return entry.revision > after || (entry.revision == 0 && after > 0 && entry.removedAt > after);
+    };
+    while (!hasChanged() && Clock::now() < deadline && listener.mode() == "none" && !exchange.peerHasClosed()) {
+        co_await pause(pollInterval);
+        expireLeases();
     }
+    auto outage = co_await applyFaults(listener, exchange);
+    if (outage || exchange.peerHasClosed())
+        co_return outage;
     const auto& entry = m_entries[key];
     if (entry.revision == 0)
         co_return http::makeResponse(Status::not_found, "{}");
@@ -85,11 +194,77 @@
 {
     if (value.size() > maximumValueBytes)
         return http::makeResponse(Status::payload_too_large, "{}");
+    const auto lease = static_cast<std::uint64_t>(target.number("lease", 0));
+    if (lease != 0 && !m_leases.contains(lease))
+        return http::makeResponse(Status::not_found, "{}");
     auto& entry = m_entries[key];
     if (target.number("expect", -1) != static_cast<std::int64_t>(entry.revision))
         return withRevision(Status::conflict, "{}", entry.revision);
-    entry = { value, ++m_revision };
+    put(entry, value, lease);
     return withRevision(Status::ok, "{}", entry.revision);
 }
 
+void FakeKeyValue::put(Entry& entry, const std::string& value, std::uint64_t lease)
+{
+    entry.value = value;
+    entry.revision = ++m_revision;
+    entry.lease = lease;
+}
+
+http::Response FakeKeyValue::grantLease(const std::string& body)
+{
+    const auto parsed = nlohmann::json::parse(body, nullptr, false);
+    const auto timeToLive = std::chrono::milliseconds(parsed.is_object() ? parsed.value("ttl_ms", 0) : 0);
+    if (timeToLive.count() <= 0)
+        return http::makeResponse(Status::bad_request, "{}");
+    const auto id = m_nextLease++;
+    m_leases[id] = { timeToLive, Clock::now() + timeToLive };
+    return http::makeResponse(Status::ok, nlohmann::json { { "id", id } }.dump());
+}
+
+http::Response FakeKeyValue::changeLease(const http::Request& request, const std::string& path)
+{
+    constexpr std::string_view leasesPath = "/leases/";
+    const auto id = std::strtoull(path.c_str() + leasesPath.size(), nullptr, 10);
+    const auto it = m_leases.find(id);
+    if (it == m_leases.end())
+        return http::makeResponse(Status::not_found, "{}");
+    if (request.method() == Verb::delete_)
+        removeLease(id);
+    else
+        it->second.expiresAt = Clock::now() + it->second.timeToLive;
+    return http::makeResponse(Status::ok, "{}");
+}
+
+void FakeKeyValue::removeLease(std::uint64_t id)
+{
+    m_leases.erase(id);
+    for (auto& [key, entry] : m_entries) {
+        if (entry.revision != 0 && entry.lease == id)
+            entry = { {}, 0, ++m_revision, 0 };
+    }
+}
+
+void FakeKeyValue::expireLeases()
+{
+    std::vector<std::uint64_t> expired;
+    for (const auto& [id, lease] : m_leases) {
+        if (lease.expiresAt <= Clock::now())
+            expired.push_back(id);
+    }
+    for (const auto id : expired)
+        removeLease(id);
+}
+
+http::Response FakeKeyValue::hosts(const Listener& listener) const
+{
+    const auto newest = Clock::now() - std::chrono::milliseconds(listener.faults.value("host_list_lag_ms", 0));
+    auto list = nlohmann::json::array();
+    for (const auto& listed : m_hostLists) {
+        if (listed.time <= newest)
+            list = listed.hosts;
+    }
+    return http::makeResponse(Status::ok, list.dump());
+}
+
 }
