Add a fault proxy and put legs of the test fleet behind it

Tests of silent connections, cut links and delays need faults between real processes. fake_fault_proxy forwards TCP and UDP over several links in one process; PUT /links/NAME switches delay, loss, cuts per direction, refused or reset connections, silence of the open connections, and a freeze. Fleet puts the legs platform, NAME, NAME/caller and NAME/peer behind a link.

--- /dev/null
+++ b/fakes/fakes/FaultLink.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "chiveshelf/core/Address.h"
+#include "chiveshelf/core/Error.h"
+
+#include <boost/asio.hpp>
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace fakes {
+
+// Faults of one link, as the control port sets them.
+struct LinkFaults {
+    std::chrono::milliseconds delay { 0 };
+    // Share of datagrams and of pieces of TCP data that are discarded.
+    int dropPercent = 0;
+    // Direction whose bytes are discarded: "", "to_target", "to_caller" or "both".
+    std::string cut;
+    // What becomes of TCP connections: "accept", "refuse" (nothing listens) or "reset" (accepted, then reset).
+    std::string connections = "accept";
+    // While set, nothing is read, written or accepted, and nothing is lost.
+    bool isFrozen = false;
+};
+
+// Forwards TCP connections and datagrams from one listening address to one target, with switchable faults.
+class FaultLink : public std::enable_shared_from_this<FaultLink> {
+public:
+    FaultLink(boost::asio::io_context&, chiveshelf::Address listen, chiveshelf::Address target);
+    FaultLink(const FaultLink&) = delete;
+    FaultLink& operator=(const FaultLink&) = delete;
+
+    chiveshelf::Result<void> start();
+
+    // Changes the faults that the JSON object names: delay_ms, drop_percent, cut, connections, frozen. `"silent": true` lets the
+    // connections that are open now carry nothing any more; later ones work.
+    chiveshelf::Result<void> apply(const nlohmann::json&);
+
+    nlohmann::json state() const;
+
+private:
+    struct Session;
+    struct DatagramSession;
+
+    chiveshelf::Result<void> listen();
+    boost::asio::awaitable<void> acceptLoop();
+    boost::asio::awaitable<void> forward(std::shared_ptr<Session>);
+    boost::asio::awaitable<void> pump(std::shared_ptr<Session>, bool isToTarget);
+    boost::asio::awaitable<void> receiveLoop();
+    boost::asio::awaitable<void> returnLoop(std::shared_ptr<DatagramSession>);
+    boost::asio::awaitable<void> sendDatagram(std::shared_ptr<boost::asio::ip::udp::socket>, boost::asio::ip::udp::endpoint, std::string);
+    boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds);
+    boost::asio::awaitable<void> waitWhileFrozen();
+    bool isDropped(bool isToTarget);
+    void resetAll();
+
+    boost::asio::io_context& m_context;
+    chiveshelf::Address m_listen;
+    chiveshelf::Address m_target;
+    LinkFaults m_faults;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::shared_ptr<boost::asio::ip::udp::socket> m_datagrams;
+    std::set<std::shared_ptr<Session>> m_sessions;
+    std::map<boost::asio::ip::udp::endpoint, std::shared_ptr<DatagramSession>> m_datagramSessions;
+    std::mt19937 m_random { 1 };
+    std::uint64_t m_acceptedCount = 0;
+};
+
+}
--- a/packages/daemon/chiveshelf/daemon/DaemonSettings.cpp
+++ b/packages/daemon/chiveshelf/daemon/DaemonSettings.cpp
@@ -12,6 +12,7 @@
         { "listen", "", "IP:PORT for callers.", true, false, checkAddress() },
         { "admin-listen", "", "IP:PORT for metrics, state and drain.", true, false, checkAddress() },
         { "peer-listen", "", "IP:PORT for other hosts, TCP and UDP.", true, false, checkAddress() },
+        { "peer-advertise", "", "IP:PORT at which other hosts reach --peer-listen, if it is another one.", false, false, checkAddress() },
         { "platform", "", "IP:PORT of the platform's key-value service.", true, false, checkAddress() },
         { "drain-limit-ms", "300000", "Longest wait for running requests at shutdown, in ms.", false, false, checkNumber(0, 3'600'000, "ms") },
         { "log-level", "info", "Lowest level that is logged.", false, false, checkOneOf({ "debug", "info", "warning", "error" }) },
@@ -29,6 +30,7 @@
     settings.callerAddress = options.address("listen");
     settings.adminAddress = options.address("admin-listen");
     settings.peerAddress = options.address("peer-listen");
+    settings.advertisedPeerAddress = options.text("peer-advertise").empty() ? settings.peerAddress : options.address("peer-advertise");
     settings.platformAddress = options.address("platform");
     settings.drainLimit = std::chrono::milliseconds(options.number("drain-limit-ms"));
     settings.logLevel = options.text("log-level");
--- a/packages/daemon/chiveshelf/daemon/DaemonSettings.h
+++ b/packages/daemon/chiveshelf/daemon/DaemonSettings.h
@@ -11,6 +11,8 @@
     Address callerAddress;
     Address adminAddress;
     Address peerAddress;
+    // Where other hosts reach this one; the peer address itself unless something forwards to it.
+    Address advertisedPeerAddress;
     Address platformAddress;
     std::chrono::milliseconds drainLimit { 0 };
     std::string logLevel;
--- a/tests/Tests.cmake
+++ b/tests/Tests.cmake
@@ -10,3 +10,4 @@
 
 # Each integration test has a NETWORK number of its own.
 chiveshelf_add_integration_test(WholePathTest NETWORK 11)
+chiveshelf_add_integration_test(FaultProxyTest NETWORK 50)
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -21,6 +21,7 @@
     constexpr std::uint16_t peerPort = 7070;
     constexpr std::uint16_t platformPort = 2380;
     constexpr std::uint16_t backendPort = 8000;
+    constexpr std::uint16_t proxyControlPort = 9000;
     constexpr auto startLimit = std::chrono::seconds(10);
 
 }
@@ -56,17 +57,52 @@
         throw std::runtime_error("nothing answers at " + toString(address));
 }
 
+void Fleet::useProxy(const std::string& leg)
+{
+    m_proxiedLegs.insert(leg);
+    if (m_proxyControl.port != 0)
+        return;
+    m_proxyControl = nextAddress(proxyControlPort);
+    m_processes["proxy"] = std::make_unique<ChildProcess>("fake_fault_proxy", std::vector<std::string> { "--listen", toString(m_proxyControl) }, logPath("proxy"));
+    waitForPort(m_proxyControl, "/links");
+}
+
+void Fleet::setFault(const std::string& leg, const nlohmann::json& faults)
+{
+    const auto path = leg.empty() ? "/links" : "/links/" + chiveshelf::http::percentEncode(leg);
+    if (call(m_proxyControl, Verb::put, path, {}, faults.dump()).status != 200)
+        throw std::runtime_error("fault proxy refused a change of " + leg);
+}
+
+Address Fleet::linkTo(const std::string& leg, const Address& target)
+{
+    if (!m_proxiedLegs.contains(leg))
+        return target;
+    const auto listen = nextAddress(target.port);
+    setFault(leg, { { "listen", toString(listen) }, { "target", toString(target) } });
+    return listen;
+}
+
 void Fleet::startPlatform()
 {
+    if (m_platformLink.port == 0)
+        m_platformLink = linkTo("platform", platform());
     m_processes["platform"] = std::make_unique<ChildProcess>("fake_key_value", std::vector<std::string> { "--listen", toString(platform()) }, logPath("platform"));
     waitForPort(platform(), "/control/stats");
 }
 
+void Fleet::bindBackend(const std::string& name, const std::string& dataCentre)
+{
+    if (m_backends.contains(name))
+        return;
+    m_bound[name] = nextAddress(backendPort);
+    m_backends[name] = { name, linkTo(name, m_bound[name]), dataCentre };
+}
+
 void Fleet::startRunner(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra)
 {
-    if (!m_backends.contains(name))
-        m_backends[name] = { name, nextAddress(backendPort), dataCentre };
-    const auto& address = m_backends[name].address;
+    bindBackend(name, dataCentre);
+    const auto& address = m_bound[name];
     std::vector<std::string> arguments { "--listen", toString(address) };
     arguments.insert(arguments.end(), extra.begin(), extra.end());
     m_processes[name] = std::make_unique<ChildProcess>("fake_runner", arguments, logPath(name));
@@ -75,10 +111,9 @@
 
 void Fleet::startService(const std::string& name, const std::string& dataCentre)
 {
-    if (!m_backends.contains(name))
-        m_backends[name] = { name, nextAddress(backendPort), dataCentre };
+    bindBackend(name, dataCentre);
     m_isService[name] = true;
-    const auto& address = m_backends[name].address;
+    const auto& address = m_bound[name];
     m_processes[name] = std::make_unique<ChildProcess>("fake_service", std::vector<std::string> { "--listen", toString(address) }, logPath(name));
     waitForPort(address, "/control/runs");
 }
@@ -87,11 +122,14 @@
 {
     if (!m_hosts.contains(name)) {
         const auto address = nextAddress(callerPort);
-        m_hosts[name] = { name, dataCentre, address, { address.ip, adminPort }, { address.ip, peerPort } };
+        const HostAddresses bound { name, dataCentre, address, { address.ip, adminPort }, { address.ip, peerPort } };
+        m_boundHosts[name] = bound;
+        m_hosts[name] = { name, dataCentre, linkTo(name + "/caller", bound.caller), bound.admin, linkTo(name + "/peer", bound.peer) };
     }
-    const auto& host = m_hosts[name];
+    const auto& host = m_boundHosts[name];
     std::vector<std::string> arguments { "--host-name", name, "--data-centre", dataCentre, "--listen", toString(host.caller),
-        "--admin-listen", toString(host.admin), "--peer-listen", toString(host.peer), "--platform", toString(platform()) };
+        "--admin-listen", toString(host.admin), "--peer-listen", toString(host.peer), "--platform", toString(m_platformLink.port ? m_platformLink : platform()),
+        "--peer-advertise", toString(m_hosts[name].peer) };
     arguments.insert(arguments.end(), extra.begin(), extra.end());
     m_processes[name] = std::make_unique<ChildProcess>("chiveshelfd", arguments, logPath(name));
     waitForPort(host.admin, "/healthz");
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -6,6 +6,8 @@
 
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 
 namespace support {
@@ -27,6 +29,13 @@
     Fleet(const Fleet&) = delete;
     Fleet& operator=(const Fleet&) = delete;
 
+    // Puts a leg behind a link of the fault proxy. Call it before the process is started. Legs: "platform", "NAME" of a runner or
+    // service, "NAME/caller" and "NAME/peer" of a host. Addresses that this class returns are then those of the link.
+    void useProxy(const std::string& leg);
+
+    // Switches faults of a leg, as fakes::FaultLink::apply() describes. The leg "" stands for all.
+    void setFault(const std::string& leg, const nlohmann::json&);
+
     void startPlatform();
     void startRunner(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra = {});
     void startService(const std::string& name, const std::string& dataCentre);
@@ -49,6 +58,7 @@
     ChildProcess& process(const std::string& name) { return *m_processes.at(name); }
     const HostAddresses& host(const std::string& name) const { return m_hosts.at(name); }
     const std::map<std::string, HostAddresses>& hosts() const { return m_hosts; }
+    // The platform itself, also when its leg is behind the proxy.
     chiveshelf::Address platform() const;
     const chiveshelf::Address& backend(const std::string& name) const { return m_backends.at(name).address; }
 
@@ -59,6 +69,12 @@
     chiveshelf::Address nextAddress(std::uint16_t port);
     void waitForPort(const chiveshelf::Address&, const std::string& path);
 
+    // Gives a backend its addresses at its first start.
+    void bindBackend(const std::string& name, const std::string& dataCentre);
+
+    // Returns the address under which others reach `target`: a new link's, or the target itself if the leg has none.
+    chiveshelf::Address linkTo(const std::string& leg, const chiveshelf::Address& target);
+
     int m_network;
     int m_nextHost = 1;
     std::string m_folder;
@@ -66,6 +82,12 @@
     std::map<std::string, HostAddresses> m_hosts;
     std::map<std::string, chiveshelf::Backend> m_backends;
     std::map<std::string, bool> m_isService;
+    // Addresses that the processes bind, by name.
+    std::map<std::string, chiveshelf::Address> m_bound;
+    std::map<std::string, HostAddresses> m_boundHosts;
+    std::set<std::string> m_proxiedLegs;
+    chiveshelf::Address m_proxyControl;
+    chiveshelf::Address m_platformLink;
 };
 
 }
