--- /dev/null
+++ b/bench/endtoend/BenchFleet.cpp
@@ -0,0 +1,174 @@
+#include "endtoend/BenchFleet.h"
+
+#include <nlohmann/json.hpp>
+
+#include <unistd.h>
+
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace bench {
+
+using chiveshelf::http::Verb;
+
+namespace {
+
+    constexpr int hostsPerDataCentre = 2;
+    constexpr const char* noStorePolicy = "no-store";
+    constexpr const char* defaultPolicy = "chiveshelf";
+    // Speeds of the fake engines: 9,000 tokens take 0.36 s to compute and 64 of 80 conversations fit no single runner.
+    const std::vector<std::string> runnerFlags { "--slots", "8", "--prefill-us-per-token", "40", "--token-ms", "10", "--cache-blocks", "12" };
+    const std::vector<std::string> storeFlags { "--link-bytes-per-second", "40000000" };
+    constexpr std::int64_t slowLinkBytesPerSecond = 4'000'000;
+    constexpr auto startLimit = std::chrono::seconds(10);
+
+    std::string runnerName(const std::string& pool, int index)
+    {
+        return pool + "-" + std::to_string(index + 1);
+    }
+
+    // Fields of /proc/PID/stat after the command name, which may hold spaces.
+    std::vector<std::string> readStat(int pid)
+    {
+        std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
+        std::string line;
+        std::getline(in, line);
+        std::istringstream rest(line.substr(std::min(line.size(), line.rfind(')') + 1)));
+        std::vector<std::string> fields;
+        for (std::string field; rest >> field;)
+            fields.push_back(field);
+        return fields;
+    }
+
+}
+
+BenchFleet::BenchFleet(const Deployment& deployment, const std::string& policy, int network)
+    : m_deployment(deployment)
+    , m_hasStores(policy != noStorePolicy)
+    , m_fleet(network)
+{
+    m_fleet.startPlatform();
+    const auto dataCentre = [&](int index) { return deployment.dataCentres[static_cast<std::size_t>(index) % deployment.dataCentres.size()]; };
+    for (int i = 0; i < deployment.mainRunners; ++i)
+        m_fleet.startRunner(runnerName(deployment.mainPool, i), dataCentre(i), runnerFlags);
+    for (int i = 0; i < deployment.deskRunners; ++i)
+        m_fleet.startRunner(runnerName(deployment.deskPool, i), dataCentre(i), runnerFlags);
+    if (m_hasStores) {
+        for (std::size_t i = 0; i < deployment.stores.size(); ++i)
+            m_fleet.startStore(deployment.stores[i], dataCentre(static_cast<int>(i)), storeFlags);
+    }
+    const bool isOurs = policy == noStorePolicy || policy == defaultPolicy;
+    const std::vector<std::string> hostFlags { "--scheduling-policy", isOurs ? "fair-share" : policy, "--log-level", "warning" };
+    for (const auto& name : deployment.dataCentres) {
+        for (int i = 0; i < hostsPerDataCentre; ++i)
+            m_fleet.startHost(name + "-" + std::to_string(i + 1), name, hostFlags);
+    }
+    m_fleet.listHosts();
+    m_tables = makeTables();
+    if (m_fleet.applyTables(m_tables) != 0 || !m_fleet.waitForRevision(1, startLimit))
+        throw std::runtime_error("the tables did not take force");
+}
+
+chiveshelf::Tables BenchFleet::makeTables() const
+{
+    chiveshelf::Tables tables;
+    const auto addPool = [&](const std::string& name, int runners) {
+        chiveshelf::Pool pool;
+        pool.name = name;
+        pool.model = name;
+        pool.version = "v1";
+        pool.slotsPerRunner = 8;
+        for (int i = 0; i < runners; ++i)
+            pool.runners.push_back(m_fleet.backendRow(runnerName(name, i)));
+        if (m_hasStores) {
+            for (const auto& store : m_deployment.stores)
+                pool.stores.push_back({ store, m_fleet.store(store), m_deployment.dataCentres.front() });
+        }
+        tables.pools.push_back(pool);
+        tables.routes.push_back({ name, "*", name, "", name, chiveshelf::Priority::Standard, std::nullopt, 1 });
+    };
+    addPool(m_deployment.mainPool, m_deployment.mainRunners);
+    addPool(m_deployment.deskPool, m_deployment.deskRunners);
+    return tables;
+}
+
+std::vector<std::vector<chiveshelf::Address>> BenchFleet::callerAddresses() const
+{
+    std::vector<std::vector<chiveshelf::Address>> out;
+    for (const auto& dataCentre : m_deployment.dataCentres) {
+        out.emplace_back();
+        for (const auto& [name, host] : m_fleet.hosts()) {
+            if (host.dataCentre == dataCentre)
+                out.back().push_back(host.caller);
+        }
+    }
+    return out;
+}
+
+void BenchFleet::disturb(Disturbance disturbance)
+{
+    switch (disturbance) {
+    case Disturbance::None:
+        return;
+    case Disturbance::StoreLost:
+        if (m_hasStores)
+            m_fleet.process(m_deployment.stores.front()).kill();
+        return;
+    case Disturbance::SlowLink:
+        if (m_hasStores) {
+            const nlohmann::json body { { "link_bytes_per_second", slowLinkBytesPerSecond } };
+            for (const auto& store : m_deployment.stores)
+                support::call(m_fleet.store(store), Verb::put, "/control/faults", {}, body.dump());
+        }
+        return;
+    case Disturbance::HostKilled:
+        m_fleet.process(m_deployment.dataCentres.front() + "-1").kill();
+        return;
+    case Disturbance::WeightSwap:
+        for (auto& pool : m_tables.pools)
+            pool.version = "v2";
+        m_fleet.applyTables(m_tables);
+        return;
+    }
+}
+
+std::int64_t BenchFleet::linkBytes() const
+{
+    std::int64_t bytes = 0;
+    if (!m_hasStores)
+        return bytes;
+    for (const auto& store : m_deployment.stores) {
+        const auto stats = nlohmann::json::parse(support::call(m_fleet.store(store), Verb::get, "/control/stats").body, nullptr, false);
+        if (stats.is_object())
+            bytes += stats.value("put_bytes", std::int64_t { 0 }) + stats.value("get_bytes", std::int64_t { 0 });
+    }
+    return bytes;
+}
+
+double BenchFleet::hostCpuSeconds()
+{
+    constexpr std::size_t userTimeField = 11;
+    constexpr std::size_t systemTimeField = 12;
+    double ticks = 0;
+    for (const auto& [name, host] : m_fleet.hosts()) {
+        const auto fields = readStat(m_fleet.process(name).id());
+        if (fields.size() > systemTimeField)
+            ticks += std::stod(fields[userTimeField]) + std::stod(fields[systemTimeField]);
+    }
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+double BenchFleet::hostMemoryMb()
+{
+    constexpr std::size_t residentPagesField = 21;
+    double pages = 0;
+    for (const auto& [name, host] : m_fleet.hosts()) {
+        const auto fields = readStat(m_fleet.process(name).id());
+        if (fields.size() > residentPagesField)
+            pages = std::max(pages, std::stod(fields[residentPagesField]));
+    }
+    return pages * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
+}
