--- a/bench/endtoend/BenchFleet.cpp
+++ b/bench/endtoend/BenchFleet.cpp
@@ -2,10 +2,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <unistd.h>
-
-#include <fstream>
-#include <sstream>
 #include <stdexcept>
 
 namespace bench {
@@ -28,19 +24,6 @@
         return pool + "-" + std::to_string(index + 1);
     }
 
-    // Fields of /proc/PID/stat after the command name, which may hold spaces.
-    std::vector<std::string> readStat(int pid)
-    {
-        std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
-        std::string line;
-        std::getline(in, line);
-        std::istringstream rest(line.substr(std::min(line.size(), line.rfind(')') + 1)));
-        std::vector<std::string> fields;
-        for (std::string field; rest >> field;)
-            fields.push_back(field);
-        return fields;
-    }
-
 }
 
 BenchFleet::BenchFleet(const Deployment& deployment, const std::string& policy, int network)
@@ -146,29 +129,12 @@
     return bytes;
 }
 
-double BenchFleet::hostCpuSeconds()
+std::vector<int> BenchFleet::hostProcessIds()
 {
-    constexpr std::size_t userTimeField = 11;
-    constexpr std::size_t systemTimeField = 12;
-    double ticks = 0;
-    for (const auto& [name, host] : m_fleet.hosts()) {
-        const auto fields = readStat(m_fleet.process(name).id());
-        if (fields.size() > systemTimeField)
-            ticks += std::stod(fields[userTimeField]) + std::stod(fields[systemTimeField]);
-    }
-    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
-double BenchFleet::hostMemoryMb()
-{
-    constexpr std::size_t residentPagesField = 21;
-    double pages = 0;
-    for (const auto& [name, host] : m_fleet.hosts()) {
-        const auto fields = readStat(m_fleet.process(name).id());
-        if (fields.size() > residentPagesField)
-            pages = std::max(pages, std::stod(fields[residentPagesField]));
-    }
-    return pages * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+    std::vector<int> ids;
+    for (const auto& [name, host] : m_fleet.hosts())
+        ids.push_back(m_fleet.process(name).id());
+    return ids;
 }
 
 }
--- a/bench/endtoend/BenchFleet.h
+++ b/bench/endtoend/BenchFleet.h
@@ -19,11 +19,8 @@
     // Bytes that the stores have sent and received.
     std::int64_t linkBytes() const;
 
-    // Processor time of all entry hosts since their start, in s.
-    double hostCpuSeconds();
-
-    // Largest resident memory of an entry host, in MB.
-    double hostMemoryMb();
+    // Processes of the entry hosts, for ProcessUsage.
+    std::vector<int> hostProcessIds();
 
     std::size_t hostCount() const { return m_fleet.hosts().size(); }
 
--- a/bench/endtoend/main.cpp
+++ b/bench/endtoend/main.cpp
@@ -1,5 +1,6 @@
 #include "chiveshelf/settings/OptionSet.h"
 #include "endtoend/BenchFleet.h"
+#include "endtoend/ProcessUsage.h"
 #include "endtoend/Report.h"
 
 #include <csignal>
@@ -19,7 +20,7 @@
 {
     bench::BenchFleet fleet(deployment, policy, network);
     bench::runLoad(bench::planWarmUp(scenario, deployment, seed), fleet.callerAddresses(), {});
-    const auto cpuBefore = fleet.hostCpuSeconds();
+    const auto cpuBefore = bench::cpuSeconds(fleet.hostProcessIds());
     const auto bytesBefore = fleet.linkBytes();
     std::vector<bench::TimedAction> actions;
     if (scenario.disturbance != bench::Disturbance::None)
@@ -28,8 +29,8 @@
     auto result = bench::evaluate(scenario.name, policy, bench::runLoad(requests, fleet.callerAddresses(), actions), duration);
     result.linkBytes = fleet.linkBytes() - bytesBefore;
     const auto seconds = static_cast<double>(duration.count()) / 1'000;
-    result.controlCpuPercent = 100 * (fleet.hostCpuSeconds() - cpuBefore) / seconds / static_cast<double>(fleet.hostCount());
-    result.hostMemoryMb = fleet.hostMemoryMb();
+    result.controlCpuPercent = 100 * (bench::cpuSeconds(fleet.hostProcessIds()) - cpuBefore) / seconds / static_cast<double>(fleet.hostCount());
+    result.hostMemoryMb = bench::largestMemoryMb(fleet.hostProcessIds());
     return result;
 }
 
--- a/tests/support/ChildProcess.cpp
+++ b/tests/support/ChildProcess.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <thread>
@@ -16,7 +17,9 @@
     std::string binaryPath(const std::string& name)
     {
         const char* folder = std::getenv("CHIVESHELF_TEST_BINARIES");
-        return std::string(folder ? folder : "build/bin") + "/" + name;
+        if (folder)
+            return std::string(folder) + "/" + name;
+        return (std::filesystem::read_symlink("/proc/self/exe").parent_path() / name).string();
     }
 
 }
