--- a/packages/daemon/chiveshelf/daemon/Daemon.cpp
+++ b/packages/daemon/chiveshelf/daemon/Daemon.cpp
@@ -33,7 +33,7 @@
     , m_cache(context, m_client, m_settings.cache,
           [this](Address runner, ExportRequest request) { return m_runners.exportBlock(std::move(runner), std::move(request)); })
     , m_tableAgent(context, m_platform, m_tables)
-    , m_members({ m_settings.hostName, m_settings.dataCentre, m_settings.peerAddress, MemberState::Live, 0 })
+    , m_members({ m_settings.hostName, m_settings.dataCentre, m_settings.advertisedPeerAddress, MemberState::Live, 0 })
     , m_membership(context, m_platform, m_members)
     , m_datagrams(context)
     , m_peerServer(context)
--- a/packages/entry/chiveshelf/entry/AnswerWriter.cpp
+++ b/packages/entry/chiveshelf/entry/AnswerWriter.cpp
@@ -24,7 +24,7 @@
             { "prompt_tokens", usage.promptTokens },
             { "completion_tokens", usage.completionTokens },
             { "total_tokens", usage.promptTokens + usage.completionTokens },
-            { "prompt_tokens_details", { { "cached_tokens", usage.cachedTokens } } },
+            { "prompt_tokens_details", { { "cached_tokens", usage.cachedTokens }, { "imported_tokens", usage.importedTokens } } },
         };
     }
 
