Run requests with an idempotency key at most once

An attempt claims its key with a record in the platform's service before the first byte goes to a runner. Records are in shards; the shard's writer host of a data centre groups claims and completions for up to 20 ms under one compare-and-swap. Writers never trust each other: a conflict or a lost reply makes a writer read the shard and decide again, and an attempt that finds its own attempt id is granted. An entry host that can not reach the writer writes itself.

An attempt that certainly did not run abandons its claim, so that a retry may run. An outcome up to 16 KiB is recorded before the caller is answered and is replayed; any other end is recorded as unknown and never run again. A keyed call goes to a second runner only after NotRun, and never over a pooled connection, whose loss could not be told from a call that ran.

The number of shards is stored with the first record; a host with another number refuses keyed calls.

Ruled out: one record per key, since 500 writes a second of the platform would all go to single records; trusting one writer per shard, since a frozen writer comes back.

--- a/packages/daemon/chiveshelf/daemon/Daemon.cpp
+++ b/packages/daemon/chiveshelf/daemon/Daemon.cpp
@@ -20,6 +20,8 @@
 
     constexpr http::CallLimits platformLimits { std::chrono::milliseconds(300), std::chrono::milliseconds(1'000) };
     constexpr http::CallLimits runnerLimits { std::chrono::milliseconds(300), std::chrono::milliseconds(2'000) };
+    // Callers wait for the records of their keys, so that a slow service is refused soon. A value has up to 1 MB.
+    constexpr http::CallLimits recordLimits { std::chrono::milliseconds(200), std::chrono::milliseconds(400) };
     constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
 
 }
@@ -38,7 +40,9 @@
     , m_peerClient(context)
     , m_scheduler(context, m_peerServer, m_tables, m_settings.dataCentre)
     , m_dispatch(context, m_peerClient, m_members)
-    , m_entry(context, {}, { m_tables, m_dispatch, m_runners, m_client }, m_settings.dataCentre)
+    , m_recordPlatform(m_client, m_settings.platformAddress, recordLimits)
+    , m_idempotency(context, m_peerServer, m_peerClient, m_members, m_recordPlatform, m_settings.idempotency)
+    , m_entry(context, {}, { m_tables, m_dispatch, m_runners, m_client, m_idempotency }, m_settings.dataCentre)
     , m_admin(context,
           { [this] { return state(); }, [this] { return metrics(); },
               [this] { return m_tables.snapshot()->revision > 0 && !m_isDraining; }, [this] { drain(); } })
@@ -78,7 +82,7 @@
     m_entry.drain();
     const auto limit = std::chrono::steady_clock::now() + m_settings.drainLimit;
     asio::steady_timer timer(m_context);
-    while (m_entry.activeRequests() > 0 && std::chrono::steady_clock::now() < limit) {
+    while (m_entry.activeRequests() + m_idempotency.pendingCount() > 0 && std::chrono::steady_clock::now() < limit) {
         boost::system::error_code ec;
         timer.expires_after(drainCheckInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
@@ -89,6 +93,7 @@
 
 nlohmann::json Daemon::state() const
 {
+    const auto& records = m_idempotency.counters();
     auto members = nlohmann::json::array();
     for (const auto& member : m_members.all())
         members.push_back({ { "name", member.name }, { "data_centre", member.dataCentre }, { "state", memberStateName(member.state) },
@@ -101,7 +106,12 @@
         { "members", members },
         { "pools", m_scheduler.state() },
         { "active_requests", m_entry.activeRequests() },
-        { "platform_calls", m_platform.callCount() },
+        { "platform_calls", m_platform.callCount() + m_recordPlatform.callCount() },
+        { "idempotency",
+            { { "operations", records.operations }, { "groups", records.groups }, { "writes", records.writes }, { "conflicts", records.conflicts },
+                { "read_backs", records.readBacks }, { "failures", records.failures }, { "full", records.full },
+                { "platform_calls", m_recordPlatform.callCount() }, { "pending", m_idempotency.pendingCount() },
+                { "given_up", m_idempotency.givenUpCount() }, { "replays", m_entry.counters().replays } } },
         { "connections", { { "peer_links", m_peerClient.linkCount() }, { "idle_http", m_client.idleConnections() } } },
     };
 }
@@ -117,7 +127,17 @@
     };
     counter("chiveshelf_requests_total", "Requests received from callers.", m_entry.counters().requests);
     counter("chiveshelf_refusals_total", "Requests refused before they reached a runner.", m_entry.counters().refusals);
-    counter("chiveshelf_platform_calls_total", "Calls to the platform's key-value service, watches included.", m_platform.callCount());
+    counter("chiveshelf_platform_calls_total", "Calls to the platform's key-value service, watches included.", m_platform.callCount() + m_recordPlatform.callCount());
+    const auto& records = m_idempotency.counters();
+    counter("chiveshelf_idempotency_operations_total", "Claims and completions that this host wrote for its shards.", records.operations);
+    counter("chiveshelf_idempotency_writes_total", "Compare-and-swaps of idempotency shards that succeeded.", records.writes);
+    counter("chiveshelf_idempotency_conflicts_total", "Compare-and-swaps that met another writer.", records.conflicts);
+    counter("chiveshelf_idempotency_read_backs_total", "Writes whose reply was lost and that were read back.", records.readBacks);
+    counter("chiveshelf_idempotency_failures_total", "Groups that were refused because the platform failed.", records.failures);
+    counter("chiveshelf_idempotency_full_total", "Claims refused because their shard was full.", records.full);
+    counter("chiveshelf_idempotency_replays_total", "Callers that got a recorded outcome.", m_entry.counters().replays);
+    counter("chiveshelf_idempotency_given_up_total", "Ends of attempts that could not be recorded.", m_idempotency.givenUpCount());
+    gauge("chiveshelf_idempotency_pending", "Ends of attempts that are not recorded yet.", static_cast<double>(m_idempotency.pendingCount()));
     gauge("chiveshelf_active_requests", "Requests that are being served.", static_cast<double>(m_entry.activeRequests()));
     gauge("chiveshelf_tables_revision", "Revision of the tables in force.", static_cast<double>(m_tables.snapshot()->revision));
     return prometheus::TextSerializer().Serialize(registry.Collect());
--- a/packages/daemon/chiveshelf/daemon/Daemon.h
+++ b/packages/daemon/chiveshelf/daemon/Daemon.h
@@ -44,6 +44,8 @@
     peer::PeerClient m_peerClient;
     SchedulerService m_scheduler;
     DispatchClient m_dispatch;
+    HttpPlatform m_recordPlatform;
+    IdempotencyService m_idempotency;
     EntryService m_entry;
     AdminService m_admin;
     bool m_isDraining = false;
--- a/packages/daemon/chiveshelf/daemon/DaemonSettings.cpp
+++ b/packages/daemon/chiveshelf/daemon/DaemonSettings.cpp
@@ -14,6 +14,8 @@
         { "peer-listen", "", "IP:PORT for other hosts, TCP and UDP.", true, false, checkAddress() },
         { "peer-advertise", "", "IP:PORT at which other hosts reach --peer-listen, if it is another one.", false, false, checkAddress() },
         { "platform", "", "IP:PORT of the platform's key-value service.", true, false, checkAddress() },
+        { "idempotency-shards", "1024", "Shards of the idempotency records; equal on all hosts.", false, false, checkNumber(1, 65'536, "shards") },
+        { "idempotency-window-ms", "20", "Time in which claims of a shard are grouped, in ms; 0 writes each by itself.", false, false, checkNumber(0, 20, "ms") },
         { "drain-limit-ms", "300000", "Longest wait for running requests at shutdown, in ms.", false, false, checkNumber(0, 3'600'000, "ms") },
         { "log-level", "info", "Lowest level that is logged.", false, false, checkOneOf({ "debug", "info", "warning", "error" }) },
         { "print-settings", "", "Print the effective settings with their origin and exit.", false, true, nullptr },
@@ -32,6 +34,8 @@
     settings.peerAddress = options.address("peer-listen");
     settings.advertisedPeerAddress = options.text("peer-advertise").empty() ? settings.peerAddress : options.address("peer-advertise");
     settings.platformAddress = options.address("platform");
+    settings.idempotency.shards = static_cast<std::uint32_t>(options.number("idempotency-shards"));
+    settings.idempotency.window = std::chrono::milliseconds(options.number("idempotency-window-ms"));
     settings.drainLimit = std::chrono::milliseconds(options.number("drain-limit-ms"));
     settings.logLevel = options.text("log-level");
     std::map<Address, std::string> used;
--- a/packages/daemon/chiveshelf/daemon/DaemonSettings.h
+++ b/packages/daemon/chiveshelf/daemon/DaemonSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chiveshelf/idempotency/ShardWriter.h"
 #include "chiveshelf/settings/OptionSet.h"
 
 namespace chiveshelf {
@@ -14,10 +15,11 @@
     // Where other hosts reach this one; the peer address itself unless something forwards to it.
     Address advertisedPeerAddress;
     Address platformAddress;
+    ShardWriterSettings idempotency;
     std::chrono::milliseconds drainLimit { 0 };
     std::string logLevel;
 
-    auto operator<=>(const DaemonSettings&) const = default;
+    bool operator==(const DaemonSettings&) const = default;
 };
 
 // Returns the options of chiveshelfd.
--- a/packages/entry/chiveshelf/entry/AnswerWriter.cpp
+++ b/packages/entry/chiveshelf/entry/AnswerWriter.cpp
@@ -67,8 +67,9 @@
 
 asio::awaitable<Result<void>> AnswerWriter::token(const std::string& text)
 {
-    if (!m_call.isStream) {
+    if (!m_call.isStream || m_recorder)
         m_text += text;
+    if (!m_call.isStream) {
         if (m_exchange.peerHasClosed())
             co_return failure(ErrorCode::Cancelled, "caller has gone", Verdict::MayHaveRun);
         co_return Result<void> {};
@@ -83,6 +84,10 @@
 
 asio::awaitable<Result<void>> AnswerWriter::finish(const std::string& finishReason, const Usage& usage)
 {
+    if (m_recorder) {
+        AnswerOutcome outcome { m_text, finishReason, usage };
+        co_await m_recorder(std::move(outcome));
+    }
     if (m_call.isStream) {
         if (!m_hasBegun) {
             const auto begun = co_await begin();
@@ -115,6 +120,8 @@
 
 asio::awaitable<void> AnswerWriter::fail(const Error& error)
 {
+    if (m_recorder)
+        co_await m_recorder(tl::unexpected(error));
     if (!m_exchange.hasStarted()) {
         co_await m_exchange.respond(makeRefusal(error, m_headers.requestId));
         co_return;
--- a/packages/entry/chiveshelf/entry/CompletionTask.cpp
+++ b/packages/entry/chiveshelf/entry/CompletionTask.cpp
@@ -98,7 +98,9 @@
         }
         logFinished(report, "runner_failed");
         m_excludedRunners.push_back(grant->runner);
-        if (outcome == Outcome::Refused || m_excludedRunners.size() >= maximumRunners) {
+        // A keyed request goes to a second runner only if the first is certain not to have run it.
+        const bool mayRepeat = m_headers.idempotencyKey.empty() || (m_lastError.verdict == Verdict::NotRun && m_delivered == 0);
+        if (outcome == Outcome::Refused || !mayRepeat || m_excludedRunners.size() >= maximumRunners) {
             if (m_delivered > 0)
                 m_lastError.verdict = Verdict::Ran;
             co_await writer.fail(m_lastError);
--- a/packages/entry/chiveshelf/entry/EntryService.cpp
+++ b/packages/entry/chiveshelf/entry/EntryService.cpp
@@ -7,6 +7,8 @@
 #include "chiveshelf/entry/Refusal.h"
 #include "chiveshelf/entry/ServiceCall.h"
 
+#include <nlohmann/json.hpp>
+
 namespace chiveshelf {
 
 namespace asio = boost::asio;
@@ -16,6 +18,36 @@
     constexpr std::string_view completionsPath = "/v1/completions";
     constexpr std::string_view chatPath = "/v1/chat/completions";
 
+    using Json = nlohmann::json;
+
+    RecordedOutcome toRecord(const AnswerOutcome& answer)
+    {
+        const Json body { { "text", answer.text }, { "finish_reason", answer.finishReason }, { "prompt_tokens", answer.usage.promptTokens },
+            { "cached_tokens", answer.usage.cachedTokens }, { "imported_tokens", answer.usage.importedTokens },
+            { "completion_tokens", answer.usage.completionTokens } };
+        return { 200, "application/json", body.dump(-1, ' ', false, Json::error_handler_t::replace), true };
+    }
+
+    AnswerOutcome fromRecord(const RecordedOutcome& record)
+    {
+        const auto body = Json::parse(record.body, nullptr, false);
+        if (!body.is_object())
+            return {};
+        AnswerOutcome answer;
+        answer.text = body.value("text", "");
+        answer.finishReason = body.value("finish_reason", "");
+        answer.usage.promptTokens = body.value("prompt_tokens", std::int64_t { 0 });
+        answer.usage.cachedTokens = body.value("cached_tokens", std::int64_t { 0 });
+        answer.usage.importedTokens = body.value("imported_tokens", std::int64_t { 0 });
+        answer.usage.completionTokens = body.value("completion_tokens", std::int64_t { 0 });
+        return answer;
+    }
+
+    std::string fingerprintOf(const http::Request& request)
+    {
+        return toHex(hash128(std::string(request.method_string()) + " " + std::string(request.target()) + "\n" + request.body()));
+    }
+
 }
 
 EntryService::EntryService(asio::io_context& context, http::ServerLimits limits, EntryPorts ports, std::string dataCentre)
@@ -68,9 +100,52 @@
         co_await refuse(exchange, { ErrorCode::NotFound, "no route for model '" + call->model + "'", Verdict::NotRun, std::nullopt }, headers);
         co_return;
     }
+    std::unique_ptr<IdempotentRequest> idempotent;
+    if (!co_await beginIdempotent(exchange, headers, idempotent, &*call))
+        co_return;
     AnswerWriter writer(exchange, headers, *call);
+    if (idempotent) {
+        writer.recordWith([&idempotent](Result<AnswerOutcome> outcome) -> asio::awaitable<void> {
+            if (outcome)
+                return idempotent->finish(toRecord(*outcome));
+            return idempotent->fail(outcome.error().verdict);
+        });
+    }
     CompletionTask task(m_ports.dispatch, m_ports.runners, headers, *call, *route, *pool);
     co_await task.run(writer);
+    // The caller went away in the middle of its answer.
+    if (idempotent)
+        co_await idempotent->fail(Verdict::MayHaveRun);
+}
+
+asio::awaitable<bool> EntryService::beginIdempotent(http::Exchange& exchange, const CallerHeaders& headers,
+    std::unique_ptr<IdempotentRequest>& request, const CompletionCall* completion)
+{
+    if (headers.idempotencyKey.empty())
+        co_return true;
+    request = std::make_unique<IdempotentRequest>(m_ports.idempotency, headers.organisation, headers.idempotencyKey, fingerprintOf(exchange.request()));
+    const auto begun = co_await request->begin();
+    if (!begun) {
+        co_await refuse(exchange, begun.error(), headers);
+        co_return false;
+    }
+    if (!begun->has_value())
+        co_return true;
+    ++m_counters.replays;
+    logEvent(LogLevel::Info, "outcome_replayed", { { "request_id", headers.requestId }, { "organisation", headers.organisation } });
+    const auto& outcome = **begun;
+    if (completion) {
+        const auto answer = fromRecord(outcome);
+        AnswerWriter writer(exchange, headers, *completion);
+        if (co_await writer.token(answer.text))
+            co_await writer.finish(answer.finishReason, answer.usage);
+        co_return false;
+    }
+    auto response = http::makeResponse(static_cast<http::Status>(outcome.status), outcome.body, outcome.contentType);
+    response.set("X-Request-Id", headers.requestId);
+    response.set("Idempotency-Replayed", "true");
+    co_await exchange.respond(std::move(response));
+    co_return false;
 }
 
 asio::awaitable<void> EntryService::forward(http::Exchange& exchange, CallerHeaders headers, const std::string& path)
@@ -82,12 +157,21 @@
         co_await refuse(exchange, { ErrorCode::NotFound, "no route for path '" + path + "'", Verdict::NotRun, std::nullopt }, headers);
         co_return;
     }
+    std::unique_ptr<IdempotentRequest> idempotent;
+    if (!co_await beginIdempotent(exchange, headers, idempotent, nullptr))
+        co_return;
     ServiceCall call(m_ports.client, headers, *pool, m_dataCentre);
     auto response = co_await call.run(exchange.request());
     if (!response) {
+        if (idempotent)
+            co_await idempotent->fail(response.error().verdict);
         co_await refuse(exchange, response.error(), headers);
         co_return;
     }
+    if (idempotent) {
+        RecordedOutcome outcome { response->result_int(), http::header(*response, "Content-Type"), response->body(), true };
+        co_await idempotent->finish(std::move(outcome));
+    }
     logEvent(LogLevel::Info, "service_call_finished",
         { { "request_id", headers.requestId }, { "organisation", headers.organisation }, { "pool", pool->name }, { "status", response->result_int() } });
     co_await exchange.respond(std::move(*response));
--- a/packages/entry/chiveshelf/entry/EntryService.h
+++ b/packages/entry/chiveshelf/entry/EntryService.h
@@ -3,6 +3,7 @@
 #include "chiveshelf/dispatch/DispatchClient.h"
 #include "chiveshelf/entry/CallerRequest.h"
 #include "chiveshelf/http/Server.h"
+#include "chiveshelf/idempotency/IdempotentRequest.h"
 #include "chiveshelf/runner/HttpRunner.h"
 #include "chiveshelf/tables/TableStore.h"
 
@@ -14,12 +15,14 @@
     DispatchClient& dispatch;
     HttpRunner& runners;
     http::Client& client;
+    IdempotencyService& idempotency;
 };
 
 // Counters for metrics.
 struct EntryCounters {
     std::uint64_t requests = 0;
     std::uint64_t refusals = 0;
+    std::uint64_t replays = 0;
 };
 
 // The callers' listener. Construct it and call start(); drain() stops accepting and lets running requests end.
@@ -38,6 +41,10 @@
     boost::asio::awaitable<void> handle(http::Exchange&);
     boost::asio::awaitable<void> complete(http::Exchange&, CallerHeaders, bool isChat);
     boost::asio::awaitable<void> forward(http::Exchange&, CallerHeaders, const std::string& path);
+
+    // Claims the key of a request, if it has one. Returns false when the caller has been answered: refused, or with the recorded
+    // outcome.
+    boost::asio::awaitable<bool> beginIdempotent(http::Exchange&, const CallerHeaders&, std::unique_ptr<IdempotentRequest>&, const CompletionCall*);
     boost::asio::awaitable<void> refuse(http::Exchange&, const Error&, const CallerHeaders&);
 
     EntryPorts m_ports;
--- a/packages/entry/chiveshelf/entry/ServiceCall.cpp
+++ b/packages/entry/chiveshelf/entry/ServiceCall.cpp
@@ -48,7 +48,11 @@
 {
     const bool isIdempotentMethod = original.method() == http::Verb::get || original.method() == http::Verb::head
         || original.method() == http::Verb::options;
-    const bool mayRepeat = isIdempotentMethod || (m_pool.isRepeatable && m_headers.idempotencyKey.empty());
+    const bool hasKey = !m_headers.idempotencyKey.empty();
+    const bool mayRepeat = !hasKey && (isIdempotentMethod || m_pool.isRepeatable);
+    auto limits = serviceLimits;
+    // A pooled connection may have been lost without a sign; a call over it would end with an unknown outcome.
+    limits.isReuseAllowed = mayRepeat;
     Error last { ErrorCode::Unavailable, "no runner in pool '" + m_pool.name + "'", Verdict::NotRun, std::nullopt };
     std::size_t attempts = 0;
     for (const auto& backend : candidates()) {
@@ -57,7 +61,7 @@
         auto request = original;
         eraseHopHeaders(request);
         request.set("X-Request-Id", m_headers.requestId);
-        auto response = co_await m_client.send(backend.address, std::move(request), serviceLimits);
+        auto response = co_await m_client.send(backend.address, std::move(request), limits);
         if (response) {
             eraseHopHeaders(*response);
             response->set("X-Request-Id", m_headers.requestId);
--- a/packages/http/chiveshelf/http/Client.cpp
+++ b/packages/http/chiveshelf/http/Client.cpp
@@ -141,8 +141,10 @@
 
 asio::awaitable<Result<std::unique_ptr<ResponseStream::Connection>>> Client::connect(Address address, CallLimits limits)
 {
-    if (auto connection = takeIdle(address))
-        co_return connection;
+    if (limits.isReuseAllowed) {
+        if (auto connection = takeIdle(address))
+            co_return connection;
+    }
     auto connection = std::make_unique<ResponseStream::Connection>(m_context);
     boost::system::error_code ec;
     connection->stream.expires_after(limits.connect);
--- a/packages/http/chiveshelf/http/Client.h
+++ b/packages/http/chiveshelf/http/Client.h
@@ -18,6 +18,8 @@
 struct CallLimits {
     std::chrono::milliseconds connect { 500 };
     std::chrono::milliseconds progress { 2'000 };
+    // Whether the call may go over a pooled connection. A new one tells for certain that nothing was sent when it fails.
+    bool isReuseAllowed = true;
 };
 
 class Client;
--- /dev/null
+++ b/packages/idempotency/chiveshelf/idempotency/IdempotentRequest.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "chiveshelf/idempotency/IdempotencyService.h"
+#include "chiveshelf/idempotency/IdempotentRequestStateMachine.h"
+
+namespace chiveshelf {
+
+// One attempt of a request with an idempotency key. Call begin(); if it returns neither an error nor an outcome, run the request
+// and call finish() or fail() before the caller is answered.
+class IdempotentRequest {
+public:
+    // `fingerprint` tells requests apart that use the same key.
+    IdempotentRequest(IdempotencyService&, std::string organisation, std::string key, std::string fingerprint);
+    IdempotentRequest(const IdempotentRequest&) = delete;
+    IdempotentRequest& operator=(const IdempotentRequest&) = delete;
+
+    // Claims the key. Returns nothing if the request may run, or the recorded outcome of an earlier attempt. The error says
+    // whether an earlier attempt may have run.
+    boost::asio::awaitable<Result<std::optional<RecordedOutcome>>> begin();
+
+    // Records the outcome.
+    boost::asio::awaitable<void> finish(RecordedOutcome);
+
+    // Records that there is no outcome. After NotRun the key may be used again; otherwise it stays unknown.
+    boost::asio::awaitable<void> fail(Verdict);
+
+    // True from a granted claim to finish() or fail().
+    bool isRunning() const { return m_machine.state() == IdempotentRequestState::Running; }
+
+private:
+    boost::asio::awaitable<void> settle(AttemptEnd, RecordedOutcome, std::chrono::milliseconds limit);
+
+    IdempotencyService& m_service;
+    ClaimKey m_claim;
+    IdempotentRequestStateMachine m_machine;
+};
+
+}
--- a/tests/integration/FaultProxyTest.cpp
+++ b/tests/integration/FaultProxyTest.cpp
@@ -1,5 +1,7 @@
 #include "Fleet.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace {
