--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -23,13 +23,24 @@
     constexpr std::uint16_t backendPort = 8000;
     constexpr std::uint16_t proxyControlPort = 9000;
     constexpr auto startLimit = std::chrono::seconds(10);
+    constexpr int defaultNetwork = 10;
+
+    int networkFromEnvironment()
+    {
+        const char* network = std::getenv("CHIVESHELF_TEST_NETWORK");
+        return network ? std::atoi(network) : defaultNetwork;
+    }
 
 }
 
 Fleet::Fleet()
+    : Fleet(networkFromEnvironment())
+{
+}
+
+Fleet::Fleet(int network)
+    : m_network(network)
 {
-    const char* network = std::getenv("CHIVESHELF_TEST_NETWORK");
-    m_network = network ? std::atoi(network) : 10;
     m_folder = (std::filesystem::temp_directory_path() / ("chiveshelf-test-" + std::to_string(m_network))).string();
     std::filesystem::create_directories(m_folder);
 }
@@ -118,6 +129,17 @@
     waitForPort(address, "/control/runs");
 }
 
+void Fleet::startStore(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra)
+{
+    if (!m_stores.contains(name))
+        m_stores[name] = { name, nextAddress(backendPort), dataCentre };
+    const auto& address = m_stores[name].address;
+    std::vector<std::string> arguments { "--listen", toString(address) };
+    arguments.insert(arguments.end(), extra.begin(), extra.end());
+    m_processes[name] = std::make_unique<ChildProcess>("fake_store", arguments, logPath(name));
+    waitForPort(address, "/status");
+}
+
 void Fleet::startHost(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra)
 {
     if (!m_hosts.contains(name)) {
@@ -156,6 +178,8 @@
     bookings.kind = chiveshelf::PoolKind::Service;
     for (const auto& [name, backend] : m_backends)
         (m_isService.contains(name) ? bookings : desk).runners.push_back(backend);
+    for (const auto& [name, store] : m_stores)
+        desk.stores.push_back(store);
     if (!desk.runners.empty()) {
         tables.pools.push_back(desk);
         tables.routes.push_back({ "desk", "*", "desk-model", "", "desk", chiveshelf::Priority::Standard, std::nullopt, 1 });
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -24,7 +24,11 @@
 // A system of real processes on loopback addresses of its own: the fake platform, fake runners, a fake service and entry hosts.
 class Fleet {
 public:
+    // Uses the loopback network of the test's environment.
     Fleet();
+
+    // Uses the loopback addresses 127.NETWORK.0.0/16.
+    explicit Fleet(int network);
     ~Fleet();
     Fleet(const Fleet&) = delete;
     Fleet& operator=(const Fleet&) = delete;
@@ -39,6 +43,7 @@
     void startPlatform();
     void startRunner(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra = {});
     void startService(const std::string& name, const std::string& dataCentre);
+    void startStore(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra = {});
 
     // Starts an entry host. `extra` are more flags.
     void startHost(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra = {});
@@ -46,7 +51,7 @@
     // Writes the platform's list of hosts.
     void listHosts();
 
-    // Returns tables with the pool "desk" of all runners and the pool "bookings" of all services.
+    // Returns tables with the pool "desk" of all runners and stores and the pool "bookings" of all services.
     chiveshelf::Tables defaultTables() const;
 
     // Applies tables with chivesctl. Returns its exit code.
@@ -61,6 +66,9 @@
     // The platform itself, also when its leg is behind the proxy.
     chiveshelf::Address platform() const;
     const chiveshelf::Address& backend(const std::string& name) const { return m_backends.at(name).address; }
+    const chiveshelf::Address& store(const std::string& name) const { return m_stores.at(name).address; }
+
+    const chiveshelf::Backend& backendRow(const std::string& name) const { return m_backends.at(name); }
 
     // A file or folder of this test's own for logs.
     std::string logPath(const std::string& name) const;
@@ -88,6 +96,7 @@
     std::set<std::string> m_proxiedLegs;
     chiveshelf::Address m_proxyControl;
     chiveshelf::Address m_platformLink;
+    std::map<std::string, chiveshelf::Backend> m_stores;
 };
 
 }
