Prove that keyed calls run at most once

The services' own counts are compared with what callers heard.

Ruled out as causes of runs: braced temporaries in co_await, which g++ 12 destroys twice, were found in three calls of this branch and named.

--- a/fakes/fakes/FakeService.h
+++ b/fakes/fakes/FakeService.h
@@ -6,7 +6,7 @@
 
 namespace fakes {
 
-// Stand-in for a plain service. It counts how often each `X-Operation` value ran.
+// Stand-in for a plain service. It counts how often each `X-Operation` value ran, and answers `X-Delay-Ms` after that.
 class FakeService {
 public:
     explicit FakeService(boost::asio::io_context&);
@@ -16,6 +16,7 @@
 private:
     boost::asio::awaitable<void> handle(chiveshelf::http::Exchange&);
 
+    boost::asio::io_context& m_context;
     chiveshelf::http::Server m_server;
     std::map<std::string, int> m_runs;
 };
--- a/packages/idempotency/chiveshelf/idempotency/IdempotentRequest.cpp
+++ b/packages/idempotency/chiveshelf/idempotency/IdempotentRequest.cpp
@@ -52,7 +52,7 @@
         m_machine.process(Event::ClaimRefused);
         auto error = reply.error();
         if (error.verdict != Verdict::NotRun)
-            co_await settle(AttemptEnd::Abandoned, {}, std::chrono::milliseconds(0));
+            co_await settle(AttemptEnd::Abandoned, RecordedOutcome(), std::chrono::milliseconds(0));
         // The claim may stand, but the request itself was not and will not be sent.
         error.verdict = Verdict::NotRun;
         co_return tl::unexpected(std::move(error));
@@ -63,7 +63,7 @@
             co_return std::optional<RecordedOutcome>();
         }
         m_machine.process(Event::ClaimExpired);
-        co_await settle(AttemptEnd::Abandoned, {}, recordLimit);
+        co_await settle(AttemptEnd::Abandoned, RecordedOutcome(), recordLimit);
         co_return tl::unexpected(refusalFor(ClaimState::Withdrawn));
     }
     if (reply->state == ClaimState::Completed && reply->outcome.isKept) {
@@ -84,7 +84,7 @@
 {
     const bool isNotRun = verdict == Verdict::NotRun;
     if (m_machine.process(isNotRun ? Event::NotRun : Event::OutcomeLost))
-        co_await settle(isNotRun ? AttemptEnd::Abandoned : AttemptEnd::Unknown, {}, recordLimit);
+        co_await settle(isNotRun ? AttemptEnd::Abandoned : AttemptEnd::Unknown, RecordedOutcome(), recordLimit);
 }
 
 asio::awaitable<void> IdempotentRequest::settle(AttemptEnd end, RecordedOutcome outcome, std::chrono::milliseconds limit)
--- a/tests/Tests.cmake
+++ b/tests/Tests.cmake
@@ -7,7 +7,10 @@
 
 chiveshelf_add_unit_test(core DEPENDS core)
 chiveshelf_add_unit_test(tables DEPENDS tables)
+chiveshelf_add_unit_test(idempotency DEPENDS idempotency)
 
 # Each integration test has a NETWORK number of its own.
 chiveshelf_add_integration_test(WholePathTest NETWORK 11)
 chiveshelf_add_integration_test(FaultProxyTest NETWORK 50)
+chiveshelf_add_integration_test(IdempotencyChaosTest NETWORK 51 TIMEOUT 300 PROCESSORS 4)
+chiveshelf_add_integration_test(IdempotentRequestsTest NETWORK 52 TIMEOUT 180)
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -157,6 +157,23 @@
     waitForPort(host.admin, "/healthz");
 }
 
+void Fleet::setPlatformFaults(const nlohmann::json& faults)
+{
+    if (call(platform(), Verb::put, "/control/faults", {}, faults.dump()).status != 200)
+        throw std::runtime_error("fake platform refused its faults");
+}
+
+std::map<std::string, int> Fleet::operationRuns() const
+{
+    std::map<std::string, int> out;
+    for (const auto& [name, isService] : m_isService) {
+        const auto runs = nlohmann::json::parse(call(m_bound.at(name), Verb::get, "/control/runs").body);
+        for (const auto& [operation, count] : runs.items())
+            out[operation] += count.get<int>();
+    }
+    return out;
+}
+
 void Fleet::listHosts()
 {
     auto list = nlohmann::json::array();
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -48,6 +48,12 @@
     // Starts an entry host. `extra` are more flags.
     void startHost(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra = {});
 
+    // Sets the faults of the platform, as fakes::FakeKeyValue describes. An empty object ends them.
+    void setPlatformFaults(const nlohmann::json&);
+
+    // Returns how often a plain service ran an operation, over all services.
+    std::map<std::string, int> operationRuns() const;
+
     // Writes the platform's list of hosts.
     void listHosts();
 
