--- a/packages/daemon/chiveshelf/daemon/Daemon.h
+++ b/packages/daemon/chiveshelf/daemon/Daemon.h
@@ -46,6 +46,8 @@
     TableAgent m_tableAgent;
     SchedulerService m_scheduler;
     DispatchClient m_dispatch;
+    HttpPlatform m_recordPlatform;
+    IdempotencyService m_idempotency;
     EntryService m_entry;
     AdminService m_admin;
     bool m_isDraining = false;
