Add the operators' commands and the proofs of an edit's way to every host

Cause: chivesctl could only show, validate and apply. Apply replaced the whole value, so that a file made from an older revision reverted what others had edited since.

Each edit is merged by row with what was accepted since its base; rows that overlap are reported by table, row and field and stay as they are. Before each write the predecessor goes under one of 128 keys. These are the merge bases, and after a lost reply they tell whether the edit was accepted even when another one follows it. When that can not be read, the exit code says that the outcome is unknown.

Ruled out: a change log inside the tables value, since every host would carry it; merging by field within a row, since two values that are valid each need not be valid together for their readers.

--- /dev/null
+++ b/packages/ctl/chiveshelf/ctl/HostCommands.cpp
@@ -0,0 +1,296 @@
+#include "chiveshelf/ctl/HostCommands.h"
+
+#include "chiveshelf/core/Mailbox.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iomanip>
+#include <iostream>
+
+namespace chiveshelf {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    using Json = nlohmann::ordered_json;
+    using Cells = std::vector<std::string>;
+
+    constexpr http::CallLimits callLimits { std::chrono::milliseconds(500), std::chrono::milliseconds(1'000) };
+    constexpr auto pollInterval = std::chrono::milliseconds(50);
+
+    // One address to read a JSON document from.
+    struct Query {
+        std::optional<Address> address;
+        std::string path;
+    };
+
+    struct Answer {
+        std::size_t index = 0;
+        // Empty without an answer.
+        std::optional<unsigned> status;
+        Json body;
+    };
+
+    asio::awaitable<void> ask(http::Client& client, Query query, std::size_t index, std::shared_ptr<Mailbox<Answer>> answers)
+    {
+        Answer answer { index, std::nullopt, nullptr };
+        if (query.address) {
+            auto request = http::makeRequest(http::Verb::get, query.path);
+            const auto response = co_await client.send(*query.address, std::move(request), callLimits);
+            if (response) {
+                answer.status = response->result_int();
+                answer.body = Json::parse(response->body(), nullptr, false);
+            }
+        }
+        answers->push(std::move(answer));
+    }
+
+    // Asks all at once, and returns the answers in the order of the queries.
+    asio::awaitable<std::vector<Answer>> askAll(HostContext& host, std::vector<Query> queries)
+    {
+        const auto answers = std::make_shared<Mailbox<Answer>>(host.context);
+        for (std::size_t i = 0; i < queries.size(); ++i)
+            asio::co_spawn(host.context, ask(host.client, queries[i], i, answers), asio::detached);
+        std::vector<Answer> out(queries.size());
+        for (std::size_t i = 0; i < queries.size(); ++i) {
+            auto answer = co_await answers->receive();
+            const auto index = answer->index;
+            out[index] = std::move(*answer);
+        }
+        co_return out;
+    }
+
+    asio::awaitable<std::vector<Answer>> askStates(HostContext& host, std::vector<HostTarget> targets)
+    {
+        std::vector<Query> queries;
+        for (const auto& target : targets)
+            queries.push_back({ target.adminAddress, "/state" });
+        co_return co_await askAll(host, std::move(queries));
+    }
+
+    asio::awaitable<Result<std::vector<HostTarget>>> findTargets(HostContext& host)
+    {
+        std::vector<HostTarget> targets;
+        for (const auto& address : host.addresses)
+            targets.push_back({ toString(address), "", address, false });
+        if (!targets.empty())
+            co_return targets;
+        const auto listed = co_await host.platform.list();
+        if (!listed)
+            co_return tl::unexpected(listed.error());
+        for (const auto& entry : *listed)
+            targets.push_back({ entry.name, entry.dataCentre, entry.adminAddress, entry.isLeaving });
+        co_return targets;
+    }
+
+    ExitCode report(const Error& error)
+    {
+        std::cerr << "chivesctl: no host list from the platform: " << error.message << "; give the admin addresses with --hosts\n";
+        return ExitCode::Unavailable;
+    }
+
+    std::string text(const Json& document, const std::string& field, const std::string& fallback = "-")
+    {
+        const auto it = document.is_object() ? document.find(field) : document.end();
+        if (!document.is_object() || it == document.end())
+            return fallback;
+        return it->is_string() ? it->get<std::string>() : it->dump();
+    }
+
+    std::uint64_t revisionOf(const Json& state)
+    {
+        return state.is_object() ? state.value("tables_revision", std::uint64_t { 0 }) : 0;
+    }
+
+    // Prints rows with columns of equal width; the first row is the heading.
+    void printTable(const std::vector<Cells>& rows)
+    {
+        std::vector<std::size_t> widths;
+        for (const auto& row : rows) {
+            widths.resize(std::max(widths.size(), row.size()), 0);
+            for (std::size_t i = 0; i < row.size(); ++i)
+                widths[i] = std::max(widths[i], row[i].size());
+        }
+        for (const auto& row : rows) {
+            for (std::size_t i = 0; i + 1 < row.size(); ++i)
+                std::cout << std::left << std::setw(static_cast<int>(widths[i]) + 2) << row[i];
+            std::cout << row.back() << "\n";
+        }
+    }
+
+    std::string healthOf(const Pool& pool, const Answer& answer)
+    {
+        if (!answer.status)
+            return "unreachable";
+        if (pool.kind == PoolKind::Service)
+            return *answer.status < 500 ? "ok" : "answers " + std::to_string(*answer.status);
+        if (*answer.status >= 300)
+            return "answers " + std::to_string(*answer.status);
+        if (answer.body.is_object() && answer.body.contains("loading") && answer.body["loading"] != Json(false) && answer.body["loading"] != Json(0) && answer.body["loading"] != Json(""))
+            return "loading";
+        const auto version = text(answer.body, "version", pool.version);
+        return version == pool.version ? "ok" : "has version " + version;
+    }
+
+}
+
+asio::awaitable<ExitCode> waitForRevision(HostContext& host, std::uint64_t revision, std::chrono::milliseconds limit)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    const auto elapsed = [&] { return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - begin); };
+    const auto targets = co_await findTargets(host);
+    if (!targets)
+        co_return report(targets.error());
+    auto missing = *targets;
+    auto hosts = Json::array();
+    asio::steady_timer timer(host.context);
+    while (true) {
+        const auto answers = co_await askStates(host, missing);
+        std::vector<HostTarget> still;
+        hosts = Json::array();
+        for (const auto& answer : answers) {
+            const auto& target = missing[answer.index];
+            if (revisionOf(answer.body) >= revision || (target.isLeaving && !answer.status))
+                continue;
+            still.push_back(target);
+            hosts.push_back({ { "host", target.name }, { "data_centre", target.dataCentre }, { "reachable", answer.status.has_value() },
+                { "revision", revisionOf(answer.body) } });
+        }
+        missing = std::move(still);
+        if (missing.empty() || elapsed() >= limit)
+            break;
+        boost::system::error_code ec;
+        timer.expires_after(pollInterval);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    if (host.form == OutputForm::Json)
+        std::cout << Json { { "revision", revision }, { "in_force", missing.empty() }, { "hosts", targets->size() },
+            { "elapsed_ms", elapsed().count() }, { "not_in_force", hosts } }
+                         .dump(2)
+                  << "\n";
+    else if (missing.empty())
+        std::cout << "revision " << revision << " is in force on " << targets->size() << " hosts after " << elapsed().count() << " ms\n";
+    for (const auto& entry : hosts)
+        std::cerr << "chivesctl: revision " << revision << " is not in force on " << text(entry, "host") << ": "
+                  << (entry["reachable"].get<bool>() ? "it has revision " + text(entry, "revision") : "it does not answer") << "\n";
+    co_return missing.empty() ? ExitCode::Success : ExitCode::NotInForce;
+}
+
+asio::awaitable<ExitCode> showState(HostContext& host, std::vector<std::string> names)
+{
+    auto targets = co_await findTargets(host);
+    if (!targets)
+        co_return report(targets.error());
+    for (const auto& name : names) {
+        if (std::none_of(targets->begin(), targets->end(), [&](const HostTarget& target) { return target.name == name; })) {
+            std::cerr << "chivesctl: no host named " << name << "\n";
+            co_return ExitCode::Usage;
+        }
+    }
+    if (!names.empty())
+        std::erase_if(*targets, [&](const HostTarget& target) { return std::find(names.begin(), names.end(), target.name) == names.end(); });
+    const auto answers = co_await askStates(host, *targets);
+    auto documents = Json::object();
+    bool isComplete = true;
+    for (const auto& answer : answers) {
+        const auto& name = (*targets)[answer.index].name;
+        documents[name] = answer.body;
+        isComplete = isComplete && answer.status;
+        if (!answer.status)
+            std::cerr << "chivesctl: " << name << " does not answer\n";
+        if (host.form == OutputForm::Text && answer.status)
+            std::cout << name << ":\n"
+                      << answer.body.dump(2) << "\n";
+    }
+    if (host.form == OutputForm::Json)
+        std::cout << documents.dump(2) << "\n";
+    co_return isComplete ? ExitCode::Success : ExitCode::Unavailable;
+}
+
+asio::awaitable<ExitCode> drainHost(HostContext& host, std::string name)
+{
+    const auto targets = co_await findTargets(host);
+    if (!targets)
+        co_return report(targets.error());
+    const auto it = std::find_if(targets->begin(), targets->end(), [&](const HostTarget& target) { return target.name == name; });
+    if (it == targets->end() || !it->adminAddress) {
+        std::cerr << "chivesctl: no host named " << name << (it == targets->end() ? "" : " with a known admin address") << "\n";
+        co_return ExitCode::Usage;
+    }
+    auto request = http::makeRequest(http::Verb::post, "/drain");
+    const auto response = co_await host.client.send(*it->adminAddress, std::move(request), callLimits);
+    if (!response || response->result_int() >= 300) {
+        std::cerr << "chivesctl: " << name << ": " << (response ? "answered " + std::to_string(response->result_int()) : response.error().message) << "\n";
+        co_return ExitCode::Unavailable;
+    }
+    if (host.form == OutputForm::Json)
+        std::cout << Json { { "host", name }, { "draining", true } }.dump() << "\n";
+    else
+        std::cout << name << " finishes its requests and stops\n";
+    co_return ExitCode::Success;
+}
+
+asio::awaitable<ExitCode> listHosts(HostContext& host)
+{
+    const auto targets = co_await findTargets(host);
+    if (!targets)
+        co_return report(targets.error());
+    const auto answers = co_await askStates(host, *targets);
+    auto list = Json::array();
+    std::vector<Cells> rows { { "HOST", "DATA CENTRE", "ADMIN", "STATUS", "REVISION", "ACTIVE" } };
+    for (const auto& answer : answers) {
+        const auto& target = (*targets)[answer.index];
+        const bool isDraining = text(answer.body, "draining") == "true";
+        const std::string status = !answer.status ? "unreachable" : isDraining || target.isLeaving ? "leaving"
+                                                                                                   : "live";
+        const auto dataCentre = text(answer.body, "data_centre", target.dataCentre);
+        const auto address = target.adminAddress ? toString(*target.adminAddress) : "-";
+        rows.push_back({ text(answer.body, "host", target.name), dataCentre, address, status, text(answer.body, "tables_revision"), text(answer.body, "active_requests") });
+        list.push_back({ { "host", rows.back()[0] }, { "data_centre", dataCentre }, { "admin_address", address }, { "status", status },
+            { "tables_revision", revisionOf(answer.body) } });
+    }
+    if (host.form == OutputForm::Json)
+        std::cout << list.dump(2) << "\n";
+    else
+        printTable(rows);
+    co_return ExitCode::Success;
+}
+
+asio::awaitable<ExitCode> listRunners(HostContext& host, TableEditor& editor)
+{
+    const auto stored = co_await editor.read();
+    if (!stored) {
+        std::cerr << "chivesctl: " << stored.error().message << "\n";
+        co_return stored.error().code;
+    }
+    std::vector<Query> queries;
+    for (const auto& pool : stored->tables.pools) {
+        for (const auto& runner : pool.runners)
+            queries.push_back({ runner.address, pool.kind == PoolKind::Model ? "/v1/load" : "/" });
+    }
+    const auto answers = co_await askAll(host, queries);
+    auto list = Json::array();
+    std::vector<Cells> rows { { "POOL", "RUNNER", "DATA CENTRE", "ADDRESS", "HEALTH", "RUNNING", "QUEUE", "VERSION" } };
+    auto answer = answers.begin();
+    for (const auto& pool : stored->tables.pools) {
+        for (const auto& runner : pool.runners) {
+            const auto health = healthOf(pool, *answer);
+            rows.push_back({ pool.name, runner.name, runner.dataCentre, toString(runner.address), health, text(answer->body, "running"),
+                text(answer->body, "queue"), text(answer->body, "version") });
+            list.push_back({ { "pool", pool.name }, { "runner", runner.name }, { "data_centre", runner.dataCentre },
+                { "address", toString(runner.address) }, { "health", health }, { "load", answer->body } });
+            ++answer;
+        }
+    }
+    if (host.form == OutputForm::Json)
+        std::cout << list.dump(2) << "\n";
+    else
+        printTable(rows);
+    co_return ExitCode::Success;
+}
+
+}
--- a/packages/ctl/chiveshelf/ctl/ctl.h
+++ b/packages/ctl/chiveshelf/ctl/ctl.h
@@ -1,7 +1,10 @@
 #pragma once
 
-// The operators' command: reads and edits the tables in the platform's service.
+// The operators' command: reads and edits the tables in the platform's service, and asks hosts and runners.
 //
-// Dependencies: tables, platform, settings.
+// Dependencies: tables, platform, http, settings.
 
-#include "chiveshelf/ctl/Commands.h"
+#include "chiveshelf/ctl/HostCommands.h"
+#include "chiveshelf/ctl/RowEdit.h"
+#include "chiveshelf/ctl/TableCommands.h"
+#include "chiveshelf/ctl/TableEditor.h"
--- a/tests/Tests.cmake
+++ b/tests/Tests.cmake
@@ -7,6 +7,13 @@
 
 chiveshelf_add_unit_test(core DEPENDS core)
 chiveshelf_add_unit_test(tables DEPENDS tables LIBRARIES rapidcheck)
+chiveshelf_add_unit_test(ctl DEPENDS ctl)
 
 # Each integration test has a NETWORK number of its own.
 chiveshelf_add_integration_test(WholePathTest NETWORK 11)
+chiveshelf_add_integration_test(TableEditsTest NETWORK 20)
+chiveshelf_add_integration_test(TableOutageTest NETWORK 21)
+chiveshelf_add_integration_test(TablePropagationTest NETWORK 22)
+chiveshelf_add_integration_test(TablePlatformLoadTest NETWORK 23)
+chiveshelf_add_integration_test(FakeKeyValueTest NETWORK 24)
+chiveshelf_add_integration_test(CtlHostsTest NETWORK 25)
--- /dev/null
+++ b/tests/integration/TableOutageTest.cpp
@@ -0,0 +1,140 @@
+#include "Fleet.h"
+
+#include "chiveshelf/tables/TablesJson.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+
+namespace {
+
+using chiveshelf::http::Verb;
+using nlohmann::json;
+
+// CHIVESHELF_OUTAGE_SECONDS sets the length of an outage.
+std::chrono::seconds outageLength()
+{
+    const char* text = std::getenv("CHIVESHELF_OUTAGE_SECONDS");
+    return std::chrono::seconds(text ? std::atoi(text) : 12);
+}
+
+class TableOutageTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TableOutageTest);
+    CPPUNIT_TEST(outageWithRestartOfAllButOneHostKeepsTheRevision);
+    CPPUNIT_TEST(silentServiceWithRestartOfAllButOneHostKeepsTheRevision);
+    CPPUNIT_TEST(olderValueInServiceIsWrittenBackAndNeverInForce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_highest.clear();
+        m_fleet = std::make_unique<support::Fleet>();
+        m_fleet->startPlatform();
+        m_fleet->startRunner("runner", "east");
+        for (const auto* dataCentre : { "east", "west" }) {
+            for (const auto* suffix : { "-1", "-2", "-3" })
+                m_fleet->startHost(std::string(dataCentre) + suffix, dataCentre);
+        }
+        m_fleet->listHosts();
+        m_old = m_fleet->defaultTables();
+        CPPUNIT_ASSERT_EQUAL(0, m_fleet->applyTables(m_old));
+        m_old.revision = 1;
+        editWeight(2);
+        editWeight(3);
+        CPPUNIT_ASSERT(m_fleet->waitForRevision(3, std::chrono::seconds(4)));
+        // Members are known once each host has had the list.
+        CPPUNIT_ASSERT(support::eventually([&] { return everyHost([](const json& state) { return state["members"].size() == 6; }); }, std::chrono::seconds(4)));
+    }
+
+    void tearDown() override { m_fleet.reset(); }
+
+    // Guards against tables that are lost with the hosts while the service is down.
+    void outageWithRestartOfAllButOneHostKeepsTheRevision() { restartInOutage("close"); }
+
+    // Guards against hosts that wait for a service which accepts connections and never answers.
+    void silentServiceWithRestartOfAllButOneHostKeepsTheRevision() { restartInOutage("silent"); }
+
+    // Guards against a restored backup of the service that reverts an accepted edit, on running or on restarted hosts.
+    void olderValueInServiceIsWrittenBackAndNeverInForce()
+    {
+        support::call(m_fleet->platform(), Verb::put, "/control/kv/chiveshelf%2Ftables", {}, formatTables(m_old));
+        m_fleet->process("east-2").kill();
+        m_fleet->startHost("east-2", "east");
+        const auto isWrittenBack = [&] {
+            noteRevisions();
+            const auto value = support::call(m_fleet->platform(), Verb::get, "/kv/chiveshelf%2Ftables").body;
+            return json::parse(value).value("revision", 0) == 3;
+        };
+        CPPUNIT_ASSERT(support::eventually(isWrittenBack, std::chrono::seconds(5)));
+        CPPUNIT_ASSERT(waitForAll(3, std::chrono::seconds(4)));
+        editWeight(4);
+        CPPUNIT_ASSERT(waitForAll(4, std::chrono::seconds(4)));
+    }
+
+private:
+    void restartInOutage(const std::string& mode)
+    {
+        const auto end = std::chrono::steady_clock::now() + outageLength();
+        m_fleet->setPlatformFaults(m_fleet->platform(), { { "mode", mode } });
+        for (const auto& [name, host] : m_fleet->hosts()) {
+            if (name == "west-2")
+                continue;
+            m_fleet->process(name).kill();
+            m_fleet->startHost(name, host.dataCentre);
+            noteRevisions();
+        }
+        CPPUNIT_ASSERT(waitForAll(3, std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now())));
+        CPPUNIT_ASSERT(support::eventually(
+            [&] {
+                noteRevisions();
+                return std::chrono::steady_clock::now() >= end;
+            },
+            outageLength() + std::chrono::seconds(5)));
+        m_fleet->setPlatformFaults(m_fleet->platform(), json::object());
+        editWeight(4);
+        CPPUNIT_ASSERT(waitForAll(4, std::chrono::seconds(4)));
+    }
+
+    void editWeight(int weight)
+    {
+        std::string output;
+        CPPUNIT_ASSERT_EQUAL(0, m_fleet->runCtl({ "edit", "set", "routes", "desk", "weight=" + std::to_string(weight) }, output));
+    }
+
+    // Reads the revision of every host, and fails if one went back. A host that has no tables yet reports 0.
+    bool noteRevisions()
+    {
+        return everyHost([](const json&) { return true; });
+    }
+
+    bool waitForAll(std::uint64_t revision, std::chrono::milliseconds limit)
+    {
+        return support::eventually([&] { return everyHost([&](const json& state) { return state["tables_revision"] >= revision; }); }, limit);
+    }
+
+    bool everyHost(const std::function<bool(const json&)>& condition)
+    {
+        bool holds = true;
+        for (const auto& [name, host] : m_fleet->hosts()) {
+            const auto state = json::parse(support::call(host.admin, Verb::get, "/state").body, nullptr, false);
+            if (!state.is_object())
+                return false;
+            const auto revision = state["tables_revision"].get<std::uint64_t>();
+            CPPUNIT_ASSERT_MESSAGE(name + " went from " + std::to_string(m_highest[name]) + " to " + std::to_string(revision),
+                revision == 0 || revision >= m_highest[name]);
+            m_highest[name] = std::max(m_highest[name], revision);
+            holds = holds && condition(state);
+        }
+        return holds;
+    }
+
+    std::unique_ptr<support::Fleet> m_fleet;
+    chiveshelf::Tables m_old;
+    std::map<std::string, std::uint64_t> m_highest;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TableOutageTest);
+
+}
--- /dev/null
+++ b/tests/integration/TablePlatformLoadTest.cpp
@@ -0,0 +1,77 @@
+#include "Fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+
+namespace {
+
+using chiveshelf::http::Verb;
+using nlohmann::json;
+
+constexpr std::chrono::seconds window(6);
+// Restarted watches can add a call or two per data centre to a window.
+constexpr double tolerance = 1.3;
+
+class TablePlatformLoadTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TablePlatformLoadTest);
+    CPPUNIT_TEST(platformCallsForTablesDoNotGrowWithTheHosts);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a call to the platform per host, which its rate does not allow for a growing fleet.
+    void platformCallsForTablesDoNotGrowWithTheHosts()
+    {
+        const auto two = callsPerSecond(2);
+        const auto four = callsPerSecond(4);
+        const auto eight = callsPerSecond(8);
+        CPPUNIT_ASSERT(two > 0);
+        CPPUNIT_ASSERT(four <= two * tolerance);
+        CPPUNIT_ASSERT(eight <= two * tolerance);
+    }
+
+private:
+    // Returns the calls for tables per second of two data centres of `hosts` hosts each, with one edit in the window.
+    static double callsPerSecond(int hosts)
+    {
+        support::Fleet fleet;
+        fleet.startPlatform();
+        fleet.startRunner("runner", "east");
+        for (int i = 0; i < hosts; ++i) {
+            for (const auto* dataCentre : { "east", "west" })
+                fleet.startHost(dataCentre + std::string("-") + std::to_string(i), dataCentre);
+        }
+        fleet.listHosts();
+        CPPUNIT_ASSERT_EQUAL(0, fleet.applyTables(fleet.defaultTables()));
+        CPPUNIT_ASSERT(support::eventually([&] { return watchers(fleet) == 4; }, std::chrono::seconds(10)));
+        CPPUNIT_ASSERT(fleet.waitForRevision(1, std::chrono::seconds(4)));
+        const auto before = stats(fleet);
+        const auto begin = std::chrono::steady_clock::now();
+        std::string output;
+        CPPUNIT_ASSERT_EQUAL(0, fleet.runCtl({ "edit", "set", "routes", "desk", "weight=2" }, output));
+        CPPUNIT_ASSERT(support::eventually([&] { return std::chrono::steady_clock::now() - begin >= window; }, 2 * window));
+        const auto after = stats(fleet);
+        const auto rate = [&](const char* kind) { return static_cast<double>(after.value(kind, 0) - before.value(kind, 0)) / static_cast<double>(window.count()); };
+        const double tables = rate("reads") + rate("watches") + rate("writes");
+        std::cerr << hosts << " hosts per data centre: " << tables << " calls/s for tables, " << rate("host_lists") << " for the host list\n";
+        return tables;
+    }
+
+    static json stats(const support::Fleet& fleet)
+    {
+        return json::parse(support::call(fleet.platform(), Verb::get, "/control/stats").body);
+    }
+
+    static int watchers(const support::Fleet& fleet)
+    {
+        int n = 0;
+        for (const auto& [name, host] : fleet.hosts())
+            n += json::parse(support::call(host.admin, Verb::get, "/state").body)["tables"]["watching"].get<bool>() ? 1 : 0;
+        return n;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TablePlatformLoadTest);
+
+}
--- /dev/null
+++ b/tests/integration/TablePropagationTest.cpp
@@ -0,0 +1,136 @@
+#include "Fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+using chiveshelf::http::Verb;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+// An accepted edit is in force on every host within this time.
+constexpr milliseconds bound(4'000);
+constexpr int edits = 20;
+
+class TablePropagationTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TablePropagationTest);
+    CPPUNIT_TEST(editIsInForceOnEveryHostWithinTheBound);
+    CPPUNIT_TEST(editReachesDataCentreThatIsCutOffFromThePlatform);
+    CPPUNIT_TEST(editReachesHostsWhoseWatchersAreFrozen);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_fleet = std::make_unique<support::Fleet>();
+        m_fleet->startPlatform();
+        m_fleet->startRunner("runner", "east");
+        for (const auto* dataCentre : { "east", "west", "south" }) {
+            const std::vector<std::string> second { "--platform", toString(m_fleet->secondPlatform()) };
+            for (const auto* suffix : { "-1", "-2", "-3", "-4" })
+                m_fleet->startHost(std::string(dataCentre) + suffix, dataCentre, dataCentre == std::string("west") ? second : std::vector<std::string> {});
+        }
+        m_fleet->listHosts();
+        CPPUNIT_ASSERT_EQUAL(0, m_fleet->applyTables(m_fleet->defaultTables()));
+        CPPUNIT_ASSERT(m_fleet->waitForRevision(1, bound));
+        const auto isSettled = [&] {
+            return std::all_of(m_fleet->hosts().begin(), m_fleet->hosts().end(), [&](const auto& entry) { return state(entry.first)["members"].size() == 12; })
+                && watchers("east").size() == 2 && watchers("west").size() == 2 && watchers("south").size() == 2;
+        };
+        CPPUNIT_ASSERT(support::eventually(isSettled, std::chrono::seconds(6)));
+    }
+
+    void tearDown() override { m_fleet.reset(); }
+
+    // Guards against an edit that is slow to take effect on some host.
+    void editIsInForceOnEveryHostWithinTheBound()
+    {
+        std::vector<std::int64_t> times;
+        for (int i = 0; i < edits; ++i)
+            times.push_back(editAndMeasure(allHosts()));
+        std::sort(times.begin(), times.end());
+        std::cerr << "accepted edit to in force on 12 hosts: median " << times[edits / 2] << " ms, highest " << times.back() << " ms\n";
+        CPPUNIT_ASSERT(times.back() < bound.count());
+    }
+
+    // Guards against a data centre that keeps old tables because only its way to the platform is cut.
+    void editReachesDataCentreThatIsCutOffFromThePlatform()
+    {
+        for (const auto* mode : { "silent", "close" }) {
+            m_fleet->setPlatformFaults(m_fleet->secondPlatform(), { { "mode", mode } });
+            const auto time = editAndMeasure(allHosts());
+            std::cerr << "edit with a data centre cut off from the platform (" << mode << "): " << time << " ms\n";
+            CPPUNIT_ASSERT(time < bound.count());
+        }
+    }
+
+    // Guards against tables that depend on one watcher, or on both watchers of a data centre.
+    void editReachesHostsWhoseWatchersAreFrozen()
+    {
+        auto frozen = watchers("south");
+        frozen.push_back(watchers("east").front());
+        for (const auto& name : frozen)
+            m_fleet->process(name).signal(SIGSTOP);
+        auto running = allHosts();
+        std::erase_if(running, [&](const std::string& name) { return std::find(frozen.begin(), frozen.end(), name) != frozen.end(); });
+        const auto time = editAndMeasure(running);
+        std::cerr << "edit with both watchers of one data centre and one of another frozen: " << time << " ms\n";
+        CPPUNIT_ASSERT(time < bound.count());
+        for (const auto& name : frozen)
+            m_fleet->process(name).signal(SIGCONT);
+        CPPUNIT_ASSERT(m_fleet->waitForRevision(m_revision, bound));
+    }
+
+private:
+    std::vector<std::string> allHosts() const
+    {
+        std::vector<std::string> names;
+        for (const auto& [name, host] : m_fleet->hosts())
+            names.push_back(name);
+        return names;
+    }
+
+    json state(const std::string& name) const
+    {
+        return json::parse(support::call(m_fleet->host(name).admin, Verb::get, "/state").body, nullptr, false);
+    }
+
+    std::vector<std::string> watchers(const std::string& dataCentre) const
+    {
+        std::vector<std::string> names;
+        for (const auto& [name, host] : m_fleet->hosts()) {
+            if (host.dataCentre == dataCentre && state(name)["tables"]["watching"].get<bool>())
+                names.push_back(name);
+        }
+        return names;
+    }
+
+    // Returns the time in ms from the accepted edit until the hosts have it, or the bound.
+    std::int64_t editAndMeasure(const std::vector<std::string>& hosts)
+    {
+        std::string output;
+        const auto weight = "weight=" + std::to_string(++m_revision);
+        CPPUNIT_ASSERT_EQUAL(0, m_fleet->runCtl({ "edit", "set", "routes", "desk", weight }, output));
+        const auto accepted = std::chrono::steady_clock::now();
+        std::vector<std::string> missing = hosts;
+        const auto isInForce = [&] {
+            std::erase_if(missing, [&](const std::string& name) { return state(name)["tables_revision"].get<std::uint64_t>() >= m_revision; });
+            return missing.empty();
+        };
+        if (!support::eventually(isInForce, bound))
+            return bound.count();
+        return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - accepted).count();
+    }
+
+    std::unique_ptr<support::Fleet> m_fleet;
+    std::uint64_t m_revision = 1;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TablePropagationTest);
+
+}
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -56,6 +56,22 @@
     return { "127." + std::to_string(m_network) + ".0.1", platformPort };
 }
 
+Address Fleet::secondPlatform() const
+{
+    return { "127." + std::to_string(m_network) + ".0.2", platformPort };
+}
+
+void Fleet::setPlatformFaults(const Address& listener, const nlohmann::json& faults)
+{
+    call(listener, Verb::put, "/control/faults", {}, faults.dump());
+}
+
+int Fleet::runCtl(std::vector<std::string> arguments, std::string& output) const
+{
+    arguments.insert(arguments.end(), { "--platform", toString(platform()) });
+    return runToEnd("chivesctl", arguments, output);
+}
+
 Address Fleet::nextAddress(std::uint16_t port)
 {
     return { "127." + std::to_string(m_network) + ".1." + std::to_string(m_nextHost++), port };
@@ -69,7 +85,7 @@
 
 void Fleet::startPlatform()
 {
-    m_processes["platform"] = std::make_unique<ChildProcess>("fake_key_value", std::vector<std::string> { "--listen", toString(platform()) }, logPath("platform"));
+    m_processes["platform"] = std::make_unique<ChildProcess>("fake_key_value", std::vector<std::string> { "--listen", toString(platform()), "--second-listen", toString(secondPlatform()) }, logPath("platform"));
     waitForPort(platform(), "/control/stats");
 }
 
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -4,6 +4,8 @@
 #include "HttpProbe.h"
 #include "chiveshelf/tables/Tables.h"
 
+#include <nlohmann/json.hpp>
+
 #include <map>
 #include <memory>
 #include <string>
@@ -54,6 +56,16 @@
     const HostAddresses& host(const std::string& name) const { return m_hosts.at(name); }
     const std::map<std::string, HostAddresses>& hosts() const { return m_hosts; }
     chiveshelf::Address platform() const;
+
+    // Address of the platform's second listener, which has faults of its own. Pass it to some hosts with --platform to cut
+    // them off alone.
+    chiveshelf::Address secondPlatform() const;
+
+    // Sets the faults of one of the platform's listeners; see fakes::FakeKeyValue.
+    void setPlatformFaults(const chiveshelf::Address& listener, const nlohmann::json& faults);
+
+    // Runs chivesctl against the platform. `output` receives what it prints.
+    int runCtl(std::vector<std::string> arguments, std::string& output) const;
     const chiveshelf::Address& backend(const std::string& name) const { return m_backends.at(name).address; }
 
     const chiveshelf::Backend& backendRow(const std::string& name) const { return m_backends.at(name); }
--- /dev/null
+++ b/tests/unit/ctl/RowEditTest.cpp
@@ -0,0 +1,90 @@
+#include "chiveshelf/ctl/RowEdit.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using chiveshelf::applyRowEdits;
+
+class RowEditTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(RowEditTest);
+    CPPUNIT_TEST(setOfStringNumberAndPartChangesOnlyTheseFields);
+    CPPUNIT_TEST(unsetOfOptionalFieldRemovesIt);
+    CPPUNIT_TEST(addOfPoolAndRouteInOneStepIsValid);
+    CPPUNIT_TEST(removeOfRoutedPoolAloneIsRefused);
+    CPPUNIT_TEST(setOfUnknownFieldNamesRowAndField);
+    CPPUNIT_TEST(unknownActionOrTableIsAUsageError);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        chiveshelf::Pool pool;
+        pool.name = "p";
+        pool.model = "m";
+        pool.version = "v1";
+        pool.runners = { { "runner", { "127.0.0.1", 80 }, "a" } };
+        m_tables = { 1, "", { { "r", "*", "m", "", "p", chiveshelf::Priority::Standard, chiveshelf::Priority::Urgent, 1 } }, { pool } };
+    }
+
+    // Guards against a version such as "2" that is read as a number, and against fields that an edit resets.
+    void setOfStringNumberAndPartChangesOnlyTheseFields()
+    {
+        const auto edited = applyRowEdits(m_tables, { "set", "pools", "p", "version=2", "slots_per_runner=4", "targets_ms.urgent=300" });
+        CPPUNIT_ASSERT(edited.has_value());
+        auto expected = m_tables;
+        expected.pools[0].version = "2";
+        expected.pools[0].slotsPerRunner = 4;
+        expected.pools[0].targets[0] = std::chrono::milliseconds(300);
+        CPPUNIT_ASSERT(*edited == expected);
+    }
+
+    // Guards against a limit that can not be lifted again.
+    void unsetOfOptionalFieldRemovesIt()
+    {
+        const auto edited = applyRowEdits(m_tables, { "unset", "routes", "r", "max_priority" });
+        CPPUNIT_ASSERT(edited.has_value());
+        CPPUNIT_ASSERT(!edited->routes[0].maxPriority);
+    }
+
+    // Guards against pools that can not be added by command line, since a pool needs a route and a route a pool.
+    void addOfPoolAndRouteInOneStepIsValid()
+    {
+        const auto edited = applyRowEdits(m_tables,
+            { "add", "pools", "name=q", "kind=service", R"(runners=[{"name":"s","address":"127.0.0.1:81","data_centre":"a"}])", "and", "add",
+                "routes", "name=s", "organisation=*", "path=/s", "pool=q" });
+        CPPUNIT_ASSERT(edited.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, edited->pools.size());
+    }
+
+    // Guards against an edit that breaks the join.
+    void removeOfRoutedPoolAloneIsRefused()
+    {
+        const auto edited = applyRowEdits(m_tables, { "remove", "pools", "p" });
+        CPPUNIT_ASSERT(!edited);
+        CPPUNIT_ASSERT_EQUAL(std::string("routes[r].pool: no pool named 'p'"), toString(edited.error().problems.front()));
+    }
+
+    // Guards against a misspelt field that is accepted.
+    void setOfUnknownFieldNamesRowAndField()
+    {
+        const auto edited = applyRowEdits(m_tables, { "set", "routes", "r", "wieght=2" });
+        CPPUNIT_ASSERT(!edited);
+        CPPUNIT_ASSERT_EQUAL(std::string("routes[r].wieght: unknown field"), toString(edited.error().problems.front()));
+    }
+
+    // Guards against a typing error that is reported as a problem of the tables.
+    void unknownActionOrTableIsAUsageError()
+    {
+        CPPUNIT_ASSERT(!applyRowEdits(m_tables, { "put", "routes", "r", "weight=2" }).error().usage.empty());
+        CPPUNIT_ASSERT(!applyRowEdits(m_tables, { "set", "rules", "r", "weight=2" }).error().usage.empty());
+        CPPUNIT_ASSERT(!applyRowEdits(m_tables, { "set", "routes", "r", "weight=x" }).error().usage.empty());
+    }
+
+private:
+    chiveshelf::Tables m_tables;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RowEditTest);
+
+}
