Strengthen the tests of generations and block keys

Cause: with the runner's store ignoring the generation, recordOfEarlierGenerationIsNotRead passed, since the restarted store had no block to return. With organisation and version left out of the keys, keysOfDifferentIdentitiesNeverMatch passed, since random identities nearly always differ in the other fields too.

The restarted store now holds the same key again, and exactly one field of the identity differs.

--- a/tests/Tests.cmake
+++ b/tests/Tests.cmake
@@ -2,7 +2,7 @@
 list(FILTER support_sources EXCLUDE REGEX "UnitTestMain\\.cpp$")
 add_library(chiveshelf_test_support STATIC ${support_sources})
 target_include_directories(chiveshelf_test_support PUBLIC tests/support)
-target_link_libraries(chiveshelf_test_support PUBLIC chiveshelf_http chiveshelf_tables chiveshelf_fakes_lib)
+target_link_libraries(chiveshelf_test_support PUBLIC chiveshelf_http chiveshelf_cache chiveshelf_tables chiveshelf_fakes_lib)
 chiveshelf_use_pch(chiveshelf_test_support)
 
 chiveshelf_add_unit_test(core DEPENDS core)
--- a/tests/integration/CacheFaultTest.cpp
+++ b/tests/integration/CacheFaultTest.cpp
@@ -1,4 +1,6 @@
 #include "CacheFleet.h"
+#include "chiveshelf/cache/BlockKey.h"
+#include "fakes/BlockData.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -6,6 +8,7 @@
 
 namespace {
 
+using chiveshelf::http::Verb;
 using support::CacheFleet;
 using support::eventually;
 
@@ -77,14 +80,20 @@
         std::string second;
         std::jthread running([&] { first = m_fleet->ask("org-a", "short", 400); });
         const auto isRunning = eventually([&] { return m_fleet->runnerStats()["now"]["running"] == 1; }, waitLimit);
+        const auto key = chiveshelf::computeBlockKeys({ "org-a", "desk-model", "", "v1" }, m_prompt, CacheFleet::blockBytes).front();
+        const auto data = callStore(Verb::get, "/blocks/" + key, {}, {}).body;
         const auto lookUps = m_fleet->storeStats()["lookups"].get<int>();
         std::jthread queued([&] { second = m_fleet->ask("org-a", m_prompt); });
         const auto hasLookedUp = eventually([&] { return m_fleet->storeStats()["lookups"].get<int>() > lookUps; }, waitLimit);
         m_fleet->fleet().process("store-1").kill();
         m_fleet->startStore();
+        // The new start of the store has the same key again; the record of the old start must not lead to it.
+        callStore(Verb::put, "/blocks/" + key, { { "X-Block-Length", std::to_string(data.size()) }, { "X-Block-Checksum", fakes::blockChecksum(key, data) } }, data);
+        const auto committed = callStore(Verb::post, "/blocks/" + key + "/commit", {}, {});
         running.join();
         queued.join();
         CPPUNIT_ASSERT(isRunning && hasLookedUp);
+        CPPUNIT_ASSERT_EQUAL(200u, committed.status);
         CPPUNIT_ASSERT_EQUAL(std::string(), first);
         CPPUNIT_ASSERT_EQUAL(std::string(), second);
         CPPUNIT_ASSERT_EQUAL(1, m_fleet->storeStats().value("read_misses", 0));
@@ -130,6 +139,12 @@
         m_fleet->evictRunners();
     }
 
+    support::ProbeResponse callStore(Verb verb, const std::string& target, const support::Headers& headers, const std::string& body)
+    {
+        const auto generation = std::to_string(m_fleet->storeStats().value("generation", std::int64_t { 0 }));
+        return support::call(m_fleet->fleet().store("store-1"), verb, target + "?generation=" + generation, headers, body);
+    }
+
     void assertNoViolation() { CPPUNIT_ASSERT_EQUAL(std::int64_t { 0 }, m_fleet->runnerTotal("violations")); }
 
     void assertRecomputedAfterFault(const std::string& fault)
--- a/tests/unit/cache/BlockKeyTest.cpp
+++ b/tests/unit/cache/BlockKeyTest.cpp
@@ -51,7 +51,10 @@
     // Guards against a block of one organisation, model, adapter or version that is served to another.
     void keysOfDifferentIdentitiesNeverMatch()
     {
-        CPPUNIT_ASSERT(rc::check("identity", [](const std::array<std::string, 4>& a, const std::array<std::string, 4>& b, const std::string& tail) {
+        CPPUNIT_ASSERT(rc::check("identity", [](const std::array<std::string, 4>& a, const std::string& value, const std::string& tail) {
+            // One field alone differs, so that each field has to count.
+            auto b = a;
+            b[*rc::gen::inRange<std::size_t>(0, b.size())] = value;
             RC_PRE(a != b);
             const auto prompt = std::string(blockBytes * 2, 'x') + tail;
             const auto first = computeBlockKeys({ a[0], a[1], a[2], a[3] }, prompt, blockBytes);
