--- a/packages/daemon/chiveshelf/daemon/Daemon.h
+++ b/packages/daemon/chiveshelf/daemon/Daemon.h
@@ -38,14 +38,16 @@
     HttpRunner m_runners;
     BlockCache m_cache;
     TableStore m_tables;
-    TableAgent m_tableAgent;
     MemberDirectory m_members;
     MembershipService m_membership;
     peer::DatagramChannel m_datagrams;
     peer::PeerServer m_peerServer;
     peer::PeerClient m_peerClient;
+    TableAgent m_tableAgent;
     SchedulerService m_scheduler;
     DispatchClient m_dispatch;
+    HttpPlatform m_recordPlatform;
+    IdempotencyService m_idempotency;
     EntryService m_entry;
     AdminService m_admin;
     bool m_isDraining = false;
--- a/packages/daemon/chiveshelf/daemon/DaemonSettings.h
+++ b/packages/daemon/chiveshelf/daemon/DaemonSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chiveshelf/cache/BlockCache.h"
+#include "chiveshelf/idempotency/ShardWriter.h"
 #include "chiveshelf/settings/OptionSet.h"
 
 namespace chiveshelf {
@@ -15,11 +16,12 @@
     // Where other hosts reach this one; the peer address itself unless something forwards to it.
     Address advertisedPeerAddress;
     Address platformAddress;
+    ShardWriterSettings idempotency;
     std::chrono::milliseconds drainLimit { 0 };
     std::string logLevel;
     CacheSettings cache;
 
-    auto operator<=>(const DaemonSettings&) const = default;
+    bool operator==(const DaemonSettings&) const = default;
 };
 
 // Returns the options of chiveshelfd.
--- a/tests/Tests.cmake
+++ b/tests/Tests.cmake
@@ -7,7 +7,8 @@
 
 chiveshelf_add_unit_test(core DEPENDS core)
 chiveshelf_add_unit_test(cache DEPENDS cache LIBRARIES rapidcheck)
-chiveshelf_add_unit_test(tables DEPENDS tables)
+chiveshelf_add_unit_test(tables DEPENDS tables LIBRARIES rapidcheck)
+chiveshelf_add_unit_test(idempotency DEPENDS idempotency)
 
 # Each integration test has a NETWORK number of its own.
 chiveshelf_add_integration_test(WholePathTest NETWORK 11)
@@ -15,3 +16,5 @@
 chiveshelf_add_integration_test(CacheIsolationTest NETWORK 61)
 chiveshelf_add_integration_test(CacheReturnTest NETWORK 62)
 chiveshelf_add_integration_test(FaultProxyTest NETWORK 50)
+chiveshelf_add_integration_test(IdempotencyChaosTest NETWORK 51 TIMEOUT 300 PROCESSORS 4)
+chiveshelf_add_integration_test(IdempotentRequestsTest NETWORK 52 TIMEOUT 180)
