Detect failed hosts by probes, and leave without losing requests

Cause: members came from the platform's list alone. It lags, it has outages, a dead or frozen host kept its roles, and SIGTERM closed the listening socket at once. A host now probes its neighbours as SWIM does, takes the list as one input, hands its queues over before it leaves, and accepts callers for 2 s more. Ruled out: leases per host in the platform's service and heartbeats between all hosts (cost), preference for the current owner of a role (views stay split). Conclusion: the bar for started and returned hosts is the default.

--- a/packages/daemon/chiveshelf/daemon/Daemon.cpp
+++ b/packages/daemon/chiveshelf/daemon/Daemon.cpp
@@ -23,6 +23,10 @@
     // Callers wait for the records of their keys, so that a slow service is refused soon. A value has up to 1 MB.
     constexpr http::CallLimits recordLimits { std::chrono::milliseconds(200), std::chrono::milliseconds(400) };
     constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
+    // The announcement of a leave is repeated, since a datagram may be lost.
+    constexpr auto announceInterval = std::chrono::milliseconds(250);
+    // Longest wait at shutdown for other hosts to confirm that requests have ended. Their slots would be freed later anyway.
+    constexpr auto reportLimit = std::chrono::milliseconds(1'000);
 
 }
 
@@ -34,11 +38,11 @@
     , m_runners(m_client, runnerLimits)
     , m_cache(context, m_client, m_settings.cache,
           [this](Address runner, ExportRequest request) { return m_runners.exportBlock(std::move(runner), std::move(request)); })
-    , m_members({ m_settings.hostName, m_settings.dataCentre, m_settings.advertisedPeerAddress, MemberState::Live, 0 })
-    , m_membership(context, m_platform, m_members)
+    , m_members({ m_settings.hostName, m_settings.dataCentre, m_settings.advertisedPeerAddress, MemberState::Live, 0 }, m_settings.ownershipPolicy)
     , m_datagrams(context)
     , m_peerServer(context)
     , m_peerClient(context)
+    , m_membership(context, m_platform, m_datagrams, m_peerClient, m_members)
     , m_tableAgent(context, m_platform, m_tables, m_members, m_datagrams, m_peerServer, m_peerClient)
     , m_scheduler(context, m_peerServer, m_tables, m_settings.dataCentre)
     , m_dispatch(context, m_peerClient, m_members)
@@ -59,6 +63,8 @@
             return started;
     }
     m_tableAgent.start();
+    m_membership.subscribe([this](const MemberChange& change) { handleMemberChange(change); });
+    m_dispatch.onLostOwner([this](const Address& address) { m_membership.reportLostConnection(address); });
     m_membership.start();
     m_scheduler.start();
     m_dispatch.start();
@@ -77,20 +83,53 @@
     asio::co_spawn(m_context, drainThenStop(), asio::detached);
 }
 
-asio::awaitable<void> Daemon::drainThenStop()
+void Daemon::handleMemberChange(const MemberChange& change)
+{
+    m_scheduler.setRefusing(m_members.mustHandOver());
+    const bool isNeighbour = change.member.dataCentre == m_settings.dataCentre;
+    if (!isNeighbour || change.member.state == MemberState::Suspect)
+        return;
+    m_scheduler.handOver([this](const std::string& pool) {
+        const auto* owner = m_members.owner("scheduler/" + pool);
+        return owner && owner->name != m_settings.hostName;
+    });
+    m_dispatch.redeclare();
+}
+
+asio::awaitable<void> Daemon::waitUntil(std::function<bool()> condition, std::chrono::steady_clock::time_point limit)
 {
-    auto self = m_members.self();
-    self.state = MemberState::Leaving;
-    m_members.put(self);
-    m_entry.drain();
-    const auto limit = std::chrono::steady_clock::now() + m_settings.drainLimit;
     asio::steady_timer timer(m_context);
-    while (m_entry.activeRequests() + m_idempotency.pendingCount() > 0 && std::chrono::steady_clock::now() < limit) {
+    while (!condition() && std::chrono::steady_clock::now() < limit) {
         boost::system::error_code ec;
         timer.expires_after(drainCheckInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
-    logEvent(LogLevel::Info, "drain_finished", { { "host", m_settings.hostName }, { "cut_off", m_entry.activeRequests() } });
+}
+
+asio::awaitable<void> Daemon::drainThenStop()
+{
+    using Clock = std::chrono::steady_clock;
+    const auto start = Clock::now();
+    const auto limit = start + m_settings.drainLimit;
+    const auto noticeEnd = std::min(start + m_settings.drainNotice, limit);
+    m_entry.announceClose();
+    do {
+        m_membership.announceLeaving();
+        const std::function<bool()> never = [] { return false; };
+        co_await waitUntil(never, std::min<Clock::time_point>(Clock::now() + announceInterval, noticeEnd));
+    } while (Clock::now() < noticeEnd);
+    m_entry.stopAccepting();
+    logEvent(LogLevel::Info, "drain_stopped_accepting",
+        { { "host", m_settings.hostName }, { "active", m_entry.activeRequests() }, { "connections", m_entry.connectionCount() } });
+    const std::function<bool()> hasNoConnections = [this] { return m_entry.connectionCount() == 0; };
+    co_await waitUntil(hasNoConnections, limit);
+    const auto cutOff = m_entry.activeRequests();
+    const std::function<bool()> hasNoRecords = [this] { return m_idempotency.pendingCount() == 0; };
+    co_await waitUntil(hasNoRecords, limit);
+    const std::function<bool()> hasNoReports = [this] { return m_dispatch.pendingReports() == 0; };
+    co_await waitUntil(hasNoReports, Clock::now() + reportLimit);
+    m_membership.announceGone();
+    logEvent(LogLevel::Info, "drain_finished", { { "host", m_settings.hostName }, { "cut_off", cutOff } });
     m_context.stop();
 }
 
@@ -101,6 +140,7 @@
     for (const auto& member : m_members.all())
         members.push_back({ { "name", member.name }, { "data_centre", member.dataCentre }, { "state", memberStateName(member.state) },
             { "peer_address", toString(member.peerAddress) }, { "incarnation", member.incarnation } });
+    const auto& counters = m_membership.counters();
     return {
         { "host", m_settings.hostName },
         { "data_centre", m_settings.dataCentre },
@@ -108,6 +148,13 @@
         { "tables_revision", m_tables.snapshot()->revision },
         { "tables", { { "watching", m_tableAgent.isWatching() }, { "edit_id", m_tables.snapshot()->editId } } },
         { "members", members },
+        { "membership",
+            { { "suspicions", counters.suspicions }, { "removals", counters.removals }, { "returns", counters.returns },
+                { "own_suspicions", counters.ownSuspicions }, { "sent_datagrams", counters.sentDatagrams },
+                { "received_datagrams", counters.receivedDatagrams }, { "sent_bytes", m_datagrams.sentBytes() },
+                { "received_bytes", m_datagrams.receivedBytes() }, { "role_moves", m_members.roleMoves() } } },
+        { "roles", m_members.roleOwners() },
+        { "scheduler_requests", m_scheduler.acceptedCount() },
         { "pools", m_scheduler.state() },
         { "active_requests", m_entry.activeRequests() },
         { "platform_calls", m_platform.callCount() + m_recordPlatform.callCount() },
@@ -164,6 +211,20 @@
     counter("chiveshelf_tables_rejected_total", "Values of the platform's service that are not valid tables.", tables.rejectedValues);
     gauge("chiveshelf_tables_watching", "1 while this host watches the platform's service.", m_tableAgent.isWatching() ? 1 : 0);
     gauge("chiveshelf_tables_revision", "Revision of the tables in force.", static_cast<double>(m_tables.snapshot()->revision));
+    std::map<MemberState, double> byState;
+    for (const auto& member : m_members.all())
+        ++byState[member.state];
+    auto& members = prometheus::BuildGauge().Name("chiveshelf_members").Help("Known hosts by state.").Register(registry);
+    for (const auto state : { MemberState::Live, MemberState::Suspect, MemberState::Leaving, MemberState::Gone })
+        members.Add({ { "state", std::string(memberStateName(state)) } }).Set(byState[state]);
+    const auto& membership = m_membership.counters();
+    counter("chiveshelf_member_suspicions_total", "Times that a host was suspected.", membership.suspicions);
+    counter("chiveshelf_member_removals_total", "Times that a host was given up.", membership.removals);
+    counter("chiveshelf_member_returns_total", "Times that a host returned after it was given up.", membership.returns);
+    counter("chiveshelf_own_suspicions_total", "Times that this host found that it had been frozen.", membership.ownSuspicions);
+    counter("chiveshelf_role_moves_total", "Times that the owner of a role changed in this host's view.", m_members.roleMoves());
+    counter("chiveshelf_datagram_sent_bytes_total", "Bytes of datagrams sent to other hosts.", m_datagrams.sentBytes());
+    counter("chiveshelf_datagram_received_bytes_total", "Bytes of datagrams received from other hosts.", m_datagrams.receivedBytes());
     return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
--- a/packages/daemon/chiveshelf/daemon/Daemon.h
+++ b/packages/daemon/chiveshelf/daemon/Daemon.h
@@ -28,6 +28,8 @@
 
 private:
     boost::asio::awaitable<void> drainThenStop();
+    boost::asio::awaitable<void> waitUntil(std::function<bool()> condition, std::chrono::steady_clock::time_point limit);
+    void handleMemberChange(const MemberChange&);
     nlohmann::json state() const;
     std::string metrics() const;
 
@@ -39,10 +41,10 @@
     BlockCache m_cache;
     TableStore m_tables;
     MemberDirectory m_members;
-    MembershipService m_membership;
     peer::DatagramChannel m_datagrams;
     peer::PeerServer m_peerServer;
     peer::PeerClient m_peerClient;
+    MembershipService m_membership;
     TableAgent m_tableAgent;
     SchedulerService m_scheduler;
     DispatchClient m_dispatch;
--- a/packages/daemon/chiveshelf/daemon/DaemonSettings.cpp
+++ b/packages/daemon/chiveshelf/daemon/DaemonSettings.cpp
@@ -17,6 +17,8 @@
         { "idempotency-shards", "1024", "Shards of the idempotency records; equal on all hosts.", false, false, checkNumber(1, 65'536, "shards") },
         { "idempotency-window-ms", "20", "Time in which claims of a shard are grouped, in ms; 0 writes each by itself.", false, false, checkNumber(0, 20, "ms") },
         { "drain-limit-ms", "300000", "Longest wait for running requests at shutdown, in ms.", false, false, checkNumber(0, 3'600'000, "ms") },
+        { "drain-notice-ms", "2000", "Time at shutdown in which callers are still accepted, so that the load balancer can notice, in ms.", false, false, checkNumber(0, 60'000, "ms") },
+        { "ownership-policy", "bar-returned", "How the owner of a role is chosen.", false, false, checkOneOf({ "rendezvous", "keep-owner", "bar-returned" }) },
         { "cache-block-tokens", "4000", "Tokens of a KV-cache block; the same on every host and runner.", false, false, checkNumber(1, 1'000'000, "tokens") },
         { "cache-imports", "on", "Whether runners import blocks from stores.", false, false, checkOneOf({ "on", "off" }) },
         { "cache-exports", "on", "Whether new blocks are written to stores.", false, false, checkOneOf({ "on", "off" }) },
@@ -40,6 +42,12 @@
     settings.idempotency.shards = static_cast<std::uint32_t>(options.number("idempotency-shards"));
     settings.idempotency.window = std::chrono::milliseconds(options.number("idempotency-window-ms"));
     settings.drainLimit = std::chrono::milliseconds(options.number("drain-limit-ms"));
+    settings.drainNotice = std::chrono::milliseconds(options.number("drain-notice-ms"));
+    const auto policy = options.text("ownership-policy");
+    if (policy == "keep-owner")
+        settings.ownershipPolicy = OwnershipPolicy::KeepOwner;
+    else if (policy == "rendezvous")
+        settings.ownershipPolicy = OwnershipPolicy::Rendezvous;
     settings.logLevel = options.text("log-level");
     settings.cache = { options.number("cache-block-tokens"), options.text("cache-imports") == "on", options.text("cache-exports") == "on" };
     std::map<Address, std::string> used;
--- a/packages/daemon/chiveshelf/daemon/DaemonSettings.h
+++ b/packages/daemon/chiveshelf/daemon/DaemonSettings.h
@@ -2,6 +2,7 @@
 
 #include "chiveshelf/cache/BlockCache.h"
 #include "chiveshelf/idempotency/ShardWriter.h"
+#include "chiveshelf/membership/MemberDirectory.h"
 #include "chiveshelf/settings/OptionSet.h"
 
 namespace chiveshelf {
@@ -18,6 +19,9 @@
     Address platformAddress;
     ShardWriterSettings idempotency;
     std::chrono::milliseconds drainLimit { 0 };
+    // Time between the announcement of a leave and the end of accepting callers.
+    std::chrono::milliseconds drainNotice { 0 };
+    OwnershipPolicy ownershipPolicy = OwnershipPolicy::BarReturned;
     std::string logLevel;
     CacheSettings cache;
 
--- a/packages/dispatch/chiveshelf/dispatch/DispatchClient.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/DispatchClient.cpp
@@ -1,7 +1,6 @@
 #include "chiveshelf/dispatch/DispatchClient.h"
 
 #include "chiveshelf/core/Log.h"
-#include "chiveshelf/membership/RendezvousHash.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -18,7 +17,9 @@
     // A third of the scheduler's slot lifetime, so that one lost message frees no slot.
     constexpr auto renewInterval = std::chrono::milliseconds(1'000);
     constexpr auto reportLimit = std::chrono::milliseconds(1'000);
-    // Pause before asking again after the owner was lost, for membership to notice.
+    // A host whose connection was lost is asked only if there is no other, until membership has found out what it is.
+    constexpr auto avoidTime = std::chrono::milliseconds(2'000);
+    // Pause before the same host is asked again after it was lost, for membership to notice.
     constexpr auto reassignDelay = std::chrono::milliseconds(50);
     // The owner answers by itself at the deadline; this covers the way there and back.
     constexpr auto answerSlack = std::chrono::milliseconds(500);
@@ -34,20 +35,25 @@
 
 void DispatchClient::start()
 {
+    m_peers.onLost([this](const Address& address) { handleLostHost(address); });
     asio::co_spawn(m_context, renewLoop(), asio::detached);
 }
 
-const Member* DispatchClient::owner(const std::string& pool) const
+const Member* DispatchClient::owner(const std::string& pool)
 {
-    const auto members = m_members.inDataCentre(m_members.self().dataCentre);
-    const auto* best = ownerOf("scheduler/" + pool, members);
-    return best ? m_members.find(best->name) : nullptr;
+    const auto now = Clock::now();
+    std::erase_if(m_avoidedUntil, [&](const auto& entry) { return entry.second <= now; });
+    std::vector<std::string> avoided;
+    for (const auto& [name, until] : m_avoidedUntil)
+        avoided.push_back(name);
+    return m_members.owner("scheduler/" + pool, avoided);
 }
 
 asio::awaitable<Result<Grant>> DispatchClient::acquire(Enqueue request)
 {
     const auto deadline = Clock::now() + std::chrono::milliseconds(request.deadlineMs);
     request.entryHost = m_members.self().name;
+    std::string lostHost;
     while (true) {
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - Clock::now());
         if (left.count() <= 0)
@@ -56,7 +62,16 @@
         const auto* host = owner(request.pool);
         if (!host)
             co_return failure(ErrorCode::Unavailable, "no host takes work in this data centre", Verdict::NotRun, std::chrono::milliseconds(1'000));
-        auto grant = co_await m_peers.call(host->peerAddress, request, left + answerSlack);
+        if (host->name == lostHost) {
+            asio::steady_timer timer(m_context, reassignDelay);
+            boost::system::error_code ec;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            lostHost.clear();
+            continue;
+        }
+        const auto name = host->name;
+        const auto address = host->peerAddress;
+        auto grant = co_await m_peers.call(address, request, left + answerSlack);
         if (grant) {
             m_running[request.requestId] = { request.pool, grant->runner };
             co_return grant;
@@ -67,11 +82,22 @@
             co_return grant;
         }
         logEvent(LogLevel::Info, "scheduler_lost",
-            { { "request_id", request.requestId }, { "organisation", request.organisation }, { "pool", request.pool }, { "error", grant.error().message } });
-        asio::steady_timer timer(m_context, reassignDelay);
-        boost::system::error_code ec;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            { { "host", name }, { "request_id", request.requestId }, { "organisation", request.organisation }, { "pool", request.pool }, { "error", grant.error().message } });
+        lostHost = name;
+        m_avoidedUntil[name] = Clock::now() + avoidTime;
+    }
+}
+
+void DispatchClient::handleLostHost(const Address& address)
+{
+    for (const auto& member : m_members.inDataCentre(m_members.self().dataCentre)) {
+        if (member.peerAddress == address)
+            m_avoidedUntil[member.name] = Clock::now() + avoidTime;
     }
+    // The next owner must know which slots are taken before the requests that waited at the lost one reach it.
+    redeclare();
+    if (m_onLostOwner)
+        m_onLostOwner(address);
 }
 
 void DispatchClient::release(Finished report)
@@ -83,8 +109,11 @@
 asio::awaitable<void> DispatchClient::sendFinished(Finished report)
 {
     const auto* host = owner(report.pool);
-    if (host)
-        co_await m_peers.call(host->peerAddress, std::move(report), reportLimit);
+    if (!host)
+        co_return;
+    ++m_pendingReports;
+    co_await m_peers.call(host->peerAddress, std::move(report), reportLimit);
+    --m_pendingReports;
 }
 
 asio::awaitable<void> DispatchClient::renewLoop()
@@ -94,14 +123,19 @@
         boost::system::error_code ec;
         timer.expires_after(renewInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-        std::map<std::string, std::vector<RunningRequest>> byPool;
-        for (const auto& [id, entry] : m_running)
-            byPool[entry.pool].push_back({ id, entry.runner });
-        for (auto& [pool, requests] : byPool)
-            asio::co_spawn(m_context, renew(pool, std::move(requests)), asio::detached);
+        redeclare();
     }
 }
 
+void DispatchClient::redeclare()
+{
+    std::map<std::string, std::vector<RunningRequest>> byPool;
+    for (const auto& [id, entry] : m_running)
+        byPool[entry.pool].push_back({ id, entry.runner });
+    for (auto& [pool, requests] : byPool)
+        asio::co_spawn(m_context, renew(pool, std::move(requests)), asio::detached);
+}
+
 asio::awaitable<void> DispatchClient::renew(std::string pool, std::vector<RunningRequest> requests)
 {
     const auto* host = owner(pool);
--- a/packages/dispatch/chiveshelf/dispatch/DispatchClient.h
+++ b/packages/dispatch/chiveshelf/dispatch/DispatchClient.h
@@ -6,6 +6,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
+
 namespace chiveshelf {
 
 // Asks the owning host of a pool for a runner and reports back when the request has ended. Call acquire(), run the request
@@ -25,6 +27,15 @@
     // Reports the end of a granted request. Returns without waiting for the owner.
     void release(Finished);
 
+    // Declares all running requests to the present owners at once, for instance because an owner has changed.
+    void redeclare();
+
+    // Registers a callback for an owner that did not answer.
+    void onLostOwner(std::function<void(const Address&)> listener) { m_onLostOwner = std::move(listener); }
+
+    // Reports of ended requests that no owner has confirmed yet.
+    std::size_t pendingReports() const { return m_pendingReports; }
+
     std::size_t runningCount() const { return m_running.size(); }
 
 private:
@@ -33,15 +44,19 @@
         std::string runner;
     };
 
+    void handleLostHost(const Address&);
     boost::asio::awaitable<void> renewLoop();
     boost::asio::awaitable<void> renew(std::string pool, std::vector<RunningRequest>);
     boost::asio::awaitable<void> sendFinished(Finished);
-    const Member* owner(const std::string& pool) const;
+    const Member* owner(const std::string& pool);
 
     boost::asio::io_context& m_context;
     peer::PeerClient& m_peers;
     MemberDirectory& m_members;
     std::map<std::string, RunningEntry> m_running;
+    std::map<std::string, std::chrono::steady_clock::time_point> m_avoidedUntil;
+    std::function<void(const Address&)> m_onLostOwner;
+    std::size_t m_pendingReports = 0;
 };
 
 }
--- a/packages/dispatch/chiveshelf/dispatch/SchedulerService.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/SchedulerService.cpp
@@ -72,10 +72,13 @@
 
 asio::awaitable<Result<Grant>> SchedulerService::enqueue(Enqueue message)
 {
+    if (m_isRefusing)
+        co_return failure(ErrorCode::Unavailable, "scheduler is handing over", Verdict::NotRun);
     if (!m_tables.snapshot()->findPool(message.pool))
         co_return failure(ErrorCode::NotFound, "no pool named '" + message.pool + "'", Verdict::NotRun);
     if (message.priority < 0 || message.priority >= static_cast<std::int32_t>(priorityCount))
         co_return failure(ErrorCode::InvalidRequest, "unknown priority", Verdict::NotRun);
+    ++m_acceptedCount;
     auto& state = poolState(message.pool);
     const auto now = Clock::now();
     if (state.waiters.contains(message.requestId)) {
@@ -106,6 +109,29 @@
     co_return std::move(*waiter->result);
 }
 
+void SchedulerService::handOver(const std::function<bool(const std::string& pool)>& isOwnedElsewhere)
+{
+    for (const auto& [name, state] : m_pools) {
+        if (state->waiters.empty() || !isOwnedElsewhere(name))
+            continue;
+        std::vector<std::string> ids;
+        for (const auto& [id, waiter] : state->waiters)
+            ids.push_back(id);
+        logEvent(LogLevel::Info, "scheduler_handed_over", { { "pool", name }, { "queued", ids.size() } });
+        for (const auto& id : ids) {
+            state->queue.cancel(id);
+            answer(*state, id, failure(ErrorCode::Unavailable, "scheduler is handing over", Verdict::NotRun));
+        }
+    }
+}
+
+void SchedulerService::setRefusing(bool isRefusing)
+{
+    m_isRefusing = isRefusing;
+    if (isRefusing)
+        handOver([](const std::string&) { return true; });
+}
+
 asio::awaitable<Result<Acknowledgement>> SchedulerService::cancel(CancelQueued message)
 {
     auto& state = poolState(message.pool);
--- a/packages/dispatch/chiveshelf/dispatch/SchedulerService.h
+++ b/packages/dispatch/chiveshelf/dispatch/SchedulerService.h
@@ -9,6 +9,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json_fwd.hpp>
 
+#include <functional>
+
 namespace chiveshelf {
 
 // Schedules the pools that other hosts ask this host about. All state is soft: it is rebuilt from Enqueue and InFlight
@@ -22,6 +24,16 @@
 
     void start();
 
+    // Sends the waiting requests of the pools for which `isOwnedElsewhere` holds back to their entry hosts, which queue them
+    // at the present owner.
+    void handOver(const std::function<bool(const std::string& pool)>& isOwnedElsewhere);
+
+    // While refusing, Enqueue is answered with Unavailable and NotRun, and nothing waits here.
+    void setRefusing(bool);
+
+    // Number of Enqueue messages that were accepted.
+    std::uint64_t acceptedCount() const { return m_acceptedCount; }
+
     // Queues, running requests and last decisions of each pool, for the state dump.
     nlohmann::json state() const;
 
@@ -44,6 +56,8 @@
     TableStore& m_tables;
     std::string m_dataCentre;
     std::map<std::string, std::unique_ptr<PoolState>> m_pools;
+    std::uint64_t m_acceptedCount = 0;
+    bool m_isRefusing = false;
 };
 
 }
--- a/packages/entry/chiveshelf/entry/EntryService.cpp
+++ b/packages/entry/chiveshelf/entry/EntryService.cpp
@@ -62,11 +62,6 @@
     return m_server.start(address);
 }
 
-void EntryService::drain()
-{
-    m_server.stopAccepting();
-}
-
 asio::awaitable<void> EntryService::handle(http::Exchange& exchange)
 {
     ++m_counters.requests;
--- a/packages/entry/chiveshelf/entry/EntryService.h
+++ b/packages/entry/chiveshelf/entry/EntryService.h
@@ -27,7 +27,8 @@
     std::uint64_t replays = 0;
 };
 
-// The callers' listener. Construct it and call start(); drain() stops accepting and lets running requests end.
+// The callers' listener. Construct it and call start(). At the end call announceClose(), later stopAccepting(), and wait until
+// connectionCount() is 0.
 class EntryService {
 public:
     EntryService(boost::asio::io_context&, http::ServerLimits, EntryPorts, std::string dataCentre);
@@ -35,7 +36,14 @@
     EntryService& operator=(const EntryService&) = delete;
 
     Result<void> start(const Address&);
-    void drain();
+
+    // From now on every answer asks its caller to close the connection.
+    void announceClose() { m_server.announceClose(); }
+
+    // Accepts no more connections and lets running requests end.
+    void stopAccepting() { m_server.stopAccepting(); }
+
+    std::size_t connectionCount() const { return m_server.connectionCount(); }
     std::size_t activeRequests() const { return m_server.activeRequests(); }
     const EntryCounters& counters() const { return m_counters; }
 
--- a/packages/http/chiveshelf/http/Server.cpp
+++ b/packages/http/chiveshelf/http/Server.cpp
@@ -21,6 +21,8 @@
 
     // Wait after a failed accept, for instance when file descriptors run out.
     constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+    // Wait for a request on a connection that was kept open when the server stopped: the peer may have sent one already.
+    constexpr auto stoppingIdleLimit = std::chrono::milliseconds(500);
 
     Error writeFailure(const boost::system::error_code& ec)
     {
@@ -61,10 +63,11 @@
     bool isIdle = true;
 };
 
-Exchange::Exchange(beast::tcp_stream& stream, Request request, ServerLimits limits)
+Exchange::Exchange(beast::tcp_stream& stream, Request request, ServerLimits limits, const bool& isClosing)
     : m_stream(stream)
     , m_request(std::move(request))
     , m_limits(limits)
+    , m_isClosing(isClosing)
     , m_keepAlive(m_request.keep_alive())
 {
 }
@@ -72,6 +75,7 @@
 asio::awaitable<Result<void>> Exchange::respond(Response response)
 {
     m_hasStarted = true;
+    m_keepAlive = m_keepAlive && !m_isClosing;
     response.keep_alive(m_keepAlive);
     response.prepare_payload();
     boost::system::error_code ec;
@@ -88,6 +92,7 @@
     std::vector<std::pair<std::string, std::string>> headers)
 {
     m_hasStarted = true;
+    m_keepAlive = m_keepAlive && !m_isClosing;
     beast::http::response<beast::http::empty_body> response { status, 11 };
     response.set(beast::http::field::content_type, beast::string_view(contentType.data(), contentType.size()));
     for (const auto& [name, value] : headers)
@@ -175,13 +180,42 @@
 
 void Server::stopAccepting()
 {
+    m_isClosing = true;
     m_isStopping = true;
-    boost::system::error_code ec;
-    m_acceptor.close(ec);
     for (const auto& connection : m_connections) {
-        if (connection->isIdle)
+        boost::system::error_code ec;
+        // A request may have arrived that its task has not seen yet.
+        const bool hasData = connection->stream.socket().available(ec) > 0;
+        if (connection->isIdle && !hasData)
             connection->stream.close();
     }
+    acceptQueued();
+    boost::system::error_code ec;
+    m_acceptor.close(ec);
+}
+
+void Server::acceptQueued()
+{
+    // Closing the socket would reset connections that the kernel has accepted and their callers have written to.
+    boost::system::error_code ec;
+    m_acceptor.non_blocking(true, ec);
+    while (!ec) {
+        asio::ip::tcp::socket socket(m_context);
+        m_acceptor.accept(socket, ec);
+        if (!ec)
+            adopt(std::move(socket));
+    }
+}
+
+void Server::adopt(asio::ip::tcp::socket socket)
+{
+    if (m_connections.size() >= m_limits.connections)
+        return;
+    boost::system::error_code ec;
+    socket.set_option(asio::ip::tcp::no_delay(true), ec);
+    auto connection = std::make_shared<Connection>(std::move(socket));
+    m_connections.insert(connection);
+    asio::co_spawn(m_context, serve(connection), asio::detached);
 }
 
 void Server::closeAll()
@@ -205,19 +239,14 @@
             co_await timer.async_wait(redirect_error(use_awaitable, ec));
             continue;
         }
-        if (m_connections.size() >= m_limits.connections)
-            continue;
-        socket.set_option(asio::ip::tcp::no_delay(true), ec);
-        auto connection = std::make_shared<Connection>(std::move(socket));
-        m_connections.insert(connection);
-        asio::co_spawn(m_context, serve(connection), asio::detached);
+        adopt(std::move(socket));
     }
 }
 
 asio::awaitable<void> Server::serve(std::shared_ptr<Connection> connection)
 {
     try {
-        while (!m_isStopping && co_await serveOne(*connection)) {
+        while (co_await serveOne(*connection)) {
         }
     } catch (const std::exception& error) {
         logEvent(LogLevel::Error, "connection_failed", { { "error", error.what() } });
@@ -237,7 +266,7 @@
     connection.isIdle = true;
     if (connection.buffer.size() == 0) {
         // The limits of tcp_stream do not cover a wait on the socket itself.
-        asio::steady_timer idleTimer(m_context, m_limits.idle);
+        asio::steady_timer idleTimer(m_context, m_isStopping ? stoppingIdleLimit : m_limits.idle);
         idleTimer.async_wait([&connection](boost::system::error_code timerError) {
             if (!timerError)
                 connection.stream.close();
@@ -252,15 +281,13 @@
     if (ec) {
         const auto status = statusForReadError(ec);
         if (status) {
-            Exchange exchange(connection.stream, Request {}, m_limits);
+            Exchange exchange(connection.stream, Request {}, m_limits, m_isClosing);
             exchange.disableKeepAlive();
             co_await exchange.respond(makeResponse(*status, errorBody(*status)));
         }
         co_return false;
     }
-    Exchange exchange(connection.stream, parser.release(), m_limits);
-    if (m_isStopping)
-        exchange.disableKeepAlive();
+    Exchange exchange(connection.stream, parser.release(), m_limits, m_isClosing);
     ++m_activeRequests;
     try {
         co_await m_handler(exchange);
--- a/packages/http/chiveshelf/http/Server.h
+++ b/packages/http/chiveshelf/http/Server.h
@@ -30,7 +30,8 @@
 // finishStream(). Every call fails when the peer is gone or takes nothing within the write limit.
 class Exchange {
 public:
-    Exchange(boost::beast::tcp_stream&, Request, ServerLimits);
+    // `isClosing` tells whether the server is about to stop; the response then asks the peer to close.
+    Exchange(boost::beast::tcp_stream&, Request, ServerLimits, const bool& isClosing);
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
 
@@ -64,14 +65,16 @@
     boost::beast::tcp_stream& m_stream;
     Request m_request;
     ServerLimits m_limits;
+    const bool& m_isClosing;
     bool m_hasStarted = false;
     bool m_keepAlive = true;
 };
 
 using Handler = std::function<boost::asio::awaitable<void>(Exchange&)>;
 
-// Accepts connections and calls a handler for each request. Construct it, check start(), and at the end call
-// stopAccepting(): requests that are running go on, idle connections are closed.
+// Accepts connections and calls a handler for each request. Construct it and check start(). At the end call announceClose(),
+// give the peers time to turn elsewhere, call stopAccepting(), and wait until connectionCount() is 0: requests that have
+// arrived go on and are answered.
 class Server {
 public:
     Server(boost::asio::io_context&, ServerLimits, Handler);
@@ -82,7 +85,10 @@
     // Binds and begins to accept. Fails with Unavailable if the address can not be bound.
     Result<void> start(const Address&);
 
-    // Closes the listening socket and idle connections; running requests end with `Connection: close`.
+    // From now on every response carries `Connection: close`. New connections are still accepted.
+    void announceClose() { m_isClosing = true; }
+
+    // Accepts what the kernel has queued, then closes the listening socket and the idle connections.
     void stopAccepting();
 
     // Cuts all connections, running requests included.
@@ -97,6 +103,8 @@
     struct Connection;
 
     boost::asio::awaitable<void> acceptLoop();
+    void adopt(boost::asio::ip::tcp::socket);
+    void acceptQueued();
     boost::asio::awaitable<void> serve(std::shared_ptr<Connection>);
     boost::asio::awaitable<bool> serveOne(Connection&);
 
@@ -107,6 +115,7 @@
     Address m_address;
     std::set<std::shared_ptr<Connection>> m_connections;
     std::size_t m_activeRequests = 0;
+    bool m_isClosing = false;
     bool m_isStopping = false;
 };
 
--- a/packages/membership/chiveshelf/membership/MembershipService.h
+++ b/packages/membership/chiveshelf/membership/MembershipService.h
@@ -1,28 +1,72 @@
 #pragma once
 
-#include "chiveshelf/membership/MemberDirectory.h"
+#include "chiveshelf/membership/FailureDetector.h"
+#include "chiveshelf/peer/PeerClient.h"
 #include "chiveshelf/platform/HttpPlatform.h"
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
+
 namespace chiveshelf {
 
-// Keeps the member directory current. Construct it with the directory and call start().
+// Counters for metrics.
+struct MembershipCounters {
+    std::uint64_t suspicions = 0;
+    std::uint64_t removals = 0;
+    std::uint64_t returns = 0;
+    std::uint64_t ownSuspicions = 0;
+    std::uint64_t sentDatagrams = 0;
+    std::uint64_t receivedDatagrams = 0;
+};
+
+// Keeps the member directory current: runs the failure detector over datagrams and feeds it the platform's list. Construct it
+// before the datagram channel starts, subscribe, and call start().
 class MembershipService {
 public:
-    MembershipService(boost::asio::io_context&, HttpPlatform&, MemberDirectory&);
+    using ChangeListener = std::function<void(const MemberChange&)>;
+    using RevisionListener = std::function<void(const Address&, std::uint64_t revision)>;
+
+    MembershipService(boost::asio::io_context&, HttpPlatform&, peer::DatagramChannel&, peer::PeerClient&, MemberDirectory&);
     MembershipService(const MembershipService&) = delete;
     MembershipService& operator=(const MembershipService&) = delete;
 
     void start();
 
+    // Registers a callback for each change of a member's state, this host's own included.
+    void subscribe(ChangeListener);
+
+    // Sets where the revision comes from that each datagram carries, and who is told of the revisions of others.
+    void exchangeRevisions(std::function<std::uint64_t()> own, RevisionListener);
+
+    // Announces that this host leaves. Calls repeat the announcement.
+    void announceLeaving();
+
+    // Announces that this host is gone.
+    void announceGone();
+
+    // Has the member with this peer address probed at once, because a connection to it was lost.
+    void reportLostConnection(const Address&);
+
+    const MembershipCounters& counters() const { return m_counters; }
+
 private:
+    boost::asio::awaitable<void> tickLoop();
     boost::asio::awaitable<void> refreshLoop();
-    void apply(const std::vector<ListedHost>&);
+    bool isLister() const;
+    void flush();
+    void handleChange(const MemberChange&);
 
     boost::asio::io_context& m_context;
     HttpPlatform& m_platform;
+    peer::DatagramChannel& m_datagrams;
+    peer::PeerClient& m_peers;
     MemberDirectory& m_directory;
+    FailureDetector m_detector;
+    MembershipCounters m_counters;
+    std::vector<ChangeListener> m_listeners;
+    std::function<std::uint64_t()> m_ownRevision;
+    RevisionListener m_revisionListener;
 };
 
 }
--- a/packages/membership/chiveshelf/membership/RendezvousHash.cpp
+++ b/packages/membership/chiveshelf/membership/RendezvousHash.cpp
@@ -21,17 +21,21 @@
 {
     const auto keyHash = hash64(key);
     const Member* best = nullptr;
-    std::uint64_t bestScore = 0;
-    for (const auto& member : members) {
-        if (member.state != MemberState::Live && member.state != MemberState::Suspect)
-            continue;
+    const Member* bestLeaving = nullptr;
+    const auto isBetter = [&](const Member& member, const Member* than) {
+        if (!than)
+            return true;
         const auto score = hash64(member.name, keyHash);
-        if (!best || score > bestScore || (score == bestScore && member.name < best->name)) {
-            best = &member;
-            bestScore = score;
-        }
+        const auto otherScore = hash64(than->name, keyHash);
+        return score != otherScore ? score > otherScore : member.name < than->name;
+    };
+    for (const auto& member : members) {
+        const bool takesNewWork = member.state == MemberState::Live || member.state == MemberState::Suspect;
+        auto& slot = takesNewWork ? best : bestLeaving;
+        if (member.state != MemberState::Gone && isBetter(member, slot))
+            slot = &member;
     }
-    return best;
+    return best ? best : bestLeaving;
 }
 
 }
--- a/packages/peer/chiveshelf/peer/PeerClient.cpp
+++ b/packages/peer/chiveshelf/peer/PeerClient.cpp
@@ -55,6 +55,8 @@
     Clock::time_point lastPing;
     bool isConnected = false;
     bool isClosed = false;
+    // Nothing was sent for so long that the connection is closed on purpose.
+    bool isUnused = false;
 };
 
 PeerClient::PeerClient(asio::io_context& context)
@@ -164,6 +166,7 @@
         const bool isUnused = link->pending.empty() && now - link->lastUsed > idleLifetime;
         if (isSilent)
             logEvent(LogLevel::Warning, "peer_silent", { { "address", toString(link->address) } });
+        link->isUnused = isUnused;
         if (isSilent || isUnused) {
             close(*link);
             break;
@@ -186,6 +189,8 @@
     const auto it = m_links.find(link.address);
     if (it != m_links.end() && it->second.get() == &link)
         m_links.erase(it);
+    if (m_onLost && !link.isUnused)
+        m_onLost(link.address);
     const auto verdict = link.isConnected ? Verdict::MayHaveRun : Verdict::NotRun;
     for (const auto& [correlation, pending] : link.pending) {
         if (pending->result)
--- a/packages/peer/chiveshelf/peer/PeerClient.h
+++ b/packages/peer/chiveshelf/peer/PeerClient.h
@@ -4,6 +4,7 @@
 #include "chiveshelf/peer/PeerServer.h"
 
 #include <chrono>
+#include <functional>
 #include <memory>
 
 namespace chiveshelf::peer {
@@ -34,6 +35,9 @@
     // Gives up the connection to a host, for instance when membership says that the host is gone. Pending calls fail.
     void disconnect(const Address&);
 
+    // Registers a callback for a connection that was lost or given up. It runs before the pending calls fail.
+    void onLost(std::function<void(const Address&)> listener) { m_onLost = std::move(listener); }
+
     std::size_t linkCount() const { return m_links.size(); }
 
 private:
@@ -49,6 +53,7 @@
 
     boost::asio::io_context& m_context;
     std::map<Address, std::shared_ptr<Link>> m_links;
+    std::function<void(const Address&)> m_onLost;
     std::uint64_t m_nextCorrelation = 1;
 };
 
--- a/packages/tables/chiveshelf/tables/TableAgent.cpp
+++ b/packages/tables/chiveshelf/tables/TableAgent.cpp
@@ -274,7 +274,7 @@
 {
     auto members = m_members.all();
     std::erase_if(members, [&](const Member& member) {
-        return member.name == m_members.self().name || (member.dataCentre == m_members.self().dataCentre) != ownDataCentre;
+        return member.name == m_members.self().name || member.state == MemberState::Gone || (member.dataCentre == m_members.self().dataCentre) != ownDataCentre;
     });
     return members;
 }
--- a/tests/Tests.cmake
+++ b/tests/Tests.cmake
@@ -10,6 +10,7 @@
 chiveshelf_add_unit_test(ctl DEPENDS ctl)
 chiveshelf_add_unit_test(idempotency DEPENDS idempotency)
 chiveshelf_add_unit_test(tables DEPENDS tables LIBRARIES rapidcheck)
+chiveshelf_add_unit_test(membership DEPENDS membership)
 
 # Each integration test has a NETWORK number of its own.
 chiveshelf_add_integration_test(CacheFaultTest NETWORK 60)
@@ -25,3 +26,10 @@
 chiveshelf_add_integration_test(TablePlatformLoadTest NETWORK 23)
 chiveshelf_add_integration_test(TablePropagationTest NETWORK 22)
 chiveshelf_add_integration_test(WholePathTest NETWORK 11)
+chiveshelf_add_integration_test(ShutdownTest NETWORK 30)
+chiveshelf_add_integration_test(HostFailureTest NETWORK 31)
+target_link_libraries(integration_ShutdownTest PRIVATE chiveshelf_membership)
+target_link_libraries(integration_HostFailureTest PRIVATE chiveshelf_membership)
+# FailoverPolicyTest runs three fleets side by side, on the networks 32 to 34.
+chiveshelf_add_integration_test(FailoverPolicyTest NETWORK 32 PROCESSORS 4)
+target_link_libraries(integration_FailoverPolicyTest PRIVATE chiveshelf_membership)
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -201,14 +201,30 @@
     return out;
 }
 
-void Fleet::listHosts()
+void Fleet::listHosts(const std::set<std::string>& leaving)
 {
     auto list = nlohmann::json::array();
     for (const auto& [name, host] : m_hosts)
-        list.push_back({ { "name", name }, { "address", toString(host.peer) }, { "admin_address", toString(host.admin) }, { "data_centre", host.dataCentre }, { "leaving", false } });
+        list.push_back({ { "name", name }, { "address", toString(host.peer) }, { "admin_address", toString(host.admin) }, { "data_centre", host.dataCentre }, { "leaving", leaving.contains(name) } });
     call(platform(), Verb::put, "/control/hosts", {}, list.dump());
 }
 
+nlohmann::json Fleet::state(const std::string& host) const
+{
+    const auto parsed = nlohmann::json::parse(call(m_hosts.at(host).admin, Verb::get, "/state", {}, {}, std::chrono::seconds(1)).body, nullptr, false);
+    return parsed.is_object() ? parsed : nlohmann::json();
+}
+
+std::string Fleet::memberState(const std::string& observer, const std::string& member) const
+{
+    const auto dump = state(observer);
+    for (const auto& row : dump.value("members", nlohmann::json::array())) {
+        if (row["name"] == member)
+            return row["state"];
+    }
+    return {};
+}
+
 chiveshelf::Tables Fleet::defaultTables() const
 {
     chiveshelf::Tables tables;
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -8,7 +8,6 @@
 
 #include <map>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 
@@ -56,8 +55,14 @@
     // Returns how often a plain service ran an operation, over all services.
     std::map<std::string, int> operationRuns() const;
 
-    // Writes the platform's list of hosts.
-    void listHosts();
+    // Writes the platform's list of hosts, of which those in `leaving` are marked.
+    void listHosts(const std::set<std::string>& leaving = {});
+
+    // Returns the state dump of a host, or null if it does not answer.
+    nlohmann::json state(const std::string& host) const;
+
+    // Returns the state of a member in a host's view, empty if it is unknown there.
+    std::string memberState(const std::string& observer, const std::string& member) const;
 
     // Returns tables with the pool "desk" of all runners and stores and the pool "bookings" of all services.
     chiveshelf::Tables defaultTables() const;
--- a/tests/support/HttpProbe.cpp
+++ b/tests/support/HttpProbe.cpp
@@ -35,8 +35,10 @@
         [&]() -> boost::asio::awaitable<void> {
             const http::CallLimits limits { std::chrono::milliseconds(1'000), progress };
             const auto response = co_await client.send(address, request, limits);
-            if (!response)
+            if (!response) {
+                out.isNotSent = response.error().verdict == chiveshelf::Verdict::NotRun;
                 co_return;
+            }
             out.status = response->result_int();
             out.body = response->body();
             for (const auto& field : *response)
--- a/tests/support/HttpProbe.h
+++ b/tests/support/HttpProbe.h
@@ -15,6 +15,8 @@
     unsigned status = 0;
     std::string body;
     Headers headers;
+    // True if no connection was made, so that the request certainly did not arrive.
+    bool isNotSent = false;
 
     // Returns the header's value, or an empty string.
     std::string header(const std::string& name) const;
