--- a/packages/daemon/chiveshelf/daemon/Daemon.cpp
+++ b/packages/daemon/chiveshelf/daemon/Daemon.cpp
@@ -1,5 +1,6 @@
 #include "chiveshelf/daemon/Daemon.h"
 
+#include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -22,6 +23,40 @@
     constexpr http::CallLimits runnerLimits { std::chrono::milliseconds(300), std::chrono::milliseconds(2'000) };
     constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
 
+    PolicyKind policyKind(const DaemonSettings& settings)
+    {
+        return policyKindFromName(settings.schedulingPolicy).value_or(PolicyKind::FairShare);
+    }
+
+    SchedulerSettings schedulerSettings(const DaemonSettings& settings)
+    {
+        SchedulerSettings out;
+        out.dataCentre = settings.dataCentre;
+        out.policy = policyKind(settings);
+        out.fairShare.cacheBlocksPerRunner = static_cast<std::size_t>(settings.cacheBlocksPerRunner);
+        out.fairShare.blockTokens = settings.cache.blockTokens;
+        out.fairShare.cacheHalfLife = settings.cacheHalfLife;
+        out.fairShare.importsPerLink = static_cast<std::size_t>(settings.importsPerLink);
+        // Differs between hosts, so that their callers' retry times do too.
+        out.fairShare.seed = static_cast<std::uint32_t>(hash64(settings.hostName));
+        return out;
+    }
+
+    void addSchedulerMetrics(prometheus::Registry& registry, const SchedulerCounters& counters)
+    {
+        auto& decisions = prometheus::BuildCounter()
+                              .Name("chiveshelf_scheduler_decisions_total")
+                              .Help("Decisions of this host as scheduler, by priority class.")
+                              .Register(registry);
+        for (const auto priority : allPriorities) {
+            const std::string name(priorityName(priority));
+            const auto index = priorityIndex(priority);
+            decisions.Add({ { "class", name }, { "decision", "granted" } }).Increment(static_cast<double>(counters.granted[index]));
+            decisions.Add({ { "class", name }, { "decision", "refused" } }).Increment(static_cast<double>(counters.refused[index]));
+            decisions.Add({ { "class", name }, { "decision", "preempted" } }).Increment(static_cast<double>(counters.preempted[index]));
+        }
+    }
+
 }
 
 Daemon::Daemon(asio::io_context& context, DaemonSettings settings)
@@ -38,9 +73,11 @@
     , m_peerServer(context)
     , m_peerClient(context)
     , m_tableAgent(context, m_platform, m_tables, m_members, m_datagrams, m_peerServer, m_peerClient)
-    , m_scheduler(context, m_peerServer, m_tables, m_settings.dataCentre)
-    , m_dispatch(context, m_peerClient, m_members)
-    , m_entry(context, {}, { m_tables, m_dispatch, m_runners, m_cache, m_client }, m_settings.dataCentre)
+    , m_scheduler(context, m_peerServer, m_peerClient, m_members, m_tables, schedulerSettings(m_settings))
+    , m_localScheduler(context, m_client, m_tables, policyKind(m_settings), m_settings.dataCentre)
+    , m_dispatch(context, m_peerServer, m_peerClient, m_members, hasCommonQueue(policyKind(m_settings)) ? nullptr : &m_localScheduler)
+    , m_quarantine(context, m_datagrams, m_members)
+    , m_entry(context, {}, { m_tables, m_dispatch, m_quarantine, m_runners, m_cache, m_client }, m_settings.dataCentre)
     , m_admin(context,
           { [this] { return state(); }, [this] { return metrics(); },
               [this] { return m_tables.snapshot()->revision > 0 && !m_isDraining; }, [this] { drain(); } })
@@ -57,6 +94,8 @@
     m_tableAgent.start();
     m_membership.start();
     m_scheduler.start();
+    if (!hasCommonQueue(policyKind(m_settings)))
+        m_localScheduler.start();
     m_dispatch.start();
     m_cache.start();
     logEvent(LogLevel::Info, "started",
@@ -103,7 +142,10 @@
         { "tables_revision", m_tables.snapshot()->revision },
         { "tables", { { "watching", m_tableAgent.isWatching() }, { "edit_id", m_tables.snapshot()->editId } } },
         { "members", members },
-        { "pools", m_scheduler.state() },
+        { "pools", hasCommonQueue(policyKind(m_settings)) ? m_scheduler.state() : m_localScheduler.state() },
+        { "scheduling_policy", m_settings.schedulingPolicy },
+        { "quarantined", m_quarantine.quarantined() },
+        { "retry_budget", { { "available", m_dispatch.retryBudget().available() }, { "denied", m_dispatch.retryBudget().deniedCount() } } },
         { "active_requests", m_entry.activeRequests() },
         { "platform_calls", m_platform.callCount() },
         { "connections", { { "peer_links", m_peerClient.linkCount() }, { "idle_http", m_client.idleConnections() } } },
@@ -144,6 +186,10 @@
     counter("chiveshelf_tables_rejected_total", "Values of the platform's service that are not valid tables.", tables.rejectedValues);
     gauge("chiveshelf_tables_watching", "1 while this host watches the platform's service.", m_tableAgent.isWatching() ? 1 : 0);
     gauge("chiveshelf_tables_revision", "Revision of the tables in force.", static_cast<double>(m_tables.snapshot()->revision));
+    counter("chiveshelf_retries_denied_total", "Retries not made because the retry budget was used up.", m_dispatch.retryBudget().deniedCount());
+    gauge("chiveshelf_quarantined_requests", "Request fingerprints that are refused because runners crashed while they ran them.",
+        static_cast<double>(m_quarantine.quarantined().size()));
+    addSchedulerMetrics(registry, m_scheduler.counters());
     return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
--- a/packages/daemon/chiveshelf/daemon/Daemon.h
+++ b/packages/daemon/chiveshelf/daemon/Daemon.h
@@ -45,7 +45,9 @@
     peer::PeerClient m_peerClient;
     TableAgent m_tableAgent;
     SchedulerService m_scheduler;
+    LocalScheduler m_localScheduler;
     DispatchClient m_dispatch;
+    QuarantineService m_quarantine;
     EntryService m_entry;
     AdminService m_admin;
     bool m_isDraining = false;
--- a/packages/daemon/chiveshelf/daemon/DaemonSettings.cpp
+++ b/packages/daemon/chiveshelf/daemon/DaemonSettings.cpp
@@ -19,6 +19,13 @@
         { "cache-imports", "on", "Whether runners import blocks from stores.", false, false, checkOneOf({ "on", "off" }) },
         { "cache-exports", "on", "Whether new blocks are written to stores.", false, false, checkOneOf({ "on", "off" }) },
         { "log-level", "info", "Lowest level that is logged.", false, false, checkOneOf({ "debug", "info", "warning", "error" }) },
+        { "scheduling-policy", "fair-share", "How runners are chosen: fair-share, or a baseline for benchmarks.", false, false,
+            checkOneOf({ "fair-share", "first-come", "round-robin", "least-loaded" }) },
+        { "cache-blocks-per-runner", "256", "Cache blocks that one runner is assumed to hold.", false, false, checkNumber(0, 1'000'000, "blocks") },
+        { "cache-half-life-ms", "300000", "Time after which a block unused on a runner is assumed to be there with half the probability, in ms.",
+            false, false, checkNumber(1, 86'400'000, "ms") },
+        { "imports-per-link", "4", "Most block imports at once over one link; the last place is kept for urgent requests.", false, false,
+            checkNumber(2, 1'000, "imports") },
         { "print-settings", "", "Print the effective settings with their origin and exit.", false, true, nullptr },
         { "help", "", "Print this help and exit.", false, true, nullptr },
     };
@@ -37,6 +44,10 @@
     settings.platformAddress = options.address("platform");
     settings.drainLimit = std::chrono::milliseconds(options.number("drain-limit-ms"));
     settings.logLevel = options.text("log-level");
+    settings.schedulingPolicy = options.text("scheduling-policy");
+    settings.cacheBlocksPerRunner = options.number("cache-blocks-per-runner");
+    settings.cacheHalfLife = std::chrono::milliseconds(options.number("cache-half-life-ms"));
+    settings.importsPerLink = options.number("imports-per-link");
     settings.cache = { options.number("cache-block-tokens"), options.text("cache-imports") == "on", options.text("cache-exports") == "on" };
     std::map<Address, std::string> used;
     for (const auto* name : { "listen", "admin-listen", "peer-listen", "platform" }) {
--- a/packages/daemon/chiveshelf/daemon/DaemonSettings.h
+++ b/packages/daemon/chiveshelf/daemon/DaemonSettings.h
@@ -17,6 +17,11 @@
     Address platformAddress;
     std::chrono::milliseconds drainLimit { 0 };
     std::string logLevel;
+    std::string schedulingPolicy;
+    // Blocks that the cache of one runner holds, for the guess of what it still caches.
+    std::int64_t cacheBlocksPerRunner = 0;
+    std::chrono::milliseconds cacheHalfLife { 0 };
+    std::int64_t importsPerLink = 0;
     CacheSettings cache;
 
     auto operator<=>(const DaemonSettings&) const = default;
--- a/packages/dispatch/chiveshelf/dispatch/DispatchClient.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/DispatchClient.cpp
@@ -20,16 +20,26 @@
     constexpr auto reportLimit = std::chrono::milliseconds(1'000);
     // Pause before asking again after the owner was lost, for membership to notice.
     constexpr auto reassignDelay = std::chrono::milliseconds(50);
+    // The pause once retries have used up their budget. The request is still held: it has not run, and a new owner is found
+    // within seconds.
+    constexpr auto unbudgetedDelay = std::chrono::milliseconds(500);
+    // Retries per request, and the number allowed at once.
+    constexpr double retryShare = 0.1;
+    constexpr double retryReserve = 20;
     // The owner answers by itself at the deadline; this covers the way there and back.
     constexpr auto answerSlack = std::chrono::milliseconds(500);
 
 }
 
-DispatchClient::DispatchClient(asio::io_context& context, peer::PeerClient& peers, MemberDirectory& members)
+DispatchClient::DispatchClient(asio::io_context& context, peer::PeerServer& server, peer::PeerClient& peers, MemberDirectory& members,
+    LocalScheduler* local)
     : m_context(context)
     , m_peers(peers)
     , m_members(members)
+    , m_local(local)
+    , m_retries(retryShare, retryReserve)
 {
+    server.handle<Preempt>([this](Preempt message) { return preempt(std::move(message)); });
 }
 
 void DispatchClient::start()
@@ -48,6 +58,13 @@
 {
     const auto deadline = Clock::now() + std::chrono::milliseconds(request.deadlineMs);
     request.entryHost = m_members.self().name;
+    m_retries.onRequest();
+    if (m_local) {
+        auto grant = m_local->grant(request);
+        if (grant)
+            m_running[request.requestId] = { request.pool, grant->runner, request.priority, false, nullptr };
+        co_return grant;
+    }
     while (true) {
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - Clock::now());
         if (left.count() <= 0)
@@ -56,9 +73,10 @@
         const auto* host = owner(request.pool);
         if (!host)
             co_return failure(ErrorCode::Unavailable, "no host takes work in this data centre", Verdict::NotRun, std::chrono::milliseconds(1'000));
-        auto grant = co_await m_peers.call(host->peerAddress, request, left + answerSlack);
+        const auto address = host->peerAddress;
+        auto grant = co_await m_peers.call(address, request, left + answerSlack);
         if (grant) {
-            m_running[request.requestId] = { request.pool, grant->runner };
+            m_running[request.requestId] = { request.pool, grant->runner, request.priority, false, nullptr };
             co_return grant;
         }
         const bool isLost = grant.error().code == ErrorCode::Unavailable || grant.error().code == ErrorCode::Timeout;
@@ -68,7 +86,9 @@
         }
         logEvent(LogLevel::Info, "scheduler_lost",
             { { "request_id", request.requestId }, { "organisation", request.organisation }, { "pool", request.pool }, { "error", grant.error().message } });
-        asio::steady_timer timer(m_context, reassignDelay);
+        const auto* next = owner(request.pool);
+        const bool isSameOwner = next && next->peerAddress == address;
+        asio::steady_timer timer(m_context, isSameOwner && !m_retries.take() ? unbudgetedDelay : reassignDelay);
         boost::system::error_code ec;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
@@ -77,9 +97,37 @@
 void DispatchClient::release(Finished report)
 {
     m_running.erase(report.requestId);
+    if (m_local) {
+        m_local->finish(report);
+        return;
+    }
     asio::co_spawn(m_context, sendFinished(std::move(report)), asio::detached);
 }
 
+void DispatchClient::onPreempt(const std::string& requestId, std::function<void()> action)
+{
+    const auto it = m_running.find(requestId);
+    if (it != m_running.end())
+        it->second.onPreempt = std::move(action);
+}
+
+void DispatchClient::noteFirstToken(const std::string& requestId)
+{
+    const auto it = m_running.find(requestId);
+    if (it != m_running.end())
+        it->second.hasFirstToken = true;
+}
+
+asio::awaitable<Result<PreemptReply>> DispatchClient::preempt(Preempt message)
+{
+    const auto it = m_running.find(message.requestId);
+    if (it == m_running.end() || it->second.hasFirstToken || !it->second.onPreempt)
+        co_return PreemptReply { false };
+    const auto action = std::exchange(it->second.onPreempt, nullptr);
+    action();
+    co_return PreemptReply { true };
+}
+
 asio::awaitable<void> DispatchClient::sendFinished(Finished report)
 {
     const auto* host = owner(report.pool);
@@ -89,6 +137,8 @@
 
 asio::awaitable<void> DispatchClient::renewLoop()
 {
+    if (m_local)
+        co_return;
     asio::steady_timer timer(m_context);
     while (true) {
         boost::system::error_code ec;
@@ -96,7 +146,7 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
         std::map<std::string, std::vector<RunningRequest>> byPool;
         for (const auto& [id, entry] : m_running)
-            byPool[entry.pool].push_back({ id, entry.runner });
+            byPool[entry.pool].push_back({ id, entry.runner, entry.priority });
         for (auto& [pool, requests] : byPool)
             asio::co_spawn(m_context, renew(pool, std::move(requests)), asio::detached);
     }
--- a/packages/dispatch/chiveshelf/dispatch/Messages.h
+++ b/packages/dispatch/chiveshelf/dispatch/Messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chiveshelf/core/StoredPrefix.h"
+#include "chiveshelf/peer/DatagramChannel.h"
 #include "chiveshelf/peer/MessageType.h"
 
 #include <cstdint>
@@ -25,11 +26,14 @@
     // Revision of the tables that `version` was read from.
     std::uint64_t tablesRevision = 0;
     std::string reason;
+    // Leading blocks of the prompt that the runner is to have from its cache or the store before it computes the rest; -1
+    // leaves the number to the entry host.
+    std::int64_t importBlocks = -1;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(runner, runnerAddress, version, tablesRevision, reason);
+        archive(runner, runnerAddress, version, tablesRevision, reason, importBlocks);
     }
 };
 
@@ -50,6 +54,8 @@
     // Keys of the prompt's whole cache blocks, first block first.
     std::vector<std::string> blocks;
     StoredPrefix stored;
+    // The store that has them; imports are bounded per store.
+    std::string store;
     // Time left until the first token is wanted, in ms.
     std::int64_t deadlineMs = 0;
     std::vector<std::string> excludedRunners;
@@ -57,7 +63,7 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(requestId, entryHost, pool, organisation, priority, weight, promptTokens, maxTokens, blocks, stored, deadlineMs, excludedRunners);
+        archive(requestId, entryHost, pool, organisation, priority, weight, promptTokens, maxTokens, blocks, stored, store, deadlineMs, excludedRunners);
     }
 };
 
@@ -85,6 +91,10 @@
     std::string pool;
     std::string runner;
     bool hasSucceeded = false;
+    // The runner or its connection failed, as opposed to a caller that went away or a preemption.
+    bool hasRunnerFailed = false;
+    // It crashed or can not be reached.
+    bool isRunnerGone = false;
     std::int64_t promptTokens = 0;
     std::int64_t cachedTokens = 0;
     std::int64_t importedTokens = 0;
@@ -96,7 +106,7 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(requestId, pool, runner, hasSucceeded, promptTokens, cachedTokens, importedTokens, completionTokens, firstTokenMs, totalMs);
+        archive(requestId, pool, runner, hasSucceeded, hasRunnerFailed, isRunnerGone, promptTokens, cachedTokens, importedTokens, completionTokens, firstTokenMs, totalMs);
     }
 };
 
@@ -104,11 +114,12 @@
 struct RunningRequest {
     std::string requestId;
     std::string runner;
+    std::int32_t priority = 0;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(requestId, runner);
+        archive(requestId, runner, priority);
     }
 };
 
@@ -129,4 +140,45 @@
     }
 };
 
+// The answer to Preempt.
+struct PreemptReply {
+    // False if the first token has already come or the request is unknown; it then runs on.
+    bool isAccepted = false;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(isAccepted);
+    }
+};
+
+// Asks an entry host to cancel a running request of a cheaper class on its runner and to queue it again.
+struct Preempt {
+    static constexpr auto messageType = peer::MessageType::Preempt;
+    using Reply = PreemptReply;
+
+    std::string requestId;
+    std::string pool;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(requestId, pool);
+    }
+};
+
+// Tells the hosts of a data centre that a runner crashed while it ran a request.
+struct QuarantineNotice {
+    static constexpr auto datagramType = peer::DatagramType::QuarantineNotice;
+
+    std::string fingerprint;
+    std::string runner;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(fingerprint, runner);
+    }
+};
+
 }
--- a/packages/dispatch/chiveshelf/dispatch/SchedulerService.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/SchedulerService.cpp
@@ -16,9 +16,10 @@
 namespace {
 
     constexpr auto tickInterval = std::chrono::milliseconds(50);
+    // A later answer would come after the target of the urgent request that needs the slot.
+    constexpr auto preemptLimit = std::chrono::milliseconds(500);
     // A slot whose entry host has not renewed it for this long is free again: the host is gone or was cut off.
     constexpr auto slotLifetime = std::chrono::milliseconds(3'000);
-    constexpr std::size_t keptDecisions = 32;
 
 }
 
@@ -28,6 +29,7 @@
     {
     }
 
+    std::string entryHost;
     asio::steady_timer timer;
     std::optional<Result<Grant>> result;
 };
@@ -35,19 +37,27 @@
 struct SchedulerService::PoolState {
     struct Slot {
         std::string runner;
+        std::string entryHost;
         Clock::time_point renewedAt;
     };
 
-    PoolQueue queue;
+    explicit PoolState(const SchedulerSettings& settings)
+        : scheduler(settings.policy, settings.fairShare, settings.dataCentre)
+    {
+    }
+
+    PoolScheduler scheduler;
     std::map<std::string, std::shared_ptr<Waiter>> waiters;
     std::map<std::string, Slot> running;
-    std::deque<Assignment> decisions;
 };
 
-SchedulerService::SchedulerService(asio::io_context& context, peer::PeerServer& server, TableStore& tables, std::string dataCentre)
+SchedulerService::SchedulerService(asio::io_context& context, peer::PeerServer& server, peer::PeerClient& peers, MemberDirectory& members,
+    TableStore& tables, SchedulerSettings settings)
     : m_context(context)
+    , m_peers(peers)
+    , m_members(members)
     , m_tables(tables)
-    , m_dataCentre(std::move(dataCentre))
+    , m_settings(std::move(settings))
 {
     server.handle<Enqueue>([this](Enqueue message) { return enqueue(std::move(message)); });
     server.handle<CancelQueued>([this](CancelQueued message) { return cancel(std::move(message)); });
@@ -66,36 +76,29 @@
 {
     auto& state = m_pools[name];
     if (!state)
-        state = std::make_unique<PoolState>();
+        state = std::make_unique<PoolState>(m_settings);
     return *state;
 }
 
 asio::awaitable<Result<Grant>> SchedulerService::enqueue(Enqueue message)
 {
-    if (!m_tables.snapshot()->findPool(message.pool))
+    const auto tables = m_tables.snapshot();
+    const auto* pool = tables->findPool(message.pool);
+    if (!pool)
         co_return failure(ErrorCode::NotFound, "no pool named '" + message.pool + "'", Verdict::NotRun);
     if (message.priority < 0 || message.priority >= static_cast<std::int32_t>(priorityCount))
         co_return failure(ErrorCode::InvalidRequest, "unknown priority", Verdict::NotRun);
     auto& state = poolState(message.pool);
-    const auto now = Clock::now();
+    state.scheduler.setPool(*pool, tables->revision);
     if (state.waiters.contains(message.requestId)) {
-        state.queue.cancel(message.requestId);
+        state.scheduler.cancel(message.requestId, Clock::now());
         answer(state, message.requestId, failure(ErrorCode::Cancelled, "asked again", Verdict::NotRun));
     }
-    QueuedRequest request;
-    request.id = message.requestId;
-    request.organisation = message.organisation;
-    request.priority = static_cast<Priority>(message.priority);
-    request.weight = message.weight;
-    request.promptTokens = message.promptTokens;
-    request.maxTokens = message.maxTokens;
-    request.blocks = std::move(message.blocks);
-    request.stored = message.stored;
-    request.enqueuedAt = now;
-    request.deadline = now + std::chrono::milliseconds(message.deadlineMs);
-    request.excludedRunners = std::move(message.excludedRunners);
-    state.queue.enqueue(std::move(request));
+    const auto queued = state.scheduler.enqueue(message, Clock::now());
+    if (!queued)
+        co_return tl::unexpected(queued.error());
     const auto waiter = std::make_shared<Waiter>(m_context);
+    waiter->entryHost = message.entryHost;
     state.waiters[message.requestId] = waiter;
     pump(message.pool);
     while (!waiter->result) {
@@ -109,7 +112,7 @@
 asio::awaitable<Result<Acknowledgement>> SchedulerService::cancel(CancelQueued message)
 {
     auto& state = poolState(message.pool);
-    state.queue.cancel(message.requestId);
+    state.scheduler.cancel(message.requestId, Clock::now());
     state.running.erase(message.requestId);
     answer(state, message.requestId, failure(ErrorCode::Cancelled, "cancelled by the entry host", Verdict::NotRun));
     pump(message.pool);
@@ -118,7 +121,9 @@
 
 asio::awaitable<Result<Acknowledgement>> SchedulerService::finish(Finished message)
 {
-    poolState(message.pool).running.erase(message.requestId);
+    auto& state = poolState(message.pool);
+    state.running.erase(message.requestId);
+    state.scheduler.finish(message, Clock::now());
     pump(message.pool);
     co_return Acknowledgement {};
 }
@@ -126,8 +131,11 @@
 asio::awaitable<Result<Acknowledgement>> SchedulerService::renew(InFlight message)
 {
     auto& state = poolState(message.pool);
-    for (const auto& request : message.requests)
-        state.running[request.requestId] = { request.runner, Clock::now() };
+    const auto now = Clock::now();
+    for (const auto& request : message.requests) {
+        state.running[request.requestId] = { request.runner, message.entryHost, now };
+        state.scheduler.adopt(request, now);
+    }
     co_return Acknowledgement {};
 }
 
@@ -139,29 +147,19 @@
         timer.expires_after(tickInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
         const auto now = Clock::now();
-        for (const auto& [name, state] : m_pools) {
-            std::erase_if(state->running, [&](const auto& entry) { return now - entry.second.renewedAt > slotLifetime; });
-            pump(name);
-            for (const auto& refusal : state->queue.expire(now))
-                answer(*state, refusal.requestId, tl::unexpected(refusal.error));
-        }
-    }
-}
-
-std::vector<RunnerSnapshot> SchedulerService::snapshotRunners(const Pool& pool, const PoolState& state) const
-{
-    std::vector<RunnerSnapshot> out;
-    for (const auto& runner : pool.runners) {
-        if (runner.dataCentre == m_dataCentre)
-            out.push_back({ runner.name, pool.slotsPerRunner, 0, true });
-    }
-    for (const auto& [id, slot] : state.running) {
-        for (auto& runner : out) {
-            if (runner.name == slot.runner)
-                ++runner.running;
+        for (const auto& entry : m_pools) {
+            auto& state = *entry.second;
+            std::erase_if(state.running, [&](const auto& slot) {
+                const bool isLost = now - slot.second.renewedAt > slotLifetime;
+                if (isLost)
+                    state.scheduler.drop(slot.first, now);
+                return isLost;
+            });
+            pump(entry.first);
+            for (const auto& refusal : state.scheduler.expire(now))
+                answer(state, refusal.requestId, tl::unexpected(refusal.error));
         }
     }
-    return out;
 }
 
 void SchedulerService::pump(const std::string& poolName)
@@ -169,22 +167,31 @@
     const auto tables = m_tables.snapshot();
     const auto* pool = tables->findPool(poolName);
     auto& state = poolState(poolName);
-    if (!pool || state.queue.size() == 0)
+    if (!pool)
         return;
+    state.scheduler.setPool(*pool, tables->revision);
     const auto now = Clock::now();
-    auto runners = snapshotRunners(*pool, state);
-    for (const auto& assignment : state.queue.assign(now, runners)) {
-        state.running[assignment.requestId] = { assignment.runner, now };
-        state.decisions.push_back(assignment);
-        if (state.decisions.size() > keptDecisions)
-            state.decisions.pop_front();
-        for (const auto& runner : pool->runners) {
-            if (runner.name == assignment.runner)
-                answer(state, assignment.requestId, Grant { runner.name, toString(runner.address), pool->version, tables->revision, assignment.reason });
-        }
+    for (auto& [requestId, grant] : state.scheduler.assign(now)) {
+        const auto waiter = state.waiters.find(requestId);
+        state.running[requestId] = { grant.runner, waiter == state.waiters.end() ? "" : waiter->second->entryHost, now };
+        answer(state, requestId, std::move(grant));
+    }
+    for (const auto& preemption : state.scheduler.preempt(now)) {
+        const auto slot = state.running.find(preemption.requestId);
+        if (slot == state.running.end())
+            continue;
+        logEvent(LogLevel::Info, "preempting", { { "request_id", preemption.requestId }, { "pool", poolName }, { "reason", preemption.reason } });
+        asio::co_spawn(m_context, sendPreempt(slot->second.entryHost, { preemption.requestId, poolName }), asio::detached);
     }
 }
 
+asio::awaitable<void> SchedulerService::sendPreempt(std::string entryHost, Preempt message)
+{
+    const auto* host = m_members.find(entryHost);
+    if (host)
+        co_await m_peers.call(host->peerAddress, std::move(message), preemptLimit);
+}
+
 void SchedulerService::answer(PoolState& state, const std::string& requestId, Result<Grant> result)
 {
     const auto it = state.waiters.find(requestId);
@@ -202,10 +209,22 @@
         auto running = nlohmann::json::object();
         for (const auto& [id, slot] : state->running)
             running[id] = slot.runner;
-        auto decisions = nlohmann::json::array();
-        for (const auto& decision : state->decisions)
-            decisions.push_back({ { "request_id", decision.requestId }, { "runner", decision.runner }, { "reason", decision.reason } });
-        out[name] = { { "queued", state->queue.size() }, { "running", running }, { "decisions", decisions } };
+        out[name] = state->scheduler.state();
+        out[name]["running"] = running;
+    }
+    return out;
+}
+
+SchedulerCounters SchedulerService::counters() const
+{
+    SchedulerCounters out;
+    for (const auto& [name, state] : m_pools) {
+        const auto& counters = state->scheduler.counters();
+        for (std::size_t i = 0; i < priorityCount; ++i) {
+            out.granted[i] += counters.granted[i];
+            out.refused[i] += counters.refused[i];
+            out.preempted[i] += counters.preempted[i];
+        }
     }
     return out;
 }
--- a/packages/dispatch/chiveshelf/dispatch/SchedulerService.h
+++ b/packages/dispatch/chiveshelf/dispatch/SchedulerService.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "chiveshelf/dispatch/Messages.h"
+#include "chiveshelf/dispatch/PoolScheduler.h"
+#include "chiveshelf/membership/MemberDirectory.h"
+#include "chiveshelf/peer/PeerClient.h"
 #include "chiveshelf/peer/PeerServer.h"
-#include "chiveshelf/scheduling/PoolQueue.h"
 #include "chiveshelf/tables/TableStore.h"
 
 #include <boost/asio/io_context.hpp>
@@ -11,20 +13,30 @@
 
 namespace chiveshelf {
 
+// How a host schedules.
+struct SchedulerSettings {
+    std::string dataCentre;
+    PolicyKind policy = PolicyKind::FairShare;
+    FairShareSettings fairShare;
+};
+
 // Schedules the pools that other hosts ask this host about. All state is soft: it is rebuilt from Enqueue and InFlight
 // messages. Construct it before the peer server starts, then call start().
 class SchedulerService {
 public:
-    SchedulerService(boost::asio::io_context&, peer::PeerServer&, TableStore&, std::string dataCentre);
+    SchedulerService(boost::asio::io_context&, peer::PeerServer&, peer::PeerClient&, MemberDirectory&, TableStore&, SchedulerSettings);
     ~SchedulerService();
     SchedulerService(const SchedulerService&) = delete;
     SchedulerService& operator=(const SchedulerService&) = delete;
 
     void start();
 
-    // Queues, running requests and last decisions of each pool, for the state dump.
+    // Queues, running requests, last decisions, learned speeds and health of each pool, for the state dump.
     nlohmann::json state() const;
 
+    // Decisions over all pools.
+    SchedulerCounters counters() const;
+
 private:
     struct Waiter;
     struct PoolState;
@@ -34,15 +46,18 @@
     boost::asio::awaitable<Result<Acknowledgement>> finish(Finished);
     boost::asio::awaitable<Result<Acknowledgement>> renew(InFlight);
     boost::asio::awaitable<void> tickLoop();
+    boost::asio::awaitable<void> sendPreempt(std::string entryHost, Preempt);
 
     PoolState& poolState(const std::string& name);
+    // Carries out all decisions that are due.
     void pump(const std::string& poolName);
     void answer(PoolState&, const std::string& requestId, Result<Grant>);
-    std::vector<RunnerSnapshot> snapshotRunners(const Pool&, const PoolState&) const;
 
     boost::asio::io_context& m_context;
+    peer::PeerClient& m_peers;
+    MemberDirectory& m_members;
     TableStore& m_tables;
-    std::string m_dataCentre;
+    SchedulerSettings m_settings;
     std::map<std::string, std::unique_ptr<PoolState>> m_pools;
 };
 
--- a/packages/entry/chiveshelf/entry/CompletionTask.cpp
+++ b/packages/entry/chiveshelf/entry/CompletionTask.cpp
@@ -3,6 +3,8 @@
 #include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -18,7 +20,9 @@
 namespace {
 
     // Runners tried for one request. A request that made two runners fail is not given a third.
-    constexpr std::size_t maximumRunners = 2;
+    constexpr int maximumRunners = 2;
+    // Runners tried in all, with those that can not be reached and so did not run it.
+    constexpr std::size_t maximumAttempts = 4;
     // Connections tried in a row to one runner without a new token.
     constexpr int maximumResumes = 2;
     // Pause before a request goes round runners again that all have other weights. A load takes 0.2 s or more.
@@ -45,6 +49,8 @@
     , m_pool(std::move(pool))
     , m_priority(effectivePriority(m_headers, m_route))
     , m_internalId(makeUniqueId())
+    , m_fingerprint(toHex(hash128(m_headers.organisation + '\n' + m_call.model + '\n' + m_call.prompt)))
+    , m_startedAt(Clock::now())
     , m_tablesRevision(m_ports.tables.snapshot()->revision)
     , m_deadline(Clock::now() + m_headers.deadline.value_or(m_pool.targets[priorityIndex(m_priority)]))
 {
@@ -77,7 +83,12 @@
     message.maxTokens = m_call.maxTokens;
     message.blocks = m_blocks.keys;
     message.stored = m_blocks.stored;
-    message.deadlineMs = m_headers.deadline.value_or(m_pool.targets[priorityIndex(m_priority)]).count();
+    message.store = m_blocks.store ? toString(*m_blocks.store) : "";
+    // The deadline is for the first token, so an answer that goes on after a lost runner has the whole target again, and so
+    // has one that was preempted.
+    message.deadlineMs = m_pool.targets[priorityIndex(m_priority)].count();
+    if (m_headers.deadline && m_delivered == 0)
+        message.deadlineMs = m_headers.deadline->count() - millisecondsSince(m_startedAt);
     message.excludedRunners = m_excludedRunners;
     message.excludedRunners.insert(message.excludedRunners.end(), m_otherVersionRunners.begin(), m_otherVersionRunners.end());
     return message;
@@ -99,6 +110,10 @@
     if (request.expectedVersion != m_blocks.identity.version)
         m_blocks = m_ports.cache.withoutStore(blockIdentity(request.expectedVersion), m_call.prompt);
     m_importPlan = m_ports.cache.planImport(m_blocks, m_priority);
+    if (grant.importBlocks >= 0 && m_importPlan.records.size() > static_cast<std::size_t>(grant.importBlocks))
+        m_importPlan.records.resize(static_cast<std::size_t>(grant.importBlocks));
+    if (m_importPlan.records.empty())
+        m_importPlan.inFlight.reset();
     request.blocks = m_blocks.keys;
     request.imports = m_importPlan.records;
     request.importLimit = m_importPlan.limitPerBlock;
@@ -136,28 +151,42 @@
 
 asio::awaitable<void> CompletionTask::run(AnswerWriter& writer)
 {
+    const auto mayRun = m_ports.quarantine.check(m_fingerprint);
+    if (!mayRun) {
+        co_await refuse(writer, mayRun.error());
+        co_return;
+    }
     co_await findBlocks();
     while (true) {
         auto grant = co_await m_ports.dispatch.acquire(makeEnqueue());
         if (!grant) {
             // What was already delivered did run, whatever became of this attempt.
-            if (m_delivered > 0 || !m_excludedRunners.empty())
+            if (m_delivered > 0 || m_hasStarted || m_failedRuns > 0)
                 grant.error().verdict = m_delivered > 0 ? Verdict::Ran : Verdict::MayHaveRun;
-            logEvent(LogLevel::Info, "request_refused",
-                { { "request_id", m_headers.requestId }, { "organisation", m_headers.organisation }, { "code", errorCodeName(grant.error().code) } });
-            co_await writer.fail(grant.error());
+            co_await refuse(writer, grant.error());
             co_return;
         }
         Finished report;
         report.requestId = m_internalId;
         report.pool = m_pool.name;
         report.runner = grant->runner;
-        const auto start = Clock::now();
+        m_attemptStart = Clock::now();
         const auto outcome = co_await runOn(*grant, writer, report);
-        report.totalMs = millisecondsSince(start);
+        report.totalMs = millisecondsSince(m_attemptStart);
         report.hasSucceeded = outcome == Outcome::Done;
+        report.hasRunnerFailed = outcome == Outcome::RunnerLost || outcome == Outcome::RunnerCrashed;
+        report.isRunnerGone = outcome == Outcome::RunnerCrashed || (outcome == Outcome::RunnerLost && isUnreached());
         m_importPlan.inFlight.reset();
         m_ports.dispatch.release(report);
+        if (outcome == Outcome::Preempted) {
+            logFinished(report, "preempted");
+            m_isPreempted = false;
+            // The runner may still get the cancellation of the old id.
+            m_internalId = makeUniqueId();
+            continue;
+        }
+        if (outcome == Outcome::RunnerCrashed)
+            m_ports.quarantine.reportCrash(m_fingerprint, grant->runner);
         if (outcome == Outcome::Done || outcome == Outcome::CallerGone) {
             logFinished(report, outcome == Outcome::Done ? "done" : "caller_gone");
             co_return;
@@ -166,7 +195,13 @@
             continue;
         logFinished(report, "runner_failed");
         m_excludedRunners.push_back(grant->runner);
-        if (outcome == Outcome::Refused || outcome == Outcome::WrongVersion || m_excludedRunners.size() >= maximumRunners) {
+        m_failedRuns += isUnreached() ? 0 : 1;
+        const bool isLast = outcome == Outcome::Refused || outcome == Outcome::WrongVersion || m_failedRuns >= maximumRunners
+            || m_excludedRunners.size() >= maximumAttempts;
+        if (isLast || !m_ports.dispatch.mayRetry()) {
+            // A last attempt that did not run says nothing about the ones before.
+            if (m_hasStarted)
+                m_lastError.verdict = std::max(m_lastError.verdict, Verdict::MayHaveRun);
             if (m_delivered > 0)
                 m_lastError.verdict = Verdict::Ran;
             co_await writer.fail(m_lastError);
@@ -187,18 +222,25 @@
         m_lastError = stream.error();
         if (m_lastError.code == ErrorCode::WrongVersion)
             co_return Outcome::WrongVersion;
-        co_return m_lastError.code == ErrorCode::InvalidRequest ? Outcome::Refused : Outcome::RunnerLost;
+        if (m_lastError.code == ErrorCode::InvalidRequest)
+            co_return Outcome::Refused;
+        m_hasStarted = m_hasStarted || m_lastError.verdict != Verdict::NotRun;
+        const bool isCrash = m_lastError.code == ErrorCode::Unavailable && m_lastError.verdict == Verdict::MayHaveRun;
+        co_return isCrash ? Outcome::RunnerCrashed : Outcome::RunnerLost;
     }
+    m_hasStarted = true;
     co_return co_await relay(*address, std::move(*stream), writer, report);
 }
 
 asio::awaitable<CompletionTask::Outcome> CompletionTask::relay(const Address& address, std::unique_ptr<HttpTokenStream> stream,
     AnswerWriter& writer, Finished& report)
 {
-    const auto start = Clock::now();
+    m_ports.dispatch.onPreempt(m_internalId, [this, address] { cancelForPreemption(address); });
     int resumes = 0;
     while (true) {
         auto chunk = co_await stream->next();
+        if (m_isPreempted && m_delivered == 0)
+            co_return Outcome::Preempted;
         const bool hasGap = chunk && chunk->index > m_delivered;
         if (!chunk || hasGap) {
             if (!chunk && chunk.error().code == ErrorCode::WrongVersion) {
@@ -209,8 +251,13 @@
             if (++resumes > maximumResumes)
                 co_return Outcome::RunnerLost;
             auto resumed = co_await m_ports.runners.resume(address, m_internalId, m_delivered);
-            if (!resumed)
-                co_return Outcome::RunnerLost;
+            if (!resumed) {
+                // The stream broke and the runner is gone, or is there again without the request: it crashed. A runner that
+                // only goes silent is not counted, since links do that too.
+                const bool isGone = resumed.error().code == ErrorCode::Unavailable || resumed.error().code == ErrorCode::NotFound;
+                const bool hasBroken = m_lastError.code == ErrorCode::Unavailable;
+                co_return isGone&& hasBroken ? Outcome::RunnerCrashed : Outcome::RunnerLost;
+            }
             logEvent(LogLevel::Info, "stream_resumed",
                 { { "request_id", m_headers.requestId }, { "organisation", m_headers.organisation }, { "offset", m_delivered } });
             stream = std::move(*resumed);
@@ -229,7 +276,8 @@
         if (chunk->index < m_delivered)
             continue;
         if (report.firstTokenMs < 0)
-            report.firstTokenMs = millisecondsSince(start);
+            report.firstTokenMs = millisecondsSince(m_attemptStart);
+        m_ports.dispatch.noteFirstToken(m_internalId);
         m_importPlan.inFlight.reset();
         const auto written = co_await writer.token(chunk->text);
         if (!written) {
@@ -241,6 +289,30 @@
     }
 }
 
+bool CompletionTask::isUnreached() const
+{
+    return m_lastError.code == ErrorCode::Unavailable && m_lastError.verdict == Verdict::NotRun;
+}
+
+void CompletionTask::cancelForPreemption(const Address& address)
+{
+    m_isPreempted = true;
+    asio::co_spawn(
+        m_ports.dispatch.context(),
+        [](HttpRunner& runners, Address runner, std::string id) -> asio::awaitable<void> {
+            co_await runners.cancel(std::move(runner), std::move(id));
+        }(m_ports.runners, address, m_internalId),
+        asio::detached);
+}
+
+asio::awaitable<void> CompletionTask::refuse(AnswerWriter& writer, const Error& error)
+{
+    logEvent(LogLevel::Info, "request_refused",
+        { { "request_id", m_headers.requestId }, { "organisation", m_headers.organisation }, { "code", errorCodeName(error.code) },
+            { "ran", ranName(error.verdict) }, { "message", error.message } });
+    co_await writer.fail(error);
+}
+
 void CompletionTask::logFinished(const Finished& report, std::string_view outcome) const
 {
     logEvent(LogLevel::Info, "request_finished",
--- a/packages/entry/chiveshelf/entry/CompletionTask.h
+++ b/packages/entry/chiveshelf/entry/CompletionTask.h
@@ -2,6 +2,7 @@
 
 #include "chiveshelf/cache/BlockCache.h"
 #include "chiveshelf/dispatch/DispatchClient.h"
+#include "chiveshelf/dispatch/QuarantineService.h"
 #include "chiveshelf/entry/AnswerWriter.h"
 #include "chiveshelf/runner/HttpRunner.h"
 #include "chiveshelf/tables/TableStore.h"
@@ -12,6 +13,7 @@
 struct CompletionPorts {
     TableStore& tables;
     DispatchClient& dispatch;
+    QuarantineService& quarantine;
     HttpRunner& runners;
     BlockCache& cache;
     std::string dataCentre;
@@ -33,6 +35,8 @@
         Done,
         CallerGone,
         RunnerLost,
+        RunnerCrashed,
+        Preempted,
         Refused,
         WrongVersion,
     };
@@ -45,6 +49,10 @@
     boost::asio::awaitable<bool> prepareForOtherVersion(const std::string& runner);
     BlockIdentity blockIdentity(const std::string& version) const;
     void finishBlocks(const Address& runner, const Finished&);
+    void cancelForPreemption(const Address&);
+    // Whether the last attempt failed before the runner had the request.
+    bool isUnreached() const;
+    boost::asio::awaitable<void> refuse(AnswerWriter&, const Error&);
     void logFinished(const Finished&, std::string_view outcome) const;
 
     CompletionPorts m_ports;
@@ -55,8 +63,18 @@
     Priority m_priority;
     // Identifies the request inside the system. Callers may use one X-Request-Id twice at the same time.
     std::string m_internalId;
+    // Names the request's content, so that a request that crashes runners is known when its caller sends it again.
+    std::string m_fingerprint;
+    std::chrono::steady_clock::time_point m_startedAt;
+    // Start of the attempt on the present runner.
+    std::chrono::steady_clock::time_point m_attemptStart;
+    bool m_isPreempted = false;
+    // A runner has begun with the request at some time.
+    bool m_hasStarted = false;
     std::int64_t m_delivered = 0;
     std::vector<std::string> m_excludedRunners;
+    // Runners that failed while they may have run the request.
+    int m_failedRuns = 0;
     // Runners that refused because they have other weights. They are asked again, since weights are being loaded.
     std::vector<std::string> m_otherVersionRunners;
     std::uint64_t m_tablesRevision;
--- a/packages/entry/chiveshelf/entry/EntryService.cpp
+++ b/packages/entry/chiveshelf/entry/EntryService.cpp
@@ -70,7 +70,7 @@
         co_return;
     }
     AnswerWriter writer(exchange, headers, *call);
-    CompletionTask task({ m_ports.tables, m_ports.dispatch, m_ports.runners, m_ports.cache, m_dataCentre }, headers, *call, *route, *pool);
+    CompletionTask task({ m_ports.tables, m_ports.dispatch, m_ports.quarantine, m_ports.runners, m_ports.cache, m_dataCentre }, headers, *call, *route, *pool);
     co_await task.run(writer);
 }
 
--- a/packages/entry/chiveshelf/entry/EntryService.h
+++ b/packages/entry/chiveshelf/entry/EntryService.h
@@ -2,6 +2,7 @@
 
 #include "chiveshelf/cache/BlockCache.h"
 #include "chiveshelf/dispatch/DispatchClient.h"
+#include "chiveshelf/dispatch/QuarantineService.h"
 #include "chiveshelf/entry/CallerRequest.h"
 #include "chiveshelf/http/Server.h"
 #include "chiveshelf/runner/HttpRunner.h"
@@ -13,6 +14,7 @@
 struct EntryPorts {
     TableStore& tables;
     DispatchClient& dispatch;
+    QuarantineService& quarantine;
     HttpRunner& runners;
     BlockCache& cache;
     http::Client& client;
--- a/packages/peer/chiveshelf/peer/MessageType.h
+++ b/packages/peer/chiveshelf/peer/MessageType.h
@@ -15,6 +15,7 @@
     Probe = 7,
     SchedulerReport = 8,
     CancelQueued = 9,
+    Preempt = 10,
 };
 
 }
--- /dev/null
+++ b/packages/scheduling/chiveshelf/scheduling/CrashRegistry.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "chiveshelf/scheduling/QueuedRequest.h"
+
+#include <map>
+#include <set>
+
+namespace chiveshelf {
+
+// Remembers which request fingerprints were running when runners crashed. A fingerprint with crashes of two different runners
+// is quarantined for a while.
+class CrashRegistry {
+public:
+    // Crashes of different runners after which a fingerprint is quarantined.
+    static constexpr std::size_t crashLimit = 2;
+
+    CrashRegistry(std::chrono::milliseconds lifetime, std::size_t capacity);
+
+    // Records a crash, own or reported by another host. Returns true if it is news.
+    bool record(const std::string& fingerprint, const std::string& runner, TimePoint now);
+
+    bool isQuarantined(const std::string& fingerprint, TimePoint now) const;
+
+    // Time until the quarantine ends; 0 if there is none.
+    std::chrono::milliseconds remaining(const std::string& fingerprint, TimePoint now) const;
+
+    // Returns the quarantined fingerprints.
+    std::vector<std::string> quarantined(TimePoint now) const;
+
+private:
+    struct Entry {
+        std::set<std::string> runners;
+        TimePoint lastCrash;
+    };
+
+    std::chrono::milliseconds m_lifetime;
+    std::size_t m_capacity;
+    std::map<std::string, Entry> m_entries;
+};
+
+}
--- /dev/null
+++ b/packages/scheduling/chiveshelf/scheduling/LeastLoadedPolicy.cpp
@@ -0,0 +1,57 @@
+#include "chiveshelf/scheduling/LeastLoadedPolicy.h"
+
+#include <algorithm>
+
+namespace chiveshelf {
+
+namespace {
+
+    bool isExcluded(const QueuedRequest& request, const std::string& runner)
+    {
+        return std::find(request.excludedRunners.begin(), request.excludedRunners.end(), runner) != request.excludedRunners.end();
+    }
+
+}
+
+std::optional<Refusal> LeastLoadedPolicy::enqueue(QueuedRequest request, PoolSnapshot& pool, TimePoint)
+{
+    const bool hasRunner = std::any_of(pool.runners.begin(), pool.runners.end(), [&](const auto& runner) { return !isExcluded(request, runner.name); });
+    if (!hasRunner)
+        return Refusal { request.id, { ErrorCode::Unavailable, "no runner is left for the request", Verdict::NotRun, std::nullopt } };
+    m_waiting.push_back(std::move(request));
+    return std::nullopt;
+}
+
+bool LeastLoadedPolicy::cancel(const std::string& requestId)
+{
+    return std::erase_if(m_waiting, [&](const QueuedRequest& request) { return request.id == requestId; }) > 0;
+}
+
+RunnerSnapshot* LeastLoadedPolicy::pick(const QueuedRequest& request, PoolSnapshot& pool)
+{
+    RunnerSnapshot* best = nullptr;
+    for (auto& runner : pool.runners) {
+        if (isExcluded(request, runner.name))
+            continue;
+        // Own requests only break ties: they are part of the next report.
+        if (!best || std::pair(runner.reportedLoad, runner.running) < std::pair(best->reportedLoad, best->running))
+            best = &runner;
+    }
+    return best;
+}
+
+std::vector<Assignment> LeastLoadedPolicy::assign(PoolSnapshot& pool, TimePoint)
+{
+    std::vector<Assignment> out;
+    std::erase_if(m_waiting, [&](const QueuedRequest& request) {
+        auto* runner = pick(request, pool);
+        if (!runner)
+            return false;
+        ++runner->running;
+        out.push_back({ request.id, runner->name, "least reported load", request.priority, request.maxTokens, {}, request.promptTokens, Estimate(0) });
+        return true;
+    });
+    return out;
+}
+
+}
--- /dev/null
+++ b/packages/scheduling/chiveshelf/scheduling/LinkTracker.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "chiveshelf/scheduling/RunnerChoice.h"
+
+#include <map>
+
+namespace chiveshelf {
+
+// Bounds the imports in flight per link. The last place of a link is kept for urgent requests.
+class LinkTracker {
+public:
+    explicit LinkTracker(std::size_t limit);
+
+    bool mayStart(const std::string& link, Priority) const;
+    void started(const std::string& requestId, const PlannedImport&);
+    void finished(const std::string& requestId);
+    std::size_t inFlight(const std::string& link) const;
+
+private:
+    std::size_t m_limit;
+    std::map<std::string, std::size_t> m_inFlight;
+    std::map<std::string, std::string> m_linkOf;
+};
+
+}
--- /dev/null
+++ b/packages/scheduling/chiveshelf/scheduling/RunnerChoice.cpp
@@ -0,0 +1,107 @@
+#include "chiveshelf/scheduling/RunnerChoice.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chiveshelf {
+
+namespace {
+
+    // A busy runner must be better by this much, so that an estimate's error does not leave slots idle.
+    constexpr double busyRunnerFactor = 1.25;
+    constexpr Estimate busyRunnerMargin { 20 };
+    // Assumed for a link without a measurement, so that the first import is tried.
+    constexpr double unmeasuredBlocksPerSecond = 20;
+    // Decoding requests delay a prefill a little; this also spreads requests over equal runners.
+    constexpr Estimate delayPerRunning { 0.5 };
+
+    Estimate prefillTime(const RunnerSnapshot& runner, double tokens)
+    {
+        return Estimate(1'000.0 * std::max(tokens, 0.0) / std::max(runner.prefillTokensPerSecond, 1.0));
+    }
+
+    Estimate handicapped(const RunnerEstimate& estimate)
+    {
+        return estimate.hasFreeSlot ? estimate.firstToken : estimate.firstToken * busyRunnerFactor + busyRunnerMargin;
+    }
+
+    bool isExcluded(const QueuedRequest& request, const std::string& runner)
+    {
+        return std::find(request.excludedRunners.begin(), request.excludedRunners.end(), runner) != request.excludedRunners.end();
+    }
+
+}
+
+std::vector<ImportOption> importOptions(const QueuedRequest& request, std::size_t inFlight)
+{
+    const auto& stored = request.stored;
+    if (stored.blocks <= 0)
+        return {};
+    const auto alone = stored.bytesPerSecond > 0 && stored.bytes > 0
+        ? stored.bytesPerSecond * static_cast<double>(stored.blocks) / static_cast<double>(stored.bytes)
+        : unmeasuredBlocksPerSecond;
+    return { { request.storeLink, static_cast<std::size_t>(stored.blocks), alone / static_cast<double>(inFlight + 1), Estimate(0) } };
+}
+
+RunnerEstimate estimateOn(const RunnerSnapshot& runner, const QueuedRequest& request, double cachedBlocks, const std::vector<ImportOption>& options)
+{
+    const auto promptTokens = static_cast<double>(request.promptTokens);
+    RunnerEstimate out;
+    out.hasFreeSlot = runner.hasFreeSlot();
+    const auto blockTokens = static_cast<double>(request.blockTokens);
+    out.cachedTokens = std::min(cachedBlocks * blockTokens, promptTokens);
+    const auto fixed = runner.slotWait + runner.overhead + delayPerRunning * runner.running;
+    const auto prefillWait = runner.prefillWait[priorityIndex(request.priority)];
+    auto bestTail = prefillWait + prefillTime(runner, promptTokens - out.cachedTokens);
+    const auto firstBlock = static_cast<std::size_t>(out.cachedTokens / blockTokens);
+    out.import.firstBlock = firstBlock;
+    double importedTo = out.cachedTokens;
+    for (const auto& option : options) {
+        if (option.leadingBlocks <= firstBlock || option.blocksPerSecond <= 0)
+            continue;
+        const Estimate perBlock(1'000.0 / option.blocksPerSecond);
+        const auto available = option.leadingBlocks - firstBlock;
+        const auto tail = [&](std::size_t blocks) {
+            const auto end = std::min(blockTokens * static_cast<double>(firstBlock + blocks), promptTokens);
+            return std::max(prefillWait, option.linkWait + perBlock * static_cast<double>(blocks))
+                + prefillTime(runner, promptTokens - std::max(end, out.cachedTokens));
+        };
+        // The time falls until the import outlasts the wait and is linear from there on, so the best number of blocks is at
+        // the bend or at the end.
+        const auto bend = std::max(0.0, (prefillWait - option.linkWait) / perBlock);
+        const auto below = std::min(available, static_cast<std::size_t>(bend));
+        for (const auto blocks : { below, std::min(available, below + 1), available }) {
+            if (blocks == 0 || tail(blocks) >= bestTail)
+                continue;
+            bestTail = tail(blocks);
+            out.import = { option.link, firstBlock, blocks, perBlock * static_cast<double>(blocks) };
+            importedTo = std::max(out.cachedTokens,
+                std::min(blockTokens * static_cast<double>(firstBlock + blocks), promptTokens));
+        }
+    }
+    out.computedTokens = static_cast<std::int64_t>(promptTokens - importedTo);
+    out.firstToken = fixed + bestTail;
+    return out;
+}
+
+std::optional<RunnerEstimate> chooseRunner(const std::vector<RunnerSnapshot>& runners, const QueuedRequest& request, const CachedBlocks& cached,
+    const std::vector<ImportOption>& imports)
+{
+    std::optional<RunnerEstimate> best;
+    const RunnerSnapshot* bestRunner = nullptr;
+    for (const auto& runner : runners) {
+        if (runner.slots <= 0 || isExcluded(request, runner.name))
+            continue;
+        const auto it = cached.empty() ? cached.end() : cached.find(runner.name);
+        auto estimate = estimateOn(runner, request, it == cached.end() ? 0.0 : it->second, imports);
+        if (best && handicapped(estimate) >= handicapped(*best))
+            continue;
+        best = std::move(estimate);
+        bestRunner = &runner;
+    }
+    if (best)
+        best->runner = bestRunner->name;
+    return best;
+}
+
+}
--- /dev/null
+++ b/packages/scheduling/chiveshelf/scheduling/RunnerStatistics.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "chiveshelf/scheduling/QueuedRequest.h"
+#include "chiveshelf/scheduling/RunnerHealthStateMachine.h"
+
+#include <map>
+#include <optional>
+
+namespace chiveshelf {
+
+// What a runner's own work has shown, for state dumps.
+struct RunnerState {
+    std::string name;
+    RunnerHealth health = RunnerHealth::Healthy;
+    double slotShare = 1.0;
+    double prefillTokensPerSecond = 0;
+    Estimate overhead { 0 };
+    Estimate timePerToken { 0 };
+    int running = 0;
+    int reportedLoad = 0;
+
+    auto operator<=>(const RunnerState&) const = default;
+};
+
+// Learned speeds, health and running requests of a pool's runners in one data centre. Call setRunners() when the tables
+// change, started() and finished() for each request, and snapshot() for a decision.
+class RunnerStatistics {
+public:
+    void setRunners(const std::vector<std::string>& names, int slotsPerRunner);
+
+    // Records a granted request. A repeated call for the same id, as by InFlight, changes nothing.
+    void started(const Assignment&, TimePoint now);
+    // Records a request that another scheduler granted.
+    void adopted(const std::string& requestId, const std::string& runner, Priority, TimePoint now);
+    void finished(const FinishedWork&, TimePoint now);
+    // Frees the slot without learning from the request.
+    void dropped(const std::string& requestId, TimePoint now);
+    void preempting(const std::string& requestId);
+    void setReportedLoad(const std::string& runner, int load);
+
+    bool isRunning(const std::string& requestId) const { return m_running.contains(requestId); }
+    PoolSnapshot snapshot(TimePoint now);
+    std::vector<RunnerState> states() const;
+    Estimate serviceTime() const { return m_serviceTime; }
+
+private:
+    struct Runner {
+        RunnerHealthStateMachine health;
+        // 0 until the first sample.
+        double prefillTokensPerSecond = 0;
+        Estimate overhead { 0 };
+        Estimate timePerToken { 0 };
+        // End of the known prefills of each class and the classes above it.
+        std::array<TimePoint, priorityCount> prefillBusyUntil {};
+        TimePoint lastSampleAt;
+        TimePoint probeAt;
+        int reportedLoad = 0;
+    };
+    struct Running {
+        std::string runner;
+        Priority priority = Priority::Standard;
+        TimePoint startedAt;
+        TimePoint firstTokenExpected;
+        TimePoint endExpected;
+        Estimate prefillWait { 0 };
+        Estimate prefill { 0 };
+        std::int64_t maxTokens = 0;
+        bool isPreempting = false;
+    };
+
+    void learn(Runner&, const Running&, const FinishedWork&, TimePoint now);
+    // Takes the part of a prefill that was not done from its runner's queue.
+    void releasePrefill(const Running&, TimePoint now);
+    bool isSlow(const Running&, const FinishedWork&) const;
+    void signal(const std::string& name, Runner&, HealthSignal, TimePoint now);
+    double medianPrefillSpeed() const;
+    Estimate medianTimePerToken() const;
+    int slotsOf(const Runner&) const;
+
+    int m_slotsPerRunner = 0;
+    std::map<std::string, Runner> m_runners;
+    std::map<std::string, Running> m_running;
+    Estimate m_serviceTime { 0 };
+    // Mean share of the allowed output tokens that requests really produce; callers ask for more than they use.
+    double m_outputShare = 1.0;
+};
+
+}
--- a/packages/scheduling/chiveshelf/scheduling/scheduling.h
+++ b/packages/scheduling/chiveshelf/scheduling/scheduling.h
@@ -1,9 +1,12 @@
 #pragma once
 
-// Decisions of a pool's scheduler as pure code: which request is served next, on which runner, and which is refused. No
-// I/O; each call takes the time and a snapshot of the runners.
+// Decisions under load as pure code: which request is served next, on which runner and with which import, which is refused,
+// preempted or quarantined, and what runners' own work says about them. No I/O; each call takes the time and a snapshot.
 //
-// Dependencies: core.
+// Dependencies: core, Boost.MSM.
 
-#include "chiveshelf/scheduling/PoolQueue.h"
-#include "chiveshelf/scheduling/QueuedRequest.h"
+#include "chiveshelf/scheduling/AnyPolicy.h"
+#include "chiveshelf/scheduling/CrashRegistry.h"
+#include "chiveshelf/scheduling/RetryBudget.h"
+#include "chiveshelf/scheduling/RunnerStatistics.h"
+#include "chiveshelf/scheduling/SchedulingPolicy.h"
--- a/tests/Tests.cmake
+++ b/tests/Tests.cmake
@@ -6,6 +6,7 @@
 chiveshelf_use_pch(chiveshelf_test_support)
 
 chiveshelf_add_unit_test(core DEPENDS core)
+chiveshelf_add_unit_test(scheduling DEPENDS scheduling LIBRARIES rapidcheck)
 chiveshelf_add_unit_test(cache DEPENDS cache LIBRARIES rapidcheck)
 chiveshelf_add_unit_test(tables DEPENDS tables LIBRARIES rapidcheck)
 
@@ -15,3 +16,5 @@
 chiveshelf_add_integration_test(CacheIsolationTest NETWORK 61)
 chiveshelf_add_integration_test(CacheReturnTest NETWORK 62)
 chiveshelf_add_integration_test(FaultProxyTest NETWORK 50)
+chiveshelf_add_integration_test(OverloadTest NETWORK 40)
+chiveshelf_add_integration_test(CrashingRequestTest NETWORK 41)
--- /dev/null
+++ b/tests/integration/OverloadTest.cpp
@@ -0,0 +1,181 @@
+#include "Fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <iostream>
+#include <thread>
+
+namespace {
+
+using chiveshelf::http::Verb;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class OverloadTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(OverloadTest);
+    CPPUNIT_TEST(urgentRequestsBesideBatchFloodKeepTheirFirstTokenTime);
+    CPPUNIT_TEST(smallOrganisationBesideHeavyOneKeepsItsFirstTokenTime);
+    CPPUNIT_TEST(urgentRequestPreemptsBatchBeforeItsFirstToken);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void tearDown() override
+    {
+        stopFlood();
+        m_fleet.reset();
+    }
+
+    // Guards against batch work that delays urgent work, and against urgent work that ends the batch work: both in one flood,
+    // compared with one queue in order of arrival.
+    void urgentRequestsBesideBatchFloodKeepTheirFirstTokenTime()
+    {
+        const auto [fair, finished] = medianBeside("fair-share", { "org-a", "batch" }, { "org-a", "urgent" });
+        const auto [firstCome, unused] = medianBeside("first-come", { "org-a", "batch" }, { "org-a", "urgent" });
+        report("urgent beside batch flood", fair, firstCome);
+        CPPUNIT_ASSERT(fair * 3 < firstCome);
+        CPPUNIT_ASSERT(finished > 0);
+    }
+
+    // Guards against an organisation that crowds out a small one of the same class. Both entry hosts serve both organisations.
+    void smallOrganisationBesideHeavyOneKeepsItsFirstTokenTime()
+    {
+        const auto [fair, finished] = medianBeside("fair-share", { "heavy", "standard" }, { "small", "standard" });
+        const auto [firstCome, unused] = medianBeside("first-come", { "heavy", "standard" }, { "small", "standard" });
+        report("small beside heavy organisation", fair, firstCome);
+        CPPUNIT_ASSERT(fair * 3 < firstCome);
+        CPPUNIT_ASSERT(finished > 0);
+    }
+
+    // Guards against urgent work that waits for a batch prompt of seconds, and against batch work that is lost by preemption.
+    void urgentRequestPreemptsBatchBeforeItsFirstToken()
+    {
+        startFleet("fair-share", { "--prefill-us-per-token", "1000" }, 1, seconds(1));
+        const auto host = m_fleet->host("east-1");
+        // 3,000 tokens, 3 s. The first two teach the scheduler the speed.
+        for (const auto* prompt : { "a", "b" })
+            CPPUNIT_ASSERT_EQUAL(200u, complete(host, { "org-a", "batch" }, prompt + std::string(12'000, 'x'), 5).status);
+        std::atomic<int> done = 0;
+        std::vector<std::thread> batch;
+        for (const auto* prompt : { "c", "d" })
+            batch.emplace_back([&, prompt] { done += complete(host, { "org-a", "batch" }, prompt + std::string(12'000, 'x'), 5).status == 200; });
+        const bool isRunning = support::eventually([&] { return poolState(host)["running"].size() == 2; }, seconds(5));
+        const auto start = std::chrono::steady_clock::now();
+        const auto urgent = complete(host, { "org-a", "urgent" }, "hello", 1);
+        const auto time = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - start);
+        for (auto& thread : batch)
+            thread.join();
+        std::cout << " urgent with preemption: " << time.count() << " ms" << std::flush;
+        CPPUNIT_ASSERT(isRunning);
+        CPPUNIT_ASSERT_EQUAL(200u, urgent.status);
+        // The runner computes in steps of half a second, which it does not interrupt.
+        CPPUNIT_ASSERT(time < milliseconds(2'000));
+        CPPUNIT_ASSERT_EQUAL(2, done.load());
+        CPPUNIT_ASSERT(poolState(host)["classes"]["batch"]["preempted"].get<int>() >= 1);
+    }
+
+private:
+    static constexpr int floodCallers = 40;
+
+    struct Caller {
+        std::string organisation;
+        std::string priority;
+    };
+
+    void startFleet(const std::string& policy, const std::vector<std::string>& runnerFlags, int runners, seconds urgentTarget)
+    {
+        m_fleet = std::make_unique<support::Fleet>();
+        m_fleet->startPlatform();
+        auto flags = runnerFlags;
+        flags.insert(flags.end(), { "--slots", "2" });
+        for (int i = 1; i <= runners; ++i)
+            m_fleet->startRunner("runner-" + std::to_string(i), "east", flags);
+        for (const auto* name : { "east-1", "east-2" })
+            m_fleet->startHost(name, "east", { "--scheduling-policy", policy });
+        m_fleet->listHosts();
+        auto tables = m_fleet->defaultTables();
+        tables.pools[0].slotsPerRunner = 2;
+        tables.pools[0].targets = { urgentTarget, seconds(60), seconds(60) };
+        CPPUNIT_ASSERT_EQUAL(0, m_fleet->applyTables(tables));
+        CPPUNIT_ASSERT(m_fleet->waitForRevision(1, seconds(4)));
+        CPPUNIT_ASSERT(m_fleet->waitForMembers(seconds(4)));
+    }
+
+    static support::ProbeResponse complete(const support::HostAddresses& host, const Caller& caller, const std::string& prompt, int tokens)
+    {
+        const json body { { "model", "desk-model" }, { "prompt", prompt }, { "max_tokens", tokens } };
+        // The deadline is the same for all classes, so that no baseline refuses what it would serve late.
+        return support::call(host.caller, Verb::post, "/v1/completions",
+            { { "X-Organisation", caller.organisation }, { "X-Priority", caller.priority }, { "X-Deadline-Ms", "60000" } }, body.dump(), seconds(60));
+    }
+
+    // The pool as its scheduler host shows it.
+    json poolState(const support::HostAddresses&) const
+    {
+        for (const auto& [name, host] : m_fleet->hosts()) {
+            const auto state = json::parse(support::call(host.admin, Verb::get, "/state").body, nullptr, false);
+            if (state.is_object() && state["pools"].contains("desk"))
+                return state["pools"]["desk"];
+        }
+        return json::object();
+    }
+
+    // Starts callers that keep requests waiting until stopFlood().
+    void startFlood(const Caller& caller, int callers)
+    {
+        m_isFlooding = true;
+        for (int i = 0; i < callers; ++i) {
+            m_flood.emplace_back([this, caller, i] {
+                const auto& host = m_fleet->host(i % 2 == 0 ? "east-1" : "east-2");
+                for (int n = 0; m_isFlooding; ++n)
+                    m_finished += complete(host, caller, "flood " + std::to_string(i) + " " + std::to_string(n), 20).status == 200;
+            });
+        }
+    }
+
+    void stopFlood()
+    {
+        m_isFlooding = false;
+        for (auto& thread : m_flood)
+            thread.join();
+        m_flood.clear();
+    }
+
+    // Returns the median time of short requests beside a flood, and how many requests of the flood finished in that time.
+    std::pair<milliseconds, int> medianBeside(const std::string& policy, const Caller& flood, const Caller& probe)
+    {
+        startFleet(policy, {}, 2, seconds(60));
+        startFlood(flood, floodCallers);
+        CPPUNIT_ASSERT(support::eventually([&] { return poolState(m_fleet->host("east-1")).value("queued", 0) >= 30; }, seconds(10)));
+        const int before = m_finished;
+        std::vector<milliseconds> times;
+        for (int i = 0; i < 9; ++i) {
+            const auto start = std::chrono::steady_clock::now();
+            const auto response = complete(m_fleet->host(i % 2 == 0 ? "east-1" : "east-2"), probe, "probe " + std::to_string(i), 1);
+            times.push_back(std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - start));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(response.body, 200u, response.status);
+        }
+        const int finished = m_finished - before;
+        stopFlood();
+        m_fleet.reset();
+        std::nth_element(times.begin(), times.begin() + 4, times.end());
+        return { times[4], finished };
+    }
+
+    static void report(const std::string& what, milliseconds fair, milliseconds firstCome)
+    {
+        std::cout << " " << what << ": median " << fair.count() << " ms, first come " << firstCome.count() << " ms" << std::flush;
+    }
+
+    std::unique_ptr<support::Fleet> m_fleet;
+    std::vector<std::thread> m_flood;
+    std::atomic<bool> m_isFlooding = false;
+    std::atomic<int> m_finished = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OverloadTest);
+
+}
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -8,6 +8,7 @@
 #include <sys/file.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -224,4 +225,23 @@
         limit);
 }
 
+bool Fleet::waitForMembers(std::chrono::milliseconds limit)
+{
+    return eventually(
+        [&] {
+            for (const auto& [name, host] : m_hosts) {
+                const auto state = nlohmann::json::parse(call(host.admin, Verb::get, "/state").body, nullptr, false);
+                if (!state.is_object())
+                    return false;
+                for (const auto& [otherName, other] : m_hosts) {
+                    const auto& members = state["members"];
+                    const bool isKnown = std::any_of(members.begin(), members.end(), [&](const auto& member) { return member["name"] == otherName; });
+                    if (other.dataCentre == host.dataCentre && !isKnown)
+                        return false;
+                }
+            }
+            return true;
+        },
+        limit);
+}
 }
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -60,6 +60,9 @@
     // Waits until every host has the revision.
     bool waitForRevision(std::uint64_t revision, std::chrono::milliseconds limit);
 
+    // Waits until every host knows all hosts of its data centre. Until then two hosts may each schedule a pool.
+    bool waitForMembers(std::chrono::milliseconds limit);
+
     ChildProcess& process(const std::string& name) { return *m_processes.at(name); }
     const HostAddresses& host(const std::string& name) const { return m_hosts.at(name); }
     const std::map<std::string, HostAddresses>& hosts() const { return m_hosts; }
--- /dev/null
+++ b/tests/unit/scheduling/SchedulingPropertiesTest.cpp
@@ -0,0 +1,103 @@
+#include "PoolModel.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace {
+
+using namespace chiveshelf;
+using std::chrono::milliseconds;
+
+class SchedulingPropertiesTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(SchedulingPropertiesTest);
+    CPPUNIT_TEST(everyRequestIsGrantedOrRefusedExactlyOnce);
+    CPPUNIT_TEST(classWithWorkKeepsItsShareOfSlots);
+    CPPUNIT_TEST(deficitStaysWithinItsBounds);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against requests that are lost in the queue, answered twice or both granted and refused.
+    void everyRequestIsGrantedOrRefusedExactlyOnce()
+    {
+        CPPUNIT_ASSERT(rc::check([] {
+            PoolModel model(FairSharePolicy({}), *rc::gen::inRange(1, 4), *rc::gen::inRange(1, 4));
+            const auto count = *rc::gen::inRange(1, 60);
+            for (int i = 0; i < count; ++i) {
+                model.submit("r" + std::to_string(i), "org" + std::to_string(*rc::gen::inRange(0, 5)), *rc::gen::elementOf(allPriorities),
+                    *rc::gen::inRange(0, 30'000), *rc::gen::inRange(1, 50), milliseconds(*rc::gen::inRange(50, 5'000)));
+                if (*rc::gen::inRange(0, 3) == 0)
+                    model.advance(milliseconds(*rc::gen::inRange(1, 200)));
+            }
+            model.advance(std::chrono::seconds(8));
+            RC_ASSERT(model.policy.size() == 0);
+            for (const auto& [id, outcome] : model.outcomes)
+                RC_ASSERT(outcome.grants + outcome.refusals == 1);
+        }));
+    }
+
+    // Guards against a class that is starved although it has work waiting and slots that it may keep.
+    void classWithWorkKeepsItsShareOfSlots()
+    {
+        CPPUNIT_ASSERT(rc::check([] {
+            const auto slots = *rc::gen::inRange(4, 20);
+            PoolModel model(FairSharePolicy({}), 1, slots);
+            for (int i = 0; i < 100; ++i) {
+                for (const auto priority : allPriorities)
+                    model.submit(std::string(priorityName(priority)) + std::to_string(i), "org", priority, *rc::gen::inRange(0, 200),
+                        *rc::gen::inRange(5, 30));
+            }
+            const auto kept = guaranteedSlots(model.shares, slots);
+            // The first flood finds free slots, which go to whoever comes first. Later slots go by shares.
+            model.advance(milliseconds(500));
+            for (int step = 0; step < 20; ++step) {
+                model.advance(milliseconds(5));
+                const auto running = model.snapshot().runningByClass;
+                for (const auto priority : allPriorities) {
+                    const bool hasWork = !model.policy.organisations(priority).empty() && model.policy.organisations(priority)[0].waiting > 0;
+                    RC_ASSERT(!hasWork || running[priorityIndex(priority)] >= kept[priorityIndex(priority)]);
+                }
+            }
+        }));
+    }
+
+    // Guards against an organisation that saves up service or is shut out by debt.
+    void deficitStaysWithinItsBounds()
+    {
+        CPPUNIT_ASSERT(rc::check([] {
+            ClassQueue queue;
+            double largest = queue.quantum();
+            int next = 0;
+            const auto steps = *rc::gen::inRange(1, 200);
+            for (int i = 0; i < steps; ++i) {
+                const auto organisation = "org" + std::to_string(*rc::gen::inRange(0, 4));
+                switch (*rc::gen::inRange(0, 3)) {
+                case 0: {
+                    QueuedRequest request;
+                    request.id = std::to_string(next++);
+                    request.organisation = organisation;
+                    request.promptTokens = *rc::gen::inRange(0, 100'000);
+                    largest = std::max(largest, ClassQueue::fullCost(request));
+                    queue.push(request);
+                    break;
+                }
+                case 1: {
+                    const bool canServe = *rc::gen::inRange(0, 2) == 0;
+                    queue.take([&](const QueuedRequest& request) { return canServe ? std::optional(ClassQueue::fullCost(request)) : std::nullopt; });
+                    break;
+                }
+                default:
+                    queue.correct(organisation, *rc::gen::inRange(0, 500'000), *rc::gen::inRange(0, 500'000));
+                }
+                for (const auto& state : queue.organisations()) {
+                    RC_ASSERT(state.deficit >= -ClassQueue::debtLimit);
+                    RC_ASSERT(state.deficit <= std::max(ClassQueue::debtLimit, 2 * largest));
+                    RC_ASSERT(state.waiting > 0 || state.deficit <= 0);
+                }
+            }
+        }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SchedulingPropertiesTest);
+
+}
