Merge scheduling by class shares, fairness and estimates

Cause: scheduling, membership and keyed requests meet in the dispatch client, the scheduler service and the completion task.

--- a/packages/daemon/chiveshelf/daemon/Daemon.h
+++ b/packages/daemon/chiveshelf/daemon/Daemon.h
@@ -47,7 +47,9 @@
     MembershipService m_membership;
     TableAgent m_tableAgent;
     SchedulerService m_scheduler;
+    LocalScheduler m_localScheduler;
     DispatchClient m_dispatch;
+    QuarantineService m_quarantine;
     HttpPlatform m_recordPlatform;
     IdempotencyService m_idempotency;
     EntryService m_entry;
--- a/packages/daemon/chiveshelf/daemon/DaemonSettings.h
+++ b/packages/daemon/chiveshelf/daemon/DaemonSettings.h
@@ -23,6 +23,11 @@
     std::chrono::milliseconds drainNotice { 0 };
     OwnershipPolicy ownershipPolicy = OwnershipPolicy::BarReturned;
     std::string logLevel;
+    std::string schedulingPolicy;
+    // Blocks that the cache of one runner holds, for the guess of what it still caches.
+    std::int64_t cacheBlocksPerRunner = 0;
+    std::chrono::milliseconds cacheHalfLife { 0 };
+    std::int64_t importsPerLink = 0;
     CacheSettings cache;
 
     bool operator==(const DaemonSettings&) const = default;
