Separate the order of exports from their transfer

Cause: nothing proved that the offers whose return is likely and costly are exported first; the order was inside ExportManager, behind sockets.

ExportQueue holds the offers, their bound and their age.

--- a/packages/cache/chiveshelf/cache/ExportManager.cpp
+++ b/packages/cache/chiveshelf/cache/ExportManager.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <algorithm>
 #include <set>
 
 namespace chiveshelf {
@@ -19,9 +18,6 @@
 namespace {
 
     constexpr auto pollInterval = std::chrono::milliseconds(20);
-    // After this time the runner has most likely evicted the blocks.
-    constexpr auto offerLifetime = std::chrono::seconds(60);
-    constexpr std::size_t maximumOffers = 256;
 
 }
 
@@ -40,11 +36,7 @@
 
 void ExportManager::offer(ExportOffer offer)
 {
-    m_offers.push_back(std::move(offer));
-    if (m_offers.size() <= maximumOffers)
-        return;
-    m_offers.erase(std::min_element(m_offers.begin(), m_offers.end(), [](const auto& a, const auto& b) { return a.value < b.value; }));
-    ++m_counters.dropped;
+    m_counters.dropped += m_queue.add(std::move(offer));
 }
 
 asio::awaitable<void> ExportManager::loop()
@@ -54,8 +46,7 @@
         boost::system::error_code ec;
         timer.expires_after(pollInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-        const auto oldest = Clock::now() - offerLifetime;
-        m_counters.dropped += std::erase_if(m_offers, [&](const auto& offer) { return offer.offeredAt < oldest; });
+        m_counters.dropped += m_queue.expire(Clock::now());
         while (startBest()) {
         }
     }
@@ -64,17 +55,11 @@
 bool ExportManager::startBest()
 {
     const auto now = Clock::now();
-    auto best = m_offers.end();
-    for (auto it = m_offers.begin(); it != m_offers.end(); ++it) {
-        if (m_links.isIdle(it->store, now) && (best == m_offers.end() || it->value > best->value))
-            best = it;
-    }
-    if (best == m_offers.end())
+    auto offer = m_queue.takeBest([&](const Address& store) { return m_links.isIdle(store, now); });
+    if (!offer)
         return false;
-    auto offer = std::move(*best);
-    m_offers.erase(best);
-    auto slot = m_links.beginExport(offer.store);
-    asio::co_spawn(m_context, run(std::move(offer), std::move(slot)), asio::detached);
+    auto slot = m_links.beginExport(offer->store);
+    asio::co_spawn(m_context, run(std::move(*offer), std::move(slot)), asio::detached);
     return true;
 }
 
@@ -99,7 +84,7 @@
         if (m_links.isBusy(offer.store, Clock::now())) {
             // Imports go first: a caller waits for them.
             slot.reset();
-            m_offers.push_back(std::move(offer));
+            m_counters.dropped += m_queue.add(std::move(offer));
             co_return;
         }
         const auto record = co_await exportOne(offer, key, found->generation);
--- a/packages/cache/chiveshelf/cache/ExportManager.h
+++ b/packages/cache/chiveshelf/cache/ExportManager.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "chiveshelf/cache/BlockKey.h"
+#include "chiveshelf/cache/ExportQueue.h"
 #include "chiveshelf/cache/HttpStore.h"
-#include "chiveshelf/cache/StoreLinks.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -20,17 +19,6 @@
     auto operator<=>(const ExportRequest&) const = default;
 };
 
-// Blocks of one answered prompt that a runner has and a store may lack, first block first.
-struct ExportOffer {
-    BlockIdentity identity;
-    Address runner;
-    Address store;
-    std::vector<std::string> keys;
-    // Expected time saved by having the blocks in the store, in s: how likely the prompt returns times what recomputing costs.
-    double value = 0;
-    StoreLinks::Clock::time_point offeredAt;
-};
-
 // Counters for metrics.
 struct ExportCounters {
     std::uint64_t blocks = 0;
@@ -52,7 +40,7 @@
 
     void start();
     void offer(ExportOffer);
-    std::size_t queued() const { return m_offers.size(); }
+    std::size_t queued() const { return m_queue.size(); }
     const ExportCounters& counters() const { return m_counters; }
 
 private:
@@ -65,7 +53,7 @@
     HttpStore& m_stores;
     StoreLinks& m_links;
     Exporter m_exporter;
-    std::vector<ExportOffer> m_offers;
+    ExportQueue m_queue;
     ExportCounters m_counters;
 };
 
--- a/packages/cache/chiveshelf/cache/cache.h
+++ b/packages/cache/chiveshelf/cache/cache.h
@@ -9,6 +9,7 @@
 #include "chiveshelf/cache/BlockKey.h"
 #include "chiveshelf/cache/BlockRecord.h"
 #include "chiveshelf/cache/ExportManager.h"
+#include "chiveshelf/cache/ExportQueue.h"
 #include "chiveshelf/cache/HttpStore.h"
 #include "chiveshelf/cache/StoreLinks.h"
 #include "chiveshelf/cache/StorePort.h"
