--- a/packages/cache/chiveshelf/cache/BlockCache.cpp
+++ b/packages/cache/chiveshelf/cache/BlockCache.cpp
@@ -15,7 +15,8 @@
     // Imports in flight from this host on one link, by priority class; urgent work goes first.
     constexpr std::array<int, priorityCount> maximumImports { 8, 4, 2 };
     constexpr auto defaultImportLimit = std::chrono::milliseconds(1'000);
-    constexpr auto minimumImportLimit = std::chrono::milliseconds(50);
+    // Leaves room for scheduling delays on a busy machine.
+    constexpr auto minimumImportLimit = std::chrono::milliseconds(200);
     // A block whose import takes this many times the time to compute it is given up.
     constexpr double importPatience = 2;
     constexpr double learningWeight = 0.2;
