--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -68,6 +68,22 @@
     return { "127." + std::to_string(m_network) + ".0.1", platformPort };
 }
 
+Address Fleet::secondPlatform() const
+{
+    return { "127." + std::to_string(m_network) + ".0.2", platformPort };
+}
+
+void Fleet::setPlatformFaults(const Address& listener, const nlohmann::json& faults)
+{
+    call(listener, Verb::put, "/control/faults", {}, faults.dump());
+}
+
+int Fleet::runCtl(std::vector<std::string> arguments, std::string& output) const
+{
+    arguments.insert(arguments.end(), { "--platform", toString(platform()) });
+    return runToEnd("chivesctl", arguments, output);
+}
+
 Address Fleet::nextAddress(std::uint16_t port)
 {
     return { "127." + std::to_string(m_network) + ".1." + std::to_string(m_nextHost++), port };
@@ -109,7 +125,7 @@
 {
     if (m_platformLink.port == 0)
         m_platformLink = linkTo("platform", platform());
-    m_processes["platform"] = std::make_unique<ChildProcess>("fake_key_value", std::vector<std::string> { "--listen", toString(platform()) }, logPath("platform"));
+    m_processes["platform"] = std::make_unique<ChildProcess>("fake_key_value", std::vector<std::string> { "--listen", toString(platform()), "--second-listen", toString(secondPlatform()) }, logPath("platform"));
     waitForPort(platform(), "/control/stats");
 }
 
@@ -185,14 +201,30 @@
     return out;
 }
 
-void Fleet::listHosts()
+void Fleet::listHosts(const std::set<std::string>& leaving)
 {
     auto list = nlohmann::json::array();
     for (const auto& [name, host] : m_hosts)
-        list.push_back({ { "name", name }, { "address", toString(host.peer) }, { "admin_address", toString(host.admin) }, { "data_centre", host.dataCentre }, { "leaving", false } });
+        list.push_back({ { "name", name }, { "address", toString(host.peer) }, { "admin_address", toString(host.admin) }, { "data_centre", host.dataCentre }, { "leaving", leaving.contains(name) } });
     call(platform(), Verb::put, "/control/hosts", {}, list.dump());
 }
 
+nlohmann::json Fleet::state(const std::string& host) const
+{
+    const auto parsed = nlohmann::json::parse(call(m_hosts.at(host).admin, Verb::get, "/state", {}, {}, std::chrono::seconds(1)).body, nullptr, false);
+    return parsed.is_object() ? parsed : nlohmann::json();
+}
+
+std::string Fleet::memberState(const std::string& observer, const std::string& member) const
+{
+    const auto dump = state(observer);
+    for (const auto& row : dump.value("members", nlohmann::json::array())) {
+        if (row["name"] == member)
+            return row["state"];
+    }
+    return {};
+}
+
 chiveshelf::Tables Fleet::defaultTables() const
 {
     chiveshelf::Tables tables;
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -4,9 +4,10 @@
 #include "HttpProbe.h"
 #include "chiveshelf/tables/Tables.h"
 
+#include <nlohmann/json.hpp>
+
 #include <map>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 
@@ -54,8 +55,14 @@
     // Returns how often a plain service ran an operation, over all services.
     std::map<std::string, int> operationRuns() const;
 
-    // Writes the platform's list of hosts.
-    void listHosts();
+    // Writes the platform's list of hosts, of which those in `leaving` are marked.
+    void listHosts(const std::set<std::string>& leaving = {});
+
+    // Returns the state dump of a host, or null if it does not answer.
+    nlohmann::json state(const std::string& host) const;
+
+    // Returns the state of a member in a host's view, empty if it is unknown there.
+    std::string memberState(const std::string& observer, const std::string& member) const;
 
     // Returns tables with the pool "desk" of all runners and stores and the pool "bookings" of all services.
     chiveshelf::Tables defaultTables() const;
@@ -71,6 +78,16 @@
     const std::map<std::string, HostAddresses>& hosts() const { return m_hosts; }
     // The platform itself, also when its leg is behind the proxy.
     chiveshelf::Address platform() const;
+
+    // Address of the platform's second listener, which has faults of its own. Pass it to some hosts with --platform to cut
+    // them off alone.
+    chiveshelf::Address secondPlatform() const;
+
+    // Sets the faults of one of the platform's listeners; see fakes::FakeKeyValue.
+    void setPlatformFaults(const chiveshelf::Address& listener, const nlohmann::json& faults);
+
+    // Runs chivesctl against the platform. `output` receives what it prints.
+    int runCtl(std::vector<std::string> arguments, std::string& output) const;
     const chiveshelf::Address& backend(const std::string& name) const { return m_backends.at(name).address; }
     const chiveshelf::Address& store(const std::string& name) const { return m_stores.at(name).address; }
 
