--- a/packages/daemon/chiveshelf/daemon/Daemon.h
+++ b/packages/daemon/chiveshelf/daemon/Daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chiveshelf/cache/BlockCache.h"
 #include "chiveshelf/daemon/AdminService.h"
 #include "chiveshelf/daemon/DaemonSettings.h"
 #include "chiveshelf/dispatch/DispatchClient.h"
@@ -35,6 +36,7 @@
     http::Client m_client;
     HttpPlatform m_platform;
     HttpRunner m_runners;
+    BlockCache m_cache;
     TableStore m_tables;
     MemberDirectory m_members;
     MembershipService m_membership;
@@ -44,6 +46,8 @@
     TableAgent m_tableAgent;
     SchedulerService m_scheduler;
     DispatchClient m_dispatch;
+    HttpPlatform m_recordPlatform;
+    IdempotencyService m_idempotency;
     EntryService m_entry;
     AdminService m_admin;
     bool m_isDraining = false;
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -8,6 +8,8 @@
 
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 
 namespace support {
@@ -33,17 +35,31 @@
     Fleet(const Fleet&) = delete;
     Fleet& operator=(const Fleet&) = delete;
 
+    // Puts a leg behind a link of the fault proxy. Call it before the process is started. Legs: "platform", "NAME" of a runner or
+    // service, "NAME/caller" and "NAME/peer" of a host. Addresses that this class returns are then those of the link.
+    void useProxy(const std::string& leg);
+
+    // Switches faults of a leg, as fakes::FaultLink::apply() describes. The leg "" stands for all.
+    void setFault(const std::string& leg, const nlohmann::json&);
+
     void startPlatform();
     void startRunner(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra = {});
     void startService(const std::string& name, const std::string& dataCentre);
+    void startStore(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra = {});
 
     // Starts an entry host. `extra` are more flags.
     void startHost(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra = {});
 
+    // Sets the faults of the platform, as fakes::FakeKeyValue describes. An empty object ends them.
+    void setPlatformFaults(const nlohmann::json&);
+
+    // Returns how often a plain service ran an operation, over all services.
+    std::map<std::string, int> operationRuns() const;
+
     // Writes the platform's list of hosts.
     void listHosts();
 
-    // Returns tables with the pool "desk" of all runners and the pool "bookings" of all services.
+    // Returns tables with the pool "desk" of all runners and stores and the pool "bookings" of all services.
     chiveshelf::Tables defaultTables() const;
 
     // Applies tables with chivesctl. Returns its exit code.
@@ -55,6 +71,7 @@
     ChildProcess& process(const std::string& name) { return *m_processes.at(name); }
     const HostAddresses& host(const std::string& name) const { return m_hosts.at(name); }
     const std::map<std::string, HostAddresses>& hosts() const { return m_hosts; }
+    // The platform itself, also when its leg is behind the proxy.
     chiveshelf::Address platform() const;
 
     // Address of the platform's second listener, which has faults of its own. Pass it to some hosts with --platform to cut
@@ -67,6 +84,7 @@
     // Runs chivesctl against the platform. `output` receives what it prints.
     int runCtl(std::vector<std::string> arguments, std::string& output) const;
     const chiveshelf::Address& backend(const std::string& name) const { return m_backends.at(name).address; }
+    const chiveshelf::Address& store(const std::string& name) const { return m_stores.at(name).address; }
 
     const chiveshelf::Backend& backendRow(const std::string& name) const { return m_backends.at(name); }
 
@@ -77,6 +95,14 @@
     chiveshelf::Address nextAddress(std::uint16_t port);
     void waitForPort(const chiveshelf::Address&, const std::string& path);
 
+    // Gives a backend its addresses at its first start.
+    void bindBackend(const std::string& name, const std::string& dataCentre);
+
+    // Returns the address under which others reach `target`: a new link's, or the target itself if the leg has none.
+    chiveshelf::Address linkTo(const std::string& leg, const chiveshelf::Address& target);
+
+    // Held while the fleet uses its network, so that a run from another checkout waits.
+    int m_networkLock = -1;
     int m_network;
     int m_nextHost = 1;
     std::string m_folder;
@@ -84,6 +110,13 @@
     std::map<std::string, HostAddresses> m_hosts;
     std::map<std::string, chiveshelf::Backend> m_backends;
     std::map<std::string, bool> m_isService;
+    std::map<std::string, chiveshelf::Backend> m_stores;
+    // Addresses that the processes bind, by name.
+    std::map<std::string, chiveshelf::Address> m_bound;
+    std::map<std::string, HostAddresses> m_boundHosts;
+    std::set<std::string> m_proxiedLegs;
+    chiveshelf::Address m_proxyControl;
+    chiveshelf::Address m_platformLink;
 };
 
 }
