--- a/packages/scheduling/chiveshelf/scheduling/RunnerStatistics.cpp
+++ b/packages/scheduling/chiveshelf/scheduling/RunnerStatistics.cpp
@@ -80,6 +80,8 @@
         return;
     auto& runner = it->second;
     const auto speed = runner.prefillTokensPerSecond > 0 ? runner.prefillTokensPerSecond : medianPrefillSpeed();
+    // Without a sample the end is taken to be near: a guessed speed refused requests that a new scheduler host could serve.
+    const bool isMeasured = m_serviceTime.count() > 0;
     const auto perToken = runner.timePerToken.count() > 0 ? runner.timePerToken : medianTimePerToken();
     Running running;
     running.runner = assignment.runner;
@@ -93,7 +95,8 @@
         busyUntil = std::max({ now, busyUntil, now + toClock(assignment.import.time) }) + toClock(running.prefill);
     }
     running.firstTokenExpected = runner.prefillBusyUntil[priorityIndex(assignment.priority)] + toClock(runner.overhead);
-    running.endExpected = running.firstTokenExpected + toClock(perToken * (m_outputShare * static_cast<double>(assignment.maxTokens)));
+    const auto tokens = isMeasured ? m_outputShare * static_cast<double>(assignment.maxTokens) : 0.0;
+    running.endExpected = running.firstTokenExpected + toClock(perToken * tokens);
     m_running[assignment.requestId] = std::move(running);
 }
 
