Load new versions two runners at a time under a lease

Cause: a version edit changed the tables and no runner. Runners take commands from anyone, and some ignore fencing tokens. The owner of a pool's scheduler now takes a lease per pool and data centre while a runner differs from its row, commands at most two runners at once, and reads all progress from the runners. Ruled out: ownership without a lease (two hosts own a pool while they can not reach each other), a lease that is held for ever (cost), waiting 5 s at each takeover (edits must be in force within 4 s; a record of a clean release makes it needless).

--- a/packages/daemon/chiveshelf/daemon/Daemon.cpp
+++ b/packages/daemon/chiveshelf/daemon/Daemon.cpp
@@ -48,6 +48,7 @@
     , m_dispatch(context, m_peerClient, m_members)
     , m_recordPlatform(m_client, m_settings.platformAddress, recordLimits)
     , m_idempotency(context, m_peerServer, m_peerClient, m_members, m_recordPlatform, m_settings.idempotency)
+    , m_control({ context, m_platform, m_runners, m_tables, m_members, m_board })
     , m_entry(context, {}, { m_tables, m_dispatch, m_runners, m_cache, m_client, m_idempotency }, m_settings.dataCentre)
     , m_admin(context,
           { [this] { return state(); }, [this] { return metrics(); },
@@ -66,6 +67,11 @@
     m_membership.subscribe([this](const MemberChange& change) { handleMemberChange(change); });
     m_dispatch.onLostOwner([this](const Address& address) { m_membership.reportLostConnection(address); });
     m_membership.start();
+    m_scheduler.setWeightsSource([this](const std::string& runner) {
+        SchedulerService::RunnerWeights weights { m_board.mayServe(runner), m_board.version(runner) };
+        return weights;
+    });
+    m_control.start();
     m_scheduler.start();
     m_dispatch.start();
     m_cache.start();
@@ -156,6 +162,7 @@
         { "roles", m_members.roleOwners() },
         { "scheduler_requests", m_scheduler.acceptedCount() },
         { "pools", m_scheduler.state() },
+        { "control", m_control.state() },
         { "active_requests", m_entry.activeRequests() },
         { "platform_calls", m_platform.callCount() + m_recordPlatform.callCount() },
         { "idempotency",
@@ -211,6 +218,7 @@
     counter("chiveshelf_tables_rejected_total", "Values of the platform's service that are not valid tables.", tables.rejectedValues);
     gauge("chiveshelf_tables_watching", "1 while this host watches the platform's service.", m_tableAgent.isWatching() ? 1 : 0);
     gauge("chiveshelf_tables_revision", "Revision of the tables in force.", static_cast<double>(m_tables.snapshot()->revision));
+    counter("chiveshelf_runner_commands_total", "Commands that this host sent to runners.", m_control.commandCount());
     std::map<MemberState, double> byState;
     for (const auto& member : m_members.all())
         ++byState[member.state];
--- a/packages/daemon/chiveshelf/daemon/Daemon.h
+++ b/packages/daemon/chiveshelf/daemon/Daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chiveshelf/cache/BlockCache.h"
+#include "chiveshelf/control/ControlService.h"
 #include "chiveshelf/daemon/AdminService.h"
 #include "chiveshelf/daemon/DaemonSettings.h"
 #include "chiveshelf/dispatch/DispatchClient.h"
@@ -50,6 +51,8 @@
     DispatchClient m_dispatch;
     HttpPlatform m_recordPlatform;
     IdempotencyService m_idempotency;
+    RunnerBoard m_board;
+    ControlService m_control;
     EntryService m_entry;
     AdminService m_admin;
     bool m_isDraining = false;
--- a/packages/dispatch/chiveshelf/dispatch/SchedulerService.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/SchedulerService.cpp
@@ -174,12 +174,17 @@
     }
 }
 
+SchedulerService::RunnerWeights SchedulerService::weightsOf(const std::string& runner) const
+{
+    return m_weights ? m_weights(runner) : RunnerWeights {};
+}
+
 std::vector<RunnerSnapshot> SchedulerService::snapshotRunners(const Pool& pool, const PoolState& state) const
 {
     std::vector<RunnerSnapshot> out;
     for (const auto& runner : pool.runners) {
         if (runner.dataCentre == m_dataCentre)
-            out.push_back({ runner.name, pool.slotsPerRunner, 0, true });
+            out.push_back({ runner.name, pool.slotsPerRunner, 0, weightsOf(runner.name).mayServe });
     }
     for (const auto& [id, slot] : state.running) {
         for (auto& runner : out) {
@@ -204,9 +209,11 @@
         state.decisions.push_back(assignment);
         if (state.decisions.size() > keptDecisions)
             state.decisions.pop_front();
+        // A runner serves with the version it has until it is its turn to load the row's.
+        const auto version = weightsOf(assignment.runner).version.value_or(pool->version);
         for (const auto& runner : pool->runners) {
             if (runner.name == assignment.runner)
-                answer(state, assignment.requestId, Grant { runner.name, toString(runner.address), pool->version, tables->revision, assignment.reason });
+                answer(state, assignment.requestId, Grant { runner.name, toString(runner.address), version, tables->revision, assignment.reason });
         }
     }
 }
--- a/packages/dispatch/chiveshelf/dispatch/SchedulerService.h
+++ b/packages/dispatch/chiveshelf/dispatch/SchedulerService.h
@@ -10,6 +10,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <functional>
+#include <optional>
 
 namespace chiveshelf {
 
@@ -31,6 +32,14 @@
     // While refusing, Enqueue is answered with Unavailable and NotRun, and nothing waits here.
     void setRefusing(bool);
 
+    // What is known of a runner's weights. Without a source, every runner is taken to have the version of its pool's row.
+    struct RunnerWeights {
+        bool mayServe = true;
+        std::optional<std::string> version;
+    };
+
+    void setWeightsSource(std::function<RunnerWeights(const std::string& runner)> source) { m_weights = std::move(source); }
+
     // Number of Enqueue messages that were accepted.
     std::uint64_t acceptedCount() const { return m_acceptedCount; }
 
@@ -50,12 +59,14 @@
     PoolState& poolState(const std::string& name);
     void pump(const std::string& poolName);
     void answer(PoolState&, const std::string& requestId, Result<Grant>);
+    RunnerWeights weightsOf(const std::string& runner) const;
     std::vector<RunnerSnapshot> snapshotRunners(const Pool&, const PoolState&) const;
 
     boost::asio::io_context& m_context;
     TableStore& m_tables;
     std::string m_dataCentre;
     std::map<std::string, std::unique_ptr<PoolState>> m_pools;
+    std::function<RunnerWeights(const std::string& runner)> m_weights;
     std::uint64_t m_acceptedCount = 0;
     bool m_isRefusing = false;
 };
--- a/packages/runner/chiveshelf/runner/HttpRunner.cpp
+++ b/packages/runner/chiveshelf/runner/HttpRunner.cpp
@@ -23,6 +23,9 @@
         return out;
     }
 
+    // A runner answers these at once, whatever it computes. The limits let a controller renew its lease while one is frozen.
+    constexpr http::CallLimits controlLimits { std::chrono::milliseconds(200), std::chrono::milliseconds(500) };
+
     json toJson(const CompletionRequest& request)
     {
         return {
@@ -178,4 +181,38 @@
     co_return failure(ErrorCode::NotFound, "runner no longer has the block", Verdict::NotRun);
 }
 
+asio::awaitable<Result<RunnerStatus>> HttpRunner::readStatus(Address address)
+{
+    auto response = co_await m_client.send(std::move(address), http::makeRequest(http::Verb::get, "/v1/load"), controlLimits);
+    if (!response)
+        co_return tl::unexpected(response.error());
+    const auto parsed = json::parse(response->body(), nullptr, false);
+    if (response->result() != http::Status::ok || !parsed.is_object())
+        co_return failure(ErrorCode::Unavailable, "runner answered " + std::to_string(response->result_int()) + " to a load query", Verdict::Ran);
+    RunnerStatus status;
+    status.version = parsed.value("version", "");
+    status.adapter = parsed.value("adapter", "");
+    status.isLoading = parsed.value("loading", false);
+    co_return status;
+}
+
+asio::awaitable<Result<void>> HttpRunner::command(Address address, RunnerCommand command)
+{
+    json body { { "fencing_token", command.fencingToken }, { "command", command.command } };
+    if (!command.version.empty())
+        body["version"] = command.version;
+    if (command.command != "set_role")
+        body["adapter"] = command.adapter;
+    if (!command.role.empty())
+        body["role"] = command.role;
+    auto response = co_await m_client.send(std::move(address), http::makeRequest(http::Verb::post, "/v1/commands", body.dump()), controlLimits);
+    if (!response)
+        co_return tl::unexpected(response.error());
+    if (response->result() == http::Status::conflict)
+        co_return failure(ErrorCode::Conflict, "runner has seen a higher fencing token", Verdict::NotRun);
+    if (response->result_int() >= 300)
+        co_return tl::unexpected(statusError(response->result_int(), response->body()));
+    co_return Result<void> {};
+}
+
 }
--- a/packages/runner/chiveshelf/runner/HttpRunner.h
+++ b/packages/runner/chiveshelf/runner/HttpRunner.h
@@ -45,6 +45,12 @@
     // Overloaded if the store is full.
     boost::asio::awaitable<Result<BlockRecord>> exportBlock(Address, ExportRequest);
 
+    // Reads the runner's report about its weights.
+    boost::asio::awaitable<Result<RunnerStatus>> readStatus(Address);
+
+    // Sends a command. Fails with Conflict and NotRun if the runner has seen a higher fencing token.
+    boost::asio::awaitable<Result<void>> command(Address, RunnerCommand);
+
 private:
     boost::asio::awaitable<Result<std::unique_ptr<HttpTokenStream>>> openStream(Address, http::Request);
 
--- a/packages/runner/chiveshelf/runner/RunnerPort.h
+++ b/packages/runner/chiveshelf/runner/RunnerPort.h
@@ -60,6 +60,27 @@
     bool isLast() const { return !finishReason.empty(); }
 };
 
+// A runner's own report about its weights. It may be as old as the runner's report interval.
+struct RunnerStatus {
+    std::string version;
+    std::string adapter;
+    bool isLoading = false;
+
+    auto operator<=>(const RunnerStatus&) const = default;
+};
+
+// A command to a runner. A runner that checks refuses one whose fencing token is lower than the highest that it has seen.
+struct RunnerCommand {
+    std::uint64_t fencingToken = 0;
+    // "load_version", "load_adapter" or "set_role".
+    std::string command;
+    std::string version;
+    std::string adapter;
+    std::string role;
+
+    auto operator<=>(const RunnerCommand&) const = default;
+};
+
 // Port to a runner. A stream's next() returns pieces in order until one is last; it fails with Timeout when no bytes
 // arrive for the progress limit and with Unavailable when the connection broke.
 template <typename T>
@@ -71,7 +92,8 @@
 };
 
 template <typename T>
-concept RunnerPort = requires(T& port, Address address, CompletionRequest request, std::string id, std::int64_t offset)
+concept RunnerPort = requires(T& port, Address address, CompletionRequest request, std::string id, std::int64_t offset,
+    RunnerCommand runnerCommand)
 {
     typename T::Stream;
     requires TokenSource<typename T::Stream>;
@@ -84,6 +106,12 @@
     {
         port.cancel(address, id)
         } -> std::same_as<boost::asio::awaitable<Result<void>>>;
+    {
+        port.readStatus(address)
+        } -> std::same_as<boost::asio::awaitable<Result<RunnerStatus>>>;
+    {
+        port.command(address, runnerCommand)
+        } -> std::same_as<boost::asio::awaitable<Result<void>>>;
 };
 
 }
--- a/tests/Tests.cmake
+++ b/tests/Tests.cmake
@@ -11,6 +11,7 @@
 chiveshelf_add_unit_test(idempotency DEPENDS idempotency)
 chiveshelf_add_unit_test(tables DEPENDS tables LIBRARIES rapidcheck)
 chiveshelf_add_unit_test(membership DEPENDS membership)
+chiveshelf_add_unit_test(control DEPENDS control)
 
 # Each integration test has a NETWORK number of its own.
 chiveshelf_add_integration_test(CacheFaultTest NETWORK 60)
@@ -33,3 +34,5 @@
 # FailoverPolicyTest runs three fleets side by side, on the networks 32 to 34.
 chiveshelf_add_integration_test(FailoverPolicyTest NETWORK 32 PROCESSORS 4)
 target_link_libraries(integration_FailoverPolicyTest PRIVATE chiveshelf_membership)
+chiveshelf_add_integration_test(RolloutTest NETWORK 35)
+target_link_libraries(integration_RolloutTest PRIVATE chiveshelf_membership)
