Let an operator switch rollouts off, and fill in the proofs

Cause: CacheIsolationTest commands the loads of its runners itself, in order to hold a pool between two versions. With a controller in each host its case promptAfterVersionSwapReusesNoBlockOfOldVersion failed, since the runners had the new version before the request came. Operators need the flag when another tool loads weights. Conclusion: roles do not look at the flag, so it must be equal on all hosts of a data centre.

--- a/packages/daemon/chiveshelf/daemon/Daemon.cpp
+++ b/packages/daemon/chiveshelf/daemon/Daemon.cpp
@@ -71,7 +71,8 @@
         SchedulerService::RunnerWeights weights { m_board.mayServe(runner), m_board.version(runner) };
         return weights;
     });
-    m_control.start();
+    if (m_settings.hasRollouts)
+        m_control.start();
     m_scheduler.start();
     m_dispatch.start();
     m_cache.start();
--- a/packages/daemon/chiveshelf/daemon/DaemonSettings.cpp
+++ b/packages/daemon/chiveshelf/daemon/DaemonSettings.cpp
@@ -22,6 +22,7 @@
         { "cache-block-tokens", "4000", "Tokens of a KV-cache block; the same on every host and runner.", false, false, checkNumber(1, 1'000'000, "tokens") },
         { "cache-imports", "on", "Whether runners import blocks from stores.", false, false, checkOneOf({ "on", "off" }) },
         { "cache-exports", "on", "Whether new blocks are written to stores.", false, false, checkOneOf({ "on", "off" }) },
+        { "rollouts", "on", "Whether this host commands runners to load what their pool's row asks for.", false, false, checkOneOf({ "on", "off" }) },
         { "log-level", "info", "Lowest level that is logged.", false, false, checkOneOf({ "debug", "info", "warning", "error" }) },
         { "print-settings", "", "Print the effective settings with their origin and exit.", false, true, nullptr },
         { "help", "", "Print this help and exit.", false, true, nullptr },
@@ -48,6 +49,7 @@
         settings.ownershipPolicy = OwnershipPolicy::KeepOwner;
     else if (policy == "rendezvous")
         settings.ownershipPolicy = OwnershipPolicy::Rendezvous;
+    settings.hasRollouts = options.text("rollouts") == "on";
     settings.logLevel = options.text("log-level");
     settings.cache = { options.number("cache-block-tokens"), options.text("cache-imports") == "on", options.text("cache-exports") == "on" };
     std::map<Address, std::string> used;
--- a/packages/daemon/chiveshelf/daemon/DaemonSettings.h
+++ b/packages/daemon/chiveshelf/daemon/DaemonSettings.h
@@ -22,6 +22,7 @@
     // Time between the announcement of a leave and the end of accepting callers.
     std::chrono::milliseconds drainNotice { 0 };
     OwnershipPolicy ownershipPolicy = OwnershipPolicy::BarReturned;
+    bool hasRollouts = true;
     std::string logLevel;
     CacheSettings cache;
 
--- a/tests/support/CacheFleet.cpp
+++ b/tests/support/CacheFleet.cpp
@@ -25,8 +25,9 @@
     for (int i = 0; i < m_runners; ++i)
         m_fleet.startRunner(runnerName(i), "east", runner);
     startStore(flags.store);
-    m_fleet.startHost("host-1", "east", { "--cache-block-tokens", tokens });
-    m_fleet.startHost("host-2", "east", { "--cache-block-tokens", tokens, "--cache-imports", "off", "--cache-exports", "off" });
+    // The tests command the loads themselves, at moments of their own.
+    m_fleet.startHost("host-1", "east", { "--cache-block-tokens", tokens, "--rollouts", "off" });
+    m_fleet.startHost("host-2", "east", { "--cache-block-tokens", tokens, "--rollouts", "off", "--cache-imports", "off", "--cache-exports", "off" });
     m_fleet.listHosts();
     m_tables = m_fleet.defaultTables();
     m_tables.pools.at(0).slotsPerRunner = flags.slotsPerRunner;
