Merge rollouts of weights into the scheduler

Ruled out: keeping the runner list in the scheduler service; the pool scheduler asks the weights source for each decision. Conclusion: a loading runner counts as unusable for 300 ms in the estimates.

--- a/packages/daemon/chiveshelf/daemon/DaemonSettings.h
+++ b/packages/daemon/chiveshelf/daemon/DaemonSettings.h
@@ -22,6 +22,7 @@
     // Time between the announcement of a leave and the end of accepting callers.
     std::chrono::milliseconds drainNotice { 0 };
     OwnershipPolicy ownershipPolicy = OwnershipPolicy::BarReturned;
+    bool hasRollouts = true;
     std::string logLevel;
     std::string schedulingPolicy;
     // Blocks that the cache of one runner holds, for the guess of what it still caches.
--- a/packages/dispatch/chiveshelf/dispatch/PoolScheduler.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/PoolScheduler.cpp
@@ -11,6 +11,8 @@
 namespace {
 
     constexpr std::size_t keptDecisions = 32;
+    // Time until a runner that loads weights serves again; engines take 0.2 to 0.3 s.
+    constexpr Estimate weightLoadTime { 300 };
 
 }
 
@@ -42,9 +44,21 @@
 {
     auto out = m_statistics.snapshot(now);
     out.shares = m_pool.shares;
+    for (auto& runner : out.runners) {
+        if (weightsOf(runner.name).mayServe)
+            continue;
+        runner.isUsable = false;
+        runner.slots = 0;
+        runner.slotWait = std::max(runner.slotWait, weightLoadTime);
+    }
     return out;
 }
 
+RunnerWeights PoolScheduler::weightsOf(const std::string& runner) const
+{
+    return m_weights ? m_weights(runner) : RunnerWeights {};
+}
+
 Result<void> PoolScheduler::enqueue(const Enqueue& message, TimePoint now)
 {
     if (m_addresses.empty())
@@ -116,8 +130,10 @@
         ++m_counters.granted[priorityIndex(assignment.priority)];
         note({ { "request_id", assignment.requestId }, { "class", priorityName(assignment.priority) }, { "runner", assignment.runner },
             { "reason", assignment.reason } });
+        // A runner serves with the version it has until it is its turn to load the row's.
+        const auto version = weightsOf(assignment.runner).version.value_or(m_pool.version);
         out.push_back({ assignment.requestId,
-            { assignment.runner, toString(m_addresses[assignment.runner]), m_pool.version, m_tablesRevision, assignment.reason,
+            { assignment.runner, toString(m_addresses[assignment.runner]), version, m_tablesRevision, assignment.reason,
                 assignment.prefixBlocks } });
     }
     return out;
--- a/packages/dispatch/chiveshelf/dispatch/PoolScheduler.h
+++ b/packages/dispatch/chiveshelf/dispatch/PoolScheduler.h
@@ -18,12 +18,23 @@
     std::array<std::uint64_t, priorityCount> preempted {};
 };
 
+// What is known of a runner's weights. A runner that loads may not serve; without a version the pool's row holds.
+struct RunnerWeights {
+    bool mayServe = true;
+    std::optional<std::string> version;
+};
+
+using WeightsSource = std::function<RunnerWeights(const std::string& runner)>;
+
 // One pool's policy and runner statistics, joined with the pool's row of the tables. Holds no sockets; the owner passes messages
 // in and carries the decisions out.
 class PoolScheduler {
 public:
     PoolScheduler(PolicyKind, const FairShareSettings&, std::string dataCentre);
 
+    // Sets where the weights of a runner are looked up.
+    void setWeightsSource(WeightsSource source) { m_weights = std::move(source); }
+
     // Takes over the runners, shares and targets in force.
     void setPool(const Pool&, std::uint64_t tablesRevision);
 
@@ -52,9 +63,11 @@
 
 private:
     PoolSnapshot snapshot(TimePoint now);
+    RunnerWeights weightsOf(const std::string& runner) const;
     void note(nlohmann::json decision);
 
     std::string m_dataCentre;
+    WeightsSource m_weights;
     Pool m_pool;
     std::uint64_t m_tablesRevision = 0;
     std::map<std::string, Address> m_addresses;
--- a/packages/dispatch/chiveshelf/dispatch/SchedulerService.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/SchedulerService.cpp
@@ -75,8 +75,10 @@
 SchedulerService::PoolState& SchedulerService::poolState(const std::string& name)
 {
     auto& state = m_pools[name];
-    if (!state)
+    if (!state) {
         state = std::make_unique<PoolState>(m_settings);
+        state->scheduler.setWeightsSource(m_weights);
+    }
     return *state;
 }
 
--- a/packages/dispatch/chiveshelf/dispatch/SchedulerService.h
+++ b/packages/dispatch/chiveshelf/dispatch/SchedulerService.h
@@ -12,6 +12,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <functional>
+#include <optional>
 
 namespace chiveshelf {
 
@@ -40,6 +41,10 @@
     // While refusing, Enqueue is answered with Unavailable and NotRun, and nothing waits here.
     void setRefusing(bool);
 
+    // Sets where the weights of a runner are looked up. Without a source, every runner is taken to have the version of its
+    // pool's row. Call it before start().
+    void setWeightsSource(WeightsSource source) { m_weights = std::move(source); }
+
     // Number of Enqueue messages that were accepted.
     std::uint64_t acceptedCount() const { return m_acceptedCount; }
 
@@ -71,6 +76,7 @@
     TableStore& m_tables;
     SchedulerSettings m_settings;
     std::map<std::string, std::unique_ptr<PoolState>> m_pools;
+    WeightsSource m_weights;
     std::uint64_t m_acceptedCount = 0;
     bool m_isRefusing = false;
 };
