--- a/packages/daemon/chiveshelf/daemon/Daemon.h
+++ b/packages/daemon/chiveshelf/daemon/Daemon.h
@@ -48,6 +48,8 @@
     LocalScheduler m_localScheduler;
     DispatchClient m_dispatch;
     QuarantineService m_quarantine;
+    HttpPlatform m_recordPlatform;
+    IdempotencyService m_idempotency;
     EntryService m_entry;
     AdminService m_admin;
     bool m_isDraining = false;
--- a/packages/entry/chiveshelf/entry/CompletionTask.cpp
+++ b/packages/entry/chiveshelf/entry/CompletionTask.cpp
@@ -196,7 +196,9 @@
         logFinished(report, "runner_failed");
         m_excludedRunners.push_back(grant->runner);
         m_failedRuns += isUnreached() ? 0 : 1;
-        const bool isLast = outcome == Outcome::Refused || outcome == Outcome::WrongVersion || m_failedRuns >= maximumRunners
+        // A keyed request goes to a second runner only if the first is certain not to have run it.
+        const bool mayRepeat = m_headers.idempotencyKey.empty() || (m_lastError.verdict == Verdict::NotRun && m_delivered == 0);
+        const bool isLast = outcome == Outcome::Refused || outcome == Outcome::WrongVersion || !mayRepeat || m_failedRuns >= maximumRunners
             || m_excludedRunners.size() >= maximumAttempts;
         if (isLast || !m_ports.dispatch.mayRetry()) {
             // A last attempt that did not run says nothing about the ones before.
@@ -235,7 +237,9 @@
 asio::awaitable<CompletionTask::Outcome> CompletionTask::relay(const Address& address, std::unique_ptr<HttpTokenStream> stream,
     AnswerWriter& writer, Finished& report)
 {
-    m_ports.dispatch.onPreempt(m_internalId, [this, address] { cancelForPreemption(address); });
+    // A keyed request is not preempted: it may run once only, and its runner has begun.
+    if (m_headers.idempotencyKey.empty())
+        m_ports.dispatch.onPreempt(m_internalId, [this, address] { cancelForPreemption(address); });
     int resumes = 0;
     while (true) {
         auto chunk = co_await stream->next();
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -69,6 +69,22 @@
     return { "127." + std::to_string(m_network) + ".0.1", platformPort };
 }
 
+Address Fleet::secondPlatform() const
+{
+    return { "127." + std::to_string(m_network) + ".0.2", platformPort };
+}
+
+void Fleet::setPlatformFaults(const Address& listener, const nlohmann::json& faults)
+{
+    call(listener, Verb::put, "/control/faults", {}, faults.dump());
+}
+
+int Fleet::runCtl(std::vector<std::string> arguments, std::string& output) const
+{
+    arguments.insert(arguments.end(), { "--platform", toString(platform()) });
+    return runToEnd("chivesctl", arguments, output);
+}
+
 Address Fleet::nextAddress(std::uint16_t port)
 {
     return { "127." + std::to_string(m_network) + ".1." + std::to_string(m_nextHost++), port };
@@ -110,7 +126,7 @@
 {
     if (m_platformLink.port == 0)
         m_platformLink = linkTo("platform", platform());
-    m_processes["platform"] = std::make_unique<ChildProcess>("fake_key_value", std::vector<std::string> { "--listen", toString(platform()) }, logPath("platform"));
+    m_processes["platform"] = std::make_unique<ChildProcess>("fake_key_value", std::vector<std::string> { "--listen", toString(platform()), "--second-listen", toString(secondPlatform()) }, logPath("platform"));
     waitForPort(platform(), "/control/stats");
 }
 
@@ -169,6 +185,23 @@
     waitForPort(host.admin, "/healthz");
 }
 
+void Fleet::setPlatformFaults(const nlohmann::json& faults)
+{
+    if (call(platform(), Verb::put, "/control/faults", {}, faults.dump()).status != 200)
+        throw std::runtime_error("fake platform refused its faults");
+}
+
+std::map<std::string, int> Fleet::operationRuns() const
+{
+    std::map<std::string, int> out;
+    for (const auto& [name, isService] : m_isService) {
+        const auto runs = nlohmann::json::parse(call(m_bound.at(name), Verb::get, "/control/runs").body);
+        for (const auto& [operation, count] : runs.items())
+            out[operation] += count.get<int>();
+    }
+    return out;
+}
+
 void Fleet::listHosts()
 {
     auto list = nlohmann::json::array();
@@ -233,10 +266,10 @@
                 const auto state = nlohmann::json::parse(call(host.admin, Verb::get, "/state").body, nullptr, false);
                 if (!state.is_object())
                     return false;
-                for (const auto& [otherName, other] : m_hosts) {
+                for (const auto& other : m_hosts) {
                     const auto& members = state["members"];
-                    const bool isKnown = std::any_of(members.begin(), members.end(), [&](const auto& member) { return member["name"] == otherName; });
-                    if (other.dataCentre == host.dataCentre && !isKnown)
+                    const bool isKnown = std::any_of(members.begin(), members.end(), [&](const auto& member) { return member["name"] == other.first; });
+                    if (other.second.dataCentre == host.dataCentre && !isKnown)
                         return false;
                 }
             }
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -4,6 +4,8 @@
 #include "HttpProbe.h"
 #include "chiveshelf/tables/Tables.h"
 
+#include <nlohmann/json.hpp>
+
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -48,6 +50,12 @@
     // Starts an entry host. `extra` are more flags.
     void startHost(const std::string& name, const std::string& dataCentre, const std::vector<std::string>& extra = {});
 
+    // Sets the faults of the platform, as fakes::FakeKeyValue describes. An empty object ends them.
+    void setPlatformFaults(const nlohmann::json&);
+
+    // Returns how often a plain service ran an operation, over all services.
+    std::map<std::string, int> operationRuns() const;
+
     // Writes the platform's list of hosts.
     void listHosts();
 
@@ -68,6 +76,16 @@
     const std::map<std::string, HostAddresses>& hosts() const { return m_hosts; }
     // The platform itself, also when its leg is behind the proxy.
     chiveshelf::Address platform() const;
+
+    // Address of the platform's second listener, which has faults of its own. Pass it to some hosts with --platform to cut
+    // them off alone.
+    chiveshelf::Address secondPlatform() const;
+
+    // Sets the faults of one of the platform's listeners; see fakes::FakeKeyValue.
+    void setPlatformFaults(const chiveshelf::Address& listener, const nlohmann::json& faults);
+
+    // Runs chivesctl against the platform. `output` receives what it prints.
+    int runCtl(std::vector<std::string> arguments, std::string& output) const;
     const chiveshelf::Address& backend(const std::string& name) const { return m_backends.at(name).address; }
     const chiveshelf::Address& store(const std::string& name) const { return m_stores.at(name).address; }
 
