--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -282,10 +282,10 @@
                 const auto state = nlohmann::json::parse(call(host.admin, Verb::get, "/state").body, nullptr, false);
                 if (!state.is_object())
                     return false;
-                for (const auto& [otherName, other] : m_hosts) {
+                for (const auto& other : m_hosts) {
                     const auto& members = state["members"];
-                    const bool isKnown = std::any_of(members.begin(), members.end(), [&](const auto& member) { return member["name"] == otherName; });
-                    if (other.dataCentre == host.dataCentre && !isKnown)
+                    const bool isKnown = std::any_of(members.begin(), members.end(), [&](const auto& member) { return member["name"] == other.first; });
+                    if (other.second.dataCentre == host.dataCentre && !isKnown)
                         return false;
                 }
             }
