--- a/packages/idempotency/chiveshelf/idempotency/IdempotentRequestStateMachine.cpp
+++ b/packages/idempotency/chiveshelf/idempotency/IdempotentRequestStateMachine.cpp
@@ -38,6 +38,7 @@
         using Unknown = In<IdempotentRequestState::Unknown>;
         using initial_state = Idle;
 
+        // NOLINTNEXTLINE(readability-identifier-naming): Boost.MSM requires this name.
         struct transition_table : boost::mpl::vector<
                                       Row<Idle, On<Event::ClaimSent>, Claiming, none, none>,
                                       Row<Claiming, On<Event::ClaimGranted>, Running, none, none>,
