--- /dev/null
+++ b/bench/endtoend/Workload.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "chiveshelf/core/Priority.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace bench {
+
+// One request of a workload. `startAt` counts from the begin of the run.
+struct PlannedRequest {
+    std::chrono::milliseconds startAt { 0 };
+    std::string organisation;
+    chiveshelf::Priority priority = chiveshelf::Priority::Standard;
+    std::string model;
+    std::string prompt;
+    std::int64_t maxTokens = 16;
+    // Index of the data centre whose balancer gets the request.
+    std::size_t dataCentre = 0;
+    bool isLargeOrganisation = false;
+    bool isMeasured = true;
+
+    auto operator<=>(const PlannedRequest&) const = default;
+};
+
+// What happens to the fleet during a run.
+enum class Disturbance {
+    None,
+    StoreLost,
+    SlowLink,
+    HostKilled,
+    WeightSwap,
+};
+
+// Rates are requests per second over the whole fleet.
+struct Scenario {
+    std::string name;
+    std::string purpose;
+    double urgentRate = 0;
+    double standardRate = 0;
+    double batchRate = 0;
+    // Share of the standard requests that large organisations send.
+    double largeShare = 0.5;
+    // Share of requests that continue a conversation which was seen before.
+    double returningShare = 0.6;
+    Disturbance disturbance = Disturbance::None;
+    std::vector<std::string> policies;
+};
+
+// Sizes of a deployment.
+struct Deployment {
+    std::string name;
+    std::vector<std::string> dataCentres;
+    std::string mainPool;
+    int mainRunners = 0;
+    std::string deskPool;
+    int deskRunners = 0;
+    std::vector<std::string> stores;
+    std::chrono::milliseconds weightLoad { 0 };
+};
+
+// Returns Pellham's or Glowline's sizes of today.
+Deployment makeDeployment(const std::string& name);
+
+// Returns all scenarios.
+std::vector<Scenario> makeScenarios();
+
+// Draws the requests of a run, ordered by start. The same seed gives the same requests for every policy.
+std::vector<PlannedRequest> planRequests(const Scenario&, const Deployment&, std::chrono::milliseconds duration, std::uint64_t seed);
+
+// Requests that fill the caches and stores before a run, one per conversation that returns later.
+std::vector<PlannedRequest> planWarmUp(const Scenario&, const Deployment&, std::uint64_t seed);
+
+}
--- a/packages/daemon/chiveshelf/daemon/Daemon.cpp
+++ b/packages/daemon/chiveshelf/daemon/Daemon.cpp
@@ -32,17 +32,19 @@
     , m_client(context)
     , m_platform(m_client, m_settings.platformAddress, platformLimits)
     , m_runners(m_client, runnerLimits)
-    , m_tableAgent(context, m_platform, m_tables)
+    , m_cache(context, m_client, m_settings.cache,
+          [this](Address runner, ExportRequest request) { return m_runners.exportBlock(std::move(runner), std::move(request)); })
     , m_members({ m_settings.hostName, m_settings.dataCentre, m_settings.advertisedPeerAddress, MemberState::Live, 0 })
     , m_membership(context, m_platform, m_members)
     , m_datagrams(context)
     , m_peerServer(context)
     , m_peerClient(context)
+    , m_tableAgent(context, m_platform, m_tables, m_members, m_datagrams, m_peerServer, m_peerClient)
     , m_scheduler(context, m_peerServer, m_tables, m_settings.dataCentre)
     , m_dispatch(context, m_peerClient, m_members)
     , m_recordPlatform(m_client, m_settings.platformAddress, recordLimits)
     , m_idempotency(context, m_peerServer, m_peerClient, m_members, m_recordPlatform, m_settings.idempotency)
-    , m_entry(context, {}, { m_tables, m_dispatch, m_runners, m_client, m_idempotency }, m_settings.dataCentre)
+    , m_entry(context, {}, { m_tables, m_dispatch, m_runners, m_cache, m_client, m_idempotency }, m_settings.dataCentre)
     , m_admin(context,
           { [this] { return state(); }, [this] { return metrics(); },
               [this] { return m_tables.snapshot()->revision > 0 && !m_isDraining; }, [this] { drain(); } })
@@ -60,6 +62,7 @@
     m_membership.start();
     m_scheduler.start();
     m_dispatch.start();
+    m_cache.start();
     logEvent(LogLevel::Info, "started",
         { { "host", m_settings.hostName }, { "data_centre", m_settings.dataCentre }, { "listen", toString(m_settings.callerAddress) } });
     return {};
@@ -103,6 +106,7 @@
         { "data_centre", m_settings.dataCentre },
         { "draining", m_isDraining },
         { "tables_revision", m_tables.snapshot()->revision },
+        { "tables", { { "watching", m_tableAgent.isWatching() }, { "edit_id", m_tables.snapshot()->editId } } },
         { "members", members },
         { "pools", m_scheduler.state() },
         { "active_requests", m_entry.activeRequests() },
@@ -138,7 +142,27 @@
     counter("chiveshelf_idempotency_replays_total", "Callers that got a recorded outcome.", m_entry.counters().replays);
     counter("chiveshelf_idempotency_given_up_total", "Ends of attempts that could not be recorded.", m_idempotency.givenUpCount());
     gauge("chiveshelf_idempotency_pending", "Ends of attempts that are not recorded yet.", static_cast<double>(m_idempotency.pendingCount()));
+    const auto& cache = m_cache.counters();
+    const auto& exports = m_cache.exports().counters();
+    counter("chiveshelf_store_lookups_total", "Look-ups of stored blocks.", cache.lookUps);
+    counter("chiveshelf_store_lookup_failures_total", "Look-ups that failed or took too long.", cache.lookUpFailures);
+    counter("chiveshelf_import_plans_total", "Requests sent to a runner with blocks to import.", cache.importPlans);
+    counter("chiveshelf_import_failures_total", "Requests whose planned import was not complete; the rest was recomputed.", cache.importFailures);
+    counter("chiveshelf_prompt_tokens_total", "Prompt tokens of answered requests.", cache.promptTokens);
+    counter("chiveshelf_cached_tokens_total", "Prompt tokens taken from a runner's cache.", cache.cachedTokens);
+    counter("chiveshelf_imported_tokens_total", "Prompt tokens imported from a store.", cache.importedTokens);
+    counter("chiveshelf_exported_blocks_total", "Blocks written to a store and confirmed.", exports.blocks);
+    counter("chiveshelf_export_failures_total", "Exports that failed.", exports.failures);
+    counter("chiveshelf_exports_dropped_total", "Export offers given up because of age, a full queue or an unreachable store.", exports.dropped);
+    gauge("chiveshelf_exports_queued", "Export offers that wait for an idle link.", static_cast<double>(m_cache.exports().queued()));
     gauge("chiveshelf_active_requests", "Requests that are being served.", static_cast<double>(m_entry.activeRequests()));
+    const auto& tables = m_tableAgent.counters();
+    counter("chiveshelf_tables_pulls_total", "Pulls of the tables from peers.", tables.pulls);
+    counter("chiveshelf_tables_pull_failures_total", "Pulls of the tables that got no reply.", tables.pullFailures);
+    counter("chiveshelf_tables_whole_pulls_total", "Pulls whose reply held the whole tables.", tables.wholePulls);
+    counter("chiveshelf_tables_announcements_total", "Revision datagrams sent.", tables.announcementsSent);
+    counter("chiveshelf_tables_rejected_total", "Values of the platform's service that are not valid tables.", tables.rejectedValues);
+    gauge("chiveshelf_tables_watching", "1 while this host watches the platform's service.", m_tableAgent.isWatching() ? 1 : 0);
     gauge("chiveshelf_tables_revision", "Revision of the tables in force.", static_cast<double>(m_tables.snapshot()->revision));
     return prometheus::TextSerializer().Serialize(registry.Collect());
 }
--- a/packages/daemon/chiveshelf/daemon/Daemon.h
+++ b/packages/daemon/chiveshelf/daemon/Daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chiveshelf/cache/BlockCache.h"
 #include "chiveshelf/daemon/AdminService.h"
 #include "chiveshelf/daemon/DaemonSettings.h"
 #include "chiveshelf/dispatch/DispatchClient.h"
@@ -35,13 +36,14 @@
     http::Client m_client;
     HttpPlatform m_platform;
     HttpRunner m_runners;
+    BlockCache m_cache;
     TableStore m_tables;
-    TableAgent m_tableAgent;
     MemberDirectory m_members;
     MembershipService m_membership;
     peer::DatagramChannel m_datagrams;
     peer::PeerServer m_peerServer;
     peer::PeerClient m_peerClient;
+    TableAgent m_tableAgent;
     SchedulerService m_scheduler;
     DispatchClient m_dispatch;
     HttpPlatform m_recordPlatform;
--- a/packages/daemon/chiveshelf/daemon/DaemonSettings.h
+++ b/packages/daemon/chiveshelf/daemon/DaemonSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chiveshelf/cache/BlockCache.h"
 #include "chiveshelf/idempotency/ShardWriter.h"
 #include "chiveshelf/settings/OptionSet.h"
 
@@ -18,6 +19,7 @@
     ShardWriterSettings idempotency;
     std::chrono::milliseconds drainLimit { 0 };
     std::string logLevel;
+    CacheSettings cache;
 
     bool operator==(const DaemonSettings&) const = default;
 };
--- a/tests/support/Fleet.cpp
+++ b/tests/support/Fleet.cpp
@@ -4,6 +4,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -43,9 +47,16 @@
 {
     m_folder = (std::filesystem::temp_directory_path() / ("chiveshelf-test-" + std::to_string(m_network))).string();
     std::filesystem::create_directories(m_folder);
+    m_networkLock = ::open((m_folder + "/lock").c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0644);
+    if (m_networkLock < 0 || ::flock(m_networkLock, LOCK_EX) != 0)
+        throw std::runtime_error("cannot lock " + m_folder);
 }
 
-Fleet::~Fleet() = default;
+Fleet::~Fleet()
+{
+    m_processes.clear();
+    ::close(m_networkLock);
+}
 
 std::string Fleet::logPath(const std::string& name) const
 {
@@ -178,7 +189,7 @@
 {
     auto list = nlohmann::json::array();
     for (const auto& [name, host] : m_hosts)
-        list.push_back({ { "name", name }, { "address", toString(host.peer) }, { "data_centre", host.dataCentre }, { "leaving", false } });
+        list.push_back({ { "name", name }, { "address", toString(host.peer) }, { "admin_address", toString(host.admin) }, { "data_centre", host.dataCentre }, { "leaving", false } });
     call(platform(), Verb::put, "/control/hosts", {}, list.dump());
 }
 
--- a/tests/support/Fleet.h
+++ b/tests/support/Fleet.h
@@ -89,6 +89,8 @@
     // Returns the address under which others reach `target`: a new link's, or the target itself if the leg has none.
     chiveshelf::Address linkTo(const std::string& leg, const chiveshelf::Address& target);
 
+    // Held while the fleet uses its network, so that a run from another checkout waits.
+    int m_networkLock = -1;
     int m_network;
     int m_nextHost = 1;
     std::string m_folder;
@@ -96,13 +98,13 @@
     std::map<std::string, HostAddresses> m_hosts;
     std::map<std::string, chiveshelf::Backend> m_backends;
     std::map<std::string, bool> m_isService;
+    std::map<std::string, chiveshelf::Backend> m_stores;
     // Addresses that the processes bind, by name.
     std::map<std::string, chiveshelf::Address> m_bound;
     std::map<std::string, HostAddresses> m_boundHosts;
     std::set<std::string> m_proxiedLegs;
     chiveshelf::Address m_proxyControl;
     chiveshelf::Address m_platformLink;
-    std::map<std::string, chiveshelf::Backend> m_stores;
 };
 
 }
