--- a/packages/dispatch/chiveshelf/dispatch/DispatchClient.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/DispatchClient.cpp
@@ -87,6 +87,21 @@
         co_await m_peers.call(host->peerAddress, std::move(report), reportLimit);
 }
 
+void DispatchClient::cancel(const std::string& pool, const std::string& requestId)
+{
+    CancelQueued message;
+    message.requestId = requestId;
+    message.pool = pool;
+    asio::co_spawn(m_context, sendCancel(std::move(message)), asio::detached);
+}
+
+asio::awaitable<void> DispatchClient::sendCancel(CancelQueued message)
+{
+    const auto* host = owner(message.pool);
+    if (host)
+        co_await m_peers.call(host->peerAddress, std::move(message), reportLimit);
+}
+
 asio::awaitable<void> DispatchClient::renewLoop()
 {
     asio::steady_timer timer(m_context);
--- a/packages/dispatch/chiveshelf/dispatch/DispatchClient.h
+++ b/packages/dispatch/chiveshelf/dispatch/DispatchClient.h
@@ -22,6 +22,11 @@
     // verdict NotRun, since a queued request has not reached a runner.
     boost::asio::awaitable<Result<Grant>> acquire(Enqueue);
 
+    // Takes a request that waits in acquire() out of its queue. Returns without waiting for the owner.
+    void cancel(const std::string& pool, const std::string& requestId);
+
+    boost::asio::io_context& context() { return m_context; }
+
     // Reports the end of a granted request. Returns without waiting for the owner.
     void release(Finished);
 
@@ -36,6 +41,7 @@
     boost::asio::awaitable<void> renewLoop();
     boost::asio::awaitable<void> renew(std::string pool, std::vector<RunningRequest>);
     boost::asio::awaitable<void> sendFinished(Finished);
+    boost::asio::awaitable<void> sendCancel(CancelQueued);
     const Member* owner(const std::string& pool) const;
 
     boost::asio::io_context& m_context;
--- a/packages/entry/chiveshelf/entry/AnswerWriter.h
+++ b/packages/entry/chiveshelf/entry/AnswerWriter.h
@@ -31,6 +31,8 @@
     // Sends or keeps one piece. Fails with Cancelled when the caller has gone.
     boost::asio::awaitable<Result<void>> token(const std::string& text);
 
+    http::Exchange& exchange() { return m_exchange; }
+
     // Ends the answer.
     boost::asio::awaitable<Result<void>> finish(const std::string& finishReason, const Usage&);
 
--- a/packages/entry/chiveshelf/entry/CallerRequest.cpp
+++ b/packages/entry/chiveshelf/entry/CallerRequest.cpp
@@ -29,6 +29,30 @@
             && std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > 0x20 && c < 0x7f; });
     }
 
+    // A document of this many values takes some MB in memory; deeper or longer ones are not prompts. Without the limit a body of 8 MB
+    // of brackets takes more than 500 MB.
+    constexpr std::size_t maximumValues = 100'000;
+    constexpr int maximumDepth = 32;
+
+    struct DocumentTooLarge : std::exception {
+    };
+
+    // Parses a document of bounded depth and number of values. Returns a discarded value if it is malformed or exceeds a bound.
+    json parseBounded(const std::string& text)
+    {
+        std::size_t values = 0;
+        const auto count = [&](int depth, json::parse_event_t, const json&) {
+            if (depth > maximumDepth || ++values > maximumValues)
+                throw DocumentTooLarge();
+            return true;
+        };
+        try {
+            return json::parse(text, count, false);
+        } catch (const DocumentTooLarge&) {
+            return json(json::value_t::discarded);
+        }
+    }
+
     // The content of a chat message is a string, or a list of parts of which only text is taken.
     Result<std::string> contentText(const json& content)
     {
@@ -118,9 +142,9 @@
 
 Result<CompletionCall> parseCompletion(const std::string& text, bool isChat)
 {
-    const auto body = json::parse(text, nullptr, false);
+    const auto body = parseBounded(text);
     if (!body.is_object())
-        return invalid("the body must be a JSON object");
+        return invalid("the body must be a JSON object of at most 32 levels and 100000 values");
     CompletionCall call;
     call.isChat = isChat;
     const auto model = body.find("model");
--- a/packages/entry/chiveshelf/entry/CompletionTask.cpp
+++ b/packages/entry/chiveshelf/entry/CompletionTask.cpp
@@ -2,6 +2,7 @@
 
 #include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/entry/CallerWatch.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -135,11 +136,36 @@
     co_return true;
 }
 
+void CompletionTask::stopForGoneCaller()
+{
+    m_hasCallerGone = true;
+    if (!m_runningOn) {
+        m_ports.dispatch.cancel(m_pool.name, m_internalId);
+        return;
+    }
+    asio::co_spawn(
+        m_ports.dispatch.context(),
+        [](HttpRunner& runners, Address runner, std::string id) -> asio::awaitable<void> {
+            co_await runners.cancel(std::move(runner), std::move(id));
+        }(m_ports.runners, *m_runningOn, m_internalId),
+        asio::detached);
+}
+
 asio::awaitable<void> CompletionTask::run(AnswerWriter& writer)
 {
+    const CallerWatch watch(m_ports.dispatch.context().get_executor(), writer.exchange(), [this] { stopForGoneCaller(); });
     co_await findBlocks();
     while (true) {
         auto grant = co_await m_ports.dispatch.acquire(makeEnqueue());
+        if (grant && watch.hasGone()) {
+            // The cancellation and the grant crossed.
+            Finished unused;
+            unused.requestId = m_internalId;
+            unused.pool = m_pool.name;
+            unused.runner = grant->runner;
+            m_ports.dispatch.release(unused);
+            grant = failure(ErrorCode::Cancelled, "caller has gone", Verdict::NotRun);
+        }
         if (!grant) {
             // What was already delivered did run, whatever became of this attempt.
             grant.error().verdict = m_delivered > 0 ? Verdict::Ran : m_worstVerdict;
@@ -157,9 +183,10 @@
         report.totalMs = millisecondsSince(start);
         report.hasSucceeded = outcome == Outcome::Done;
         m_importPlan.inFlight.reset();
+        m_runningOn.reset();
         m_ports.dispatch.release(report);
-        if (outcome == Outcome::Done || outcome == Outcome::CallerGone) {
-            logFinished(report, outcome == Outcome::Done ? "done" : "caller_gone");
+        if (outcome == Outcome::Done || outcome == Outcome::CallerGone || watch.hasGone()) {
+            logFinished(report, watch.hasGone() || outcome == Outcome::CallerGone ? "caller_gone" : "done");
             co_return;
         }
         if (outcome == Outcome::WrongVersion && co_await prepareForOtherVersion(grant->runner))
@@ -184,6 +211,7 @@
         m_lastError = address.error();
         co_return Outcome::Refused;
     }
+    m_runningOn = *address;
     auto request = makeRequest(grant);
     auto stream = co_await m_ports.runners.start(*address, request);
     if (!stream && stream.error().verdict != Verdict::NotRun && request.mayRepeat) {
@@ -228,6 +256,9 @@
             stream = std::move(*resumed);
             continue;
         }
+        // The runner ends a cancelled stream in order; its part must not be taken for the whole answer.
+        if (chunk->isLast() && m_hasCallerGone)
+            co_return Outcome::CallerGone;
         if (chunk->isLast()) {
             const auto usage = chunk->usage.value_or(Usage {});
             report.promptTokens = usage.promptTokens;
--- a/packages/entry/chiveshelf/entry/CompletionTask.h
+++ b/packages/entry/chiveshelf/entry/CompletionTask.h
@@ -45,6 +45,8 @@
     boost::asio::awaitable<bool> prepareForOtherVersion(const std::string& runner);
     BlockIdentity blockIdentity(const std::string& version) const;
     void finishBlocks(const Address& runner, const Finished&);
+    // Frees the queue entry or the runner of a request whose caller went away.
+    void stopForGoneCaller();
     void logFinished(const Finished&, std::string_view outcome) const;
 
     CompletionPorts m_ports;
@@ -63,6 +65,9 @@
     std::chrono::steady_clock::time_point m_deadline;
     PromptBlocks m_blocks;
     ImportPlan m_importPlan;
+    bool m_hasCallerGone = false;
+    // The runner that the request was sent to, while it is there.
+    std::optional<Address> m_runningOn;
     Error m_lastError;
     // Over all attempts: once one may have run, a later one that did not does not make the request "not run".
     Verdict m_worstVerdict = Verdict::NotRun;
--- a/packages/entry/chiveshelf/entry/ServiceCall.cpp
+++ b/packages/entry/chiveshelf/entry/ServiceCall.cpp
@@ -11,6 +11,8 @@
 namespace {
 
     constexpr http::CallLimits serviceLimits { std::chrono::milliseconds(300), std::chrono::milliseconds(5'000) };
+    // Calls that may be repeated move on sooner.
+    constexpr std::chrono::milliseconds repeatableProgress { 2'000 };
     constexpr std::size_t maximumAttempts = 2;
 
     // Headers that belong to one connection and are not passed on.
@@ -53,6 +55,8 @@
     auto limits = serviceLimits;
     // A pooled connection may have been lost without a sign; a call over it would end with an unknown outcome.
     limits.isReuseAllowed = mayRepeat;
+    if (mayRepeat)
+        limits.progress = repeatableProgress;
     Error last { ErrorCode::Unavailable, "no runner in pool '" + m_pool.name + "'", Verdict::NotRun, std::nullopt };
     std::size_t attempts = 0;
     for (const auto& backend : candidates()) {
@@ -67,6 +71,9 @@
             response->set("X-Request-Id", m_headers.requestId);
             co_return response;
         }
+        // The pooled connections to the next runner may have gone silent too, and it may just be slow.
+        limits = serviceLimits;
+        limits.isReuseAllowed = false;
         last.message = response.error().message;
         last.code = response.error().code;
         // Once one attempt may have run, a later one that did not run does not make it "not run".
--- a/packages/http/chiveshelf/http/Server.cpp
+++ b/packages/http/chiveshelf/http/Server.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace chiveshelf::http {
@@ -22,6 +24,8 @@
     // Wait after a failed accept, for instance when file descriptors run out.
     constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
+    constexpr int sendBufferBytes = 128 * 1024;
+
     Error writeFailure(const boost::system::error_code& ec)
     {
         return Error { ErrorCode::Cancelled, "write to peer failed: " + ec.message(), Verdict::MayHaveRun, std::nullopt };
@@ -142,7 +146,8 @@
     if (!m_stream.socket().is_open())
         return true;
     char byte = 0;
-    return ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    const auto n = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
 Server::Server(asio::io_context& context, ServerLimits limits, Handler handler)
@@ -208,6 +213,10 @@
         if (m_connections.size() >= m_limits.connections)
             continue;
         socket.set_option(asio::ip::tcp::no_delay(true), ec);
+        // Bounds what a peer that reads slowly holds in the kernel; the handler waits for it then.
+        socket.set_option(asio::socket_base::send_buffer_size(sendBufferBytes), ec);
+        const auto unacknowledged = static_cast<unsigned>(m_limits.write.count());
+        ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged, sizeof(unacknowledged));
         auto connection = std::make_shared<Connection>(std::move(socket));
         m_connections.insert(connection);
         asio::co_spawn(m_context, serve(connection), asio::detached);
--- a/packages/idempotency/chiveshelf/idempotency/ShardWriter.cpp
+++ b/packages/idempotency/chiveshelf/idempotency/ShardWriter.cpp
@@ -144,10 +144,18 @@
     state.isRunning = false;
 }
 
+asio::awaitable<Result<KeyValueEntry>> ShardWriter::read(std::string key)
+{
+    auto entry = co_await m_platform.get(key);
+    if (!entry && entry.error().code == ErrorCode::Timeout)
+        entry = co_await m_platform.get(key);
+    co_return entry;
+}
+
 asio::awaitable<Result<void>> ShardWriter::load(std::uint32_t shard)
 {
     auto& state = *m_shards.at(shard);
-    auto entry = co_await m_platform.get(shardKey(shard));
+    auto entry = co_await read(shardKey(shard));
     if (!entry)
         co_return tl::unexpected(entry.error());
     auto parsed = Shard::parse(entry->value, m_settings.limits);
@@ -163,10 +171,10 @@
     if (m_hasCheckedLayout)
         co_return Result<void> {};
     const auto wanted = std::to_string(m_settings.shards);
-    auto entry = co_await m_platform.get(layoutKey);
+    auto entry = co_await read(layoutKey);
     if (entry && entry->revision == 0) {
         co_await m_platform.compareAndSwap(layoutKey, 0, wanted, std::nullopt);
-        entry = co_await m_platform.get(layoutKey);
+        entry = co_await read(layoutKey);
     }
     if (!entry)
         co_return tl::unexpected(entry.error());
--- a/packages/idempotency/chiveshelf/idempotency/ShardWriter.h
+++ b/packages/idempotency/chiveshelf/idempotency/ShardWriter.h
@@ -61,6 +61,10 @@
     boost::asio::awaitable<Result<void>> write(std::uint32_t shard, const Group&);
     boost::asio::awaitable<Result<void>> load(std::uint32_t shard);
     boost::asio::awaitable<Result<void>> checkLayout();
+
+    // Reads a key, once more if the connection gave no sign in time: a pooled one may have gone silent, and a time-out closes all of
+    // them.
+    boost::asio::awaitable<Result<KeyValueEntry>> read(std::string key);
     void answer(const Group&, const Result<void>&);
     void limitCache(std::uint32_t keep);
 
--- a/packages/peer/chiveshelf/peer/PeerServer.cpp
+++ b/packages/peer/chiveshelf/peer/PeerServer.cpp
@@ -17,6 +17,9 @@
 
     // Wait after a failed accept, for instance when file descriptors run out.
     constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+    // Clients close links that are unused for 30 s; one that is silent for longer has lost its client without a sign.
+    constexpr auto silenceLimit = std::chrono::seconds(60);
+    constexpr auto sweepInterval = std::chrono::seconds(10);
 
 }
 
@@ -29,6 +32,7 @@
 
     asio::ip::tcp::socket socket;
     Mailbox<std::string> outgoing;
+    std::chrono::steady_clock::time_point lastReceived = std::chrono::steady_clock::now();
 };
 
 PeerServer::PeerServer(asio::io_context& context)
@@ -54,6 +58,7 @@
         return failure(ErrorCode::Unavailable, "cannot listen on " + toString(address) + ": " + ec.message(), Verdict::NotRun);
     m_address = { address.ip, m_acceptor.local_endpoint().port() };
     asio::co_spawn(m_context, acceptLoop(), asio::detached);
+    asio::co_spawn(m_context, sweepLoop(), asio::detached);
     return {};
 }
 
@@ -86,12 +91,28 @@
     }
 }
 
+asio::awaitable<void> PeerServer::sweepLoop()
+{
+    asio::steady_timer timer(m_context);
+    while (m_acceptor.is_open()) {
+        boost::system::error_code ec;
+        timer.expires_after(sweepInterval);
+        co_await timer.async_wait(redirect_error(use_awaitable, ec));
+        const auto oldest = std::chrono::steady_clock::now() - silenceLimit;
+        for (const auto& connection : m_connections) {
+            if (connection->lastReceived < oldest)
+                connection->socket.close(ec);
+        }
+    }
+}
+
 asio::awaitable<void> PeerServer::readLoop(std::shared_ptr<Connection> connection)
 {
     while (true) {
         auto frame = co_await readFrame(connection->socket);
         if (!frame)
             break;
+        connection->lastReceived = std::chrono::steady_clock::now();
         if (frame->kind == FrameKind::Ping)
             connection->outgoing.push(serializeFrame({ FrameKind::Pong, frame->type, frame->correlation, {} }));
         if (frame->kind == FrameKind::Request)
--- a/packages/peer/chiveshelf/peer/PeerServer.h
+++ b/packages/peer/chiveshelf/peer/PeerServer.h
@@ -59,6 +59,8 @@
     using ByteHandler = std::function<boost::asio::awaitable<Result<std::string>>(std::string)>;
 
     boost::asio::awaitable<void> acceptLoop();
+    // Closes connections on which nothing has arrived for long.
+    boost::asio::awaitable<void> sweepLoop();
     boost::asio::awaitable<void> readLoop(std::shared_ptr<Connection>);
     boost::asio::awaitable<void> writeLoop(std::shared_ptr<Connection>);
     boost::asio::awaitable<void> serve(std::shared_ptr<Connection>, Frame);
