--- a/packages/dispatch/chiveshelf/dispatch/DispatchClient.h
+++ b/packages/dispatch/chiveshelf/dispatch/DispatchClient.h
@@ -28,6 +28,11 @@
     // verdict NotRun, since a queued request has not reached a runner.
     boost::asio::awaitable<Result<Grant>> acquire(Enqueue);
 
+    // Takes a request that waits in acquire() out of its queue. Returns without waiting for the owner.
+    void cancel(const std::string& pool, const std::string& requestId);
+
+    boost::asio::io_context& context() { return m_context; }
+
     // Reports the end of a granted request. Returns without waiting for the owner.
     void release(Finished);
 
@@ -49,7 +54,6 @@
     bool mayRetry() { return m_retries.take(); }
     const RetryBudget& retryBudget() const { return m_retries; }
 
-    boost::asio::io_context& context() { return m_context; }
     std::size_t runningCount() const { return m_running.size(); }
 
 private:
@@ -68,6 +72,7 @@
     boost::asio::awaitable<void> renew(std::string pool, std::vector<RunningRequest>);
     boost::asio::awaitable<void> sendFinished(Finished);
     const Member* owner(const std::string& pool);
+    boost::asio::awaitable<void> sendCancel(CancelQueued);
 
     boost::asio::io_context& m_context;
     peer::PeerClient& m_peers;
--- a/packages/entry/chiveshelf/entry/CompletionTask.cpp
+++ b/packages/entry/chiveshelf/entry/CompletionTask.cpp
@@ -2,6 +2,7 @@
 
 #include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/entry/CallerWatch.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -107,6 +108,7 @@
     request.expectedVersion = grant.tablesRevision >= m_tablesRevision ? grant.version : m_pool.version;
     request.adapter = m_pool.adapter;
     request.resumeFrom = m_delivered;
+    request.mayRepeat = m_headers.idempotencyKey.empty();
     if (request.expectedVersion != m_blocks.identity.version)
         m_blocks = m_ports.cache.withoutStore(blockIdentity(request.expectedVersion), m_call.prompt);
     m_importPlan = m_ports.cache.planImport(m_blocks, m_priority);
@@ -149,6 +151,21 @@
     co_return true;
 }
 
+void CompletionTask::stopForGoneCaller()
+{
+    m_hasCallerGone = true;
+    if (!m_runningOn) {
+        m_ports.dispatch.cancel(m_pool.name, m_internalId);
+        return;
+    }
+    asio::co_spawn(
+        m_ports.dispatch.context(),
+        [](HttpRunner& runners, Address runner, std::string id) -> asio::awaitable<void> {
+            co_await runners.cancel(std::move(runner), std::move(id));
+        }(m_ports.runners, *m_runningOn, m_internalId),
+        asio::detached);
+}
+
 asio::awaitable<void> CompletionTask::run(AnswerWriter& writer)
 {
     const auto mayRun = m_ports.quarantine.check(m_fingerprint);
@@ -156,9 +173,19 @@
         co_await refuse(writer, mayRun.error());
         co_return;
     }
+    const CallerWatch watch(m_ports.dispatch.context().get_executor(), writer.exchange(), [this] { stopForGoneCaller(); });
     co_await findBlocks();
     while (true) {
         auto grant = co_await m_ports.dispatch.acquire(makeEnqueue());
+        if (grant && watch.hasGone()) {
+            // The cancellation and the grant crossed.
+            Finished unused;
+            unused.requestId = m_internalId;
+            unused.pool = m_pool.name;
+            unused.runner = grant->runner;
+            m_ports.dispatch.release(unused);
+            grant = failure(ErrorCode::Cancelled, "caller has gone", Verdict::NotRun);
+        }
         if (!grant) {
             // What was already delivered did run, whatever became of this attempt.
             if (m_delivered > 0 || m_hasStarted || m_failedRuns > 0)
@@ -177,6 +204,7 @@
         report.hasRunnerFailed = outcome == Outcome::RunnerLost || outcome == Outcome::RunnerCrashed;
         report.isRunnerGone = outcome == Outcome::RunnerCrashed || (outcome == Outcome::RunnerLost && isUnreached());
         m_importPlan.inFlight.reset();
+        m_runningOn.reset();
         m_ports.dispatch.release(report);
         if (outcome == Outcome::Preempted) {
             logFinished(report, "preempted");
@@ -187,8 +215,8 @@
         }
         if (outcome == Outcome::RunnerCrashed)
             m_ports.quarantine.reportCrash(m_fingerprint, grant->runner);
-        if (outcome == Outcome::Done || outcome == Outcome::CallerGone) {
-            logFinished(report, outcome == Outcome::Done ? "done" : "caller_gone");
+        if (outcome == Outcome::Done || outcome == Outcome::CallerGone || watch.hasGone()) {
+            logFinished(report, outcome == Outcome::CallerGone || watch.hasGone() ? "caller_gone" : "done");
             co_return;
         }
         if (outcome == Outcome::WrongVersion && co_await prepareForOtherVersion(grant->runner))
@@ -219,7 +247,18 @@
         m_lastError = address.error();
         co_return Outcome::Refused;
     }
-    auto stream = co_await m_ports.runners.start(*address, makeRequest(grant));
+    m_runningOn = *address;
+    auto request = makeRequest(grant);
+    auto stream = co_await m_ports.runners.start(*address, request);
+    if (!stream && stream.error().verdict != Verdict::NotRun && request.mayRepeat) {
+        // The connection may have gone silent while it was pooled. The runner tells on a new one whether it has the request.
+        const auto first = stream.error();
+        stream = co_await m_ports.runners.resume(*address, m_internalId, m_delivered);
+        if (!stream && stream.error().code == ErrorCode::NotFound)
+            stream = co_await m_ports.runners.start(*address, request);
+        if (!stream && stream.error().verdict == Verdict::NotRun)
+            stream = tl::unexpected(first);
+    }
     if (!stream) {
         m_lastError = stream.error();
         if (m_lastError.code == ErrorCode::WrongVersion)
@@ -267,6 +306,9 @@
             stream = std::move(*resumed);
             continue;
         }
+        // The runner ends a cancelled stream in order; its part must not be taken for the whole answer.
+        if (chunk->isLast() && m_hasCallerGone)
+            co_return Outcome::CallerGone;
         if (chunk->isLast()) {
             const auto usage = chunk->usage.value_or(Usage {});
             report.promptTokens = usage.promptTokens;
--- a/packages/entry/chiveshelf/entry/CompletionTask.h
+++ b/packages/entry/chiveshelf/entry/CompletionTask.h
@@ -53,6 +53,8 @@
     // Whether the last attempt failed before the runner had the request.
     bool isUnreached() const;
     boost::asio::awaitable<void> refuse(AnswerWriter&, const Error&);
+    // Frees the queue entry or the runner of a request whose caller went away.
+    void stopForGoneCaller();
     void logFinished(const Finished&, std::string_view outcome) const;
 
     CompletionPorts m_ports;
@@ -81,6 +83,9 @@
     std::chrono::steady_clock::time_point m_deadline;
     PromptBlocks m_blocks;
     ImportPlan m_importPlan;
+    bool m_hasCallerGone = false;
+    // The runner that the request was sent to, while it is there.
+    std::optional<Address> m_runningOn;
     Error m_lastError;
 };
 
--- a/packages/runner/chiveshelf/runner/HttpRunner.h
+++ b/packages/runner/chiveshelf/runner/HttpRunner.h
@@ -52,7 +52,7 @@
     boost::asio::awaitable<Result<void>> command(Address, RunnerCommand);
 
 private:
-    boost::asio::awaitable<Result<std::unique_ptr<HttpTokenStream>>> openStream(Address, http::Request);
+    boost::asio::awaitable<Result<std::unique_ptr<HttpTokenStream>>> openStream(Address, http::Request, http::CallLimits);
 
     http::Client& m_client;
     http::CallLimits m_limits;
--- a/packages/runner/chiveshelf/runner/RunnerPort.h
+++ b/packages/runner/chiveshelf/runner/RunnerPort.h
@@ -36,6 +36,8 @@
     std::chrono::milliseconds importLimit { 0 };
     // Tokens that the caller already has from another runner; generation goes on after them.
     std::int64_t resumeFrom = 0;
+    // False for a request that must not run twice: it is sent over a new connection, never over a pooled one that may be lost.
+    bool mayRepeat = true;
 
     auto operator<=>(const CompletionRequest&) const = default;
 };
