--- a/packages/daemon/chiveshelf/daemon/Daemon.cpp
+++ b/packages/daemon/chiveshelf/daemon/Daemon.cpp
@@ -1,5 +1,6 @@
 #include "chiveshelf/daemon/Daemon.h"
 
+#include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -28,6 +29,40 @@
     // Longest wait at shutdown for other hosts to confirm that requests have ended. Their slots would be freed later anyway.
     constexpr auto reportLimit = std::chrono::milliseconds(1'000);
 
+    PolicyKind policyKind(const DaemonSettings& settings)
+    {
+        return policyKindFromName(settings.schedulingPolicy).value_or(PolicyKind::FairShare);
+    }
+
+    SchedulerSettings schedulerSettings(const DaemonSettings& settings)
+    {
+        SchedulerSettings out;
+        out.dataCentre = settings.dataCentre;
+        out.policy = policyKind(settings);
+        out.fairShare.cacheBlocksPerRunner = static_cast<std::size_t>(settings.cacheBlocksPerRunner);
+        out.fairShare.blockTokens = settings.cache.blockTokens;
+        out.fairShare.cacheHalfLife = settings.cacheHalfLife;
+        out.fairShare.importsPerLink = static_cast<std::size_t>(settings.importsPerLink);
+        // Differs between hosts, so that their callers' retry times do too.
+        out.fairShare.seed = static_cast<std::uint32_t>(hash64(settings.hostName));
+        return out;
+    }
+
+    void addSchedulerMetrics(prometheus::Registry& registry, const SchedulerCounters& counters)
+    {
+        auto& decisions = prometheus::BuildCounter()
+                              .Name("chiveshelf_scheduler_decisions_total")
+                              .Help("Decisions of this host as scheduler, by priority class.")
+                              .Register(registry);
+        for (const auto priority : allPriorities) {
+            const std::string name(priorityName(priority));
+            const auto index = priorityIndex(priority);
+            decisions.Add({ { "class", name }, { "decision", "granted" } }).Increment(static_cast<double>(counters.granted[index]));
+            decisions.Add({ { "class", name }, { "decision", "refused" } }).Increment(static_cast<double>(counters.refused[index]));
+            decisions.Add({ { "class", name }, { "decision", "preempted" } }).Increment(static_cast<double>(counters.preempted[index]));
+        }
+    }
+
 }
 
 Daemon::Daemon(asio::io_context& context, DaemonSettings settings)
@@ -44,11 +79,14 @@
     , m_peerClient(context)
     , m_membership(context, m_platform, m_datagrams, m_peerClient, m_members)
     , m_tableAgent(context, m_platform, m_tables, m_members, m_datagrams, m_peerServer, m_peerClient)
-    , m_scheduler(context, m_peerServer, m_tables, m_settings.dataCentre)
-    , m_dispatch(context, m_peerClient, m_members)
+    , m_scheduler(context, m_peerServer, m_peerClient, m_members, m_tables, schedulerSettings(m_settings))
+    , m_localScheduler(context, m_client, m_tables, policyKind(m_settings), m_settings.dataCentre)
+    , m_dispatch(context, m_peerServer, m_peerClient, m_members, hasCommonQueue(policyKind(m_settings)) ? nullptr : &m_localScheduler)
+    , m_quarantine(context, m_datagrams, m_members)
     , m_recordPlatform(m_client, m_settings.platformAddress, recordLimits)
     , m_idempotency(context, m_peerServer, m_peerClient, m_members, m_recordPlatform, m_settings.idempotency)
-    , m_entry(context, {}, { m_tables, m_dispatch, m_runners, m_cache, m_client, m_idempotency }, m_settings.dataCentre)
+    , m_control({ context, m_platform, m_runners, m_tables, m_members, m_board })
+    , m_entry(context, {}, { m_tables, m_dispatch, m_quarantine, m_runners, m_cache, m_client, m_idempotency }, m_settings.dataCentre)
     , m_admin(context,
           { [this] { return state(); }, [this] { return metrics(); },
               [this] { return m_tables.snapshot()->revision > 0 && !m_isDraining; }, [this] { drain(); } })
@@ -66,7 +104,15 @@
     m_membership.subscribe([this](const MemberChange& change) { handleMemberChange(change); });
     m_dispatch.onLostOwner([this](const Address& address) { m_membership.reportLostConnection(address); });
     m_membership.start();
+    m_scheduler.setWeightsSource([this](const std::string& runner) {
+        RunnerWeights weights { m_board.mayServe(runner), m_board.version(runner) };
+        return weights;
+    });
+    if (m_settings.hasRollouts)
+        m_control.start();
     m_scheduler.start();
+    if (!hasCommonQueue(policyKind(m_settings)))
+        m_localScheduler.start();
     m_dispatch.start();
     m_cache.start();
     logEvent(LogLevel::Info, "started",
@@ -155,7 +201,11 @@
                 { "received_bytes", m_datagrams.receivedBytes() }, { "role_moves", m_members.roleMoves() } } },
         { "roles", m_members.roleOwners() },
         { "scheduler_requests", m_scheduler.acceptedCount() },
-        { "pools", m_scheduler.state() },
+        { "pools", hasCommonQueue(policyKind(m_settings)) ? m_scheduler.state() : m_localScheduler.state() },
+        { "scheduling_policy", m_settings.schedulingPolicy },
+        { "quarantined", m_quarantine.quarantined() },
+        { "retry_budget", { { "available", m_dispatch.retryBudget().available() }, { "denied", m_dispatch.retryBudget().deniedCount() } } },
+        { "control", m_control.state() },
         { "active_requests", m_entry.activeRequests() },
         { "platform_calls", m_platform.callCount() + m_recordPlatform.callCount() },
         { "idempotency",
@@ -211,6 +261,7 @@
     counter("chiveshelf_tables_rejected_total", "Values of the platform's service that are not valid tables.", tables.rejectedValues);
     gauge("chiveshelf_tables_watching", "1 while this host watches the platform's service.", m_tableAgent.isWatching() ? 1 : 0);
     gauge("chiveshelf_tables_revision", "Revision of the tables in force.", static_cast<double>(m_tables.snapshot()->revision));
+    counter("chiveshelf_runner_commands_total", "Commands that this host sent to runners.", m_control.commandCount());
     std::map<MemberState, double> byState;
     for (const auto& member : m_members.all())
         ++byState[member.state];
@@ -225,6 +276,10 @@
     counter("chiveshelf_role_moves_total", "Times that the owner of a role changed in this host's view.", m_members.roleMoves());
     counter("chiveshelf_datagram_sent_bytes_total", "Bytes of datagrams sent to other hosts.", m_datagrams.sentBytes());
     counter("chiveshelf_datagram_received_bytes_total", "Bytes of datagrams received from other hosts.", m_datagrams.receivedBytes());
+    counter("chiveshelf_retries_denied_total", "Retries not made because the retry budget was used up.", m_dispatch.retryBudget().deniedCount());
+    gauge("chiveshelf_quarantined_requests", "Request fingerprints that are refused because runners crashed while they ran them.",
+        static_cast<double>(m_quarantine.quarantined().size()));
+    addSchedulerMetrics(registry, m_scheduler.counters());
     return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
--- a/packages/daemon/chiveshelf/daemon/Daemon.h
+++ b/packages/daemon/chiveshelf/daemon/Daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chiveshelf/cache/BlockCache.h"
+#include "chiveshelf/control/ControlService.h"
 #include "chiveshelf/daemon/AdminService.h"
 #include "chiveshelf/daemon/DaemonSettings.h"
 #include "chiveshelf/dispatch/DispatchClient.h"
@@ -47,9 +48,13 @@
     MembershipService m_membership;
     TableAgent m_tableAgent;
     SchedulerService m_scheduler;
+    LocalScheduler m_localScheduler;
     DispatchClient m_dispatch;
+    QuarantineService m_quarantine;
     HttpPlatform m_recordPlatform;
     IdempotencyService m_idempotency;
+    RunnerBoard m_board;
+    ControlService m_control;
     EntryService m_entry;
     AdminService m_admin;
     bool m_isDraining = false;
--- a/packages/dispatch/chiveshelf/dispatch/SchedulerService.h
+++ b/packages/dispatch/chiveshelf/dispatch/SchedulerService.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "chiveshelf/dispatch/Messages.h"
+#include "chiveshelf/dispatch/PoolScheduler.h"
+#include "chiveshelf/membership/MemberDirectory.h"
+#include "chiveshelf/peer/PeerClient.h"
 #include "chiveshelf/peer/PeerServer.h"
-#include "chiveshelf/scheduling/PoolQueue.h"
 #include "chiveshelf/tables/TableStore.h"
 
 #include <boost/asio/io_context.hpp>
@@ -10,14 +12,22 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <functional>
+#include <optional>
 
 namespace chiveshelf {
 
+// How a host schedules.
+struct SchedulerSettings {
+    std::string dataCentre;
+    PolicyKind policy = PolicyKind::FairShare;
+    FairShareSettings fairShare;
+};
+
 // Schedules the pools that other hosts ask this host about. All state is soft: it is rebuilt from Enqueue and InFlight
 // messages. Construct it before the peer server starts, then call start().
 class SchedulerService {
 public:
-    SchedulerService(boost::asio::io_context&, peer::PeerServer&, TableStore&, std::string dataCentre);
+    SchedulerService(boost::asio::io_context&, peer::PeerServer&, peer::PeerClient&, MemberDirectory&, TableStore&, SchedulerSettings);
     ~SchedulerService();
     SchedulerService(const SchedulerService&) = delete;
     SchedulerService& operator=(const SchedulerService&) = delete;
@@ -31,12 +41,19 @@
     // While refusing, Enqueue is answered with Unavailable and NotRun, and nothing waits here.
     void setRefusing(bool);
 
+    // Sets where the weights of a runner are looked up. Without a source, every runner is taken to have the version of its
+    // pool's row. Call it before start().
+    void setWeightsSource(WeightsSource source) { m_weights = std::move(source); }
+
     // Number of Enqueue messages that were accepted.
     std::uint64_t acceptedCount() const { return m_acceptedCount; }
 
-    // Queues, running requests and last decisions of each pool, for the state dump.
+    // Queues, running requests, last decisions, learned speeds and health of each pool, for the state dump.
     nlohmann::json state() const;
 
+    // Decisions over all pools.
+    SchedulerCounters counters() const;
+
 private:
     struct Waiter;
     struct PoolState;
@@ -46,16 +63,20 @@
     boost::asio::awaitable<Result<Acknowledgement>> finish(Finished);
     boost::asio::awaitable<Result<Acknowledgement>> renew(InFlight);
     boost::asio::awaitable<void> tickLoop();
+    boost::asio::awaitable<void> sendPreempt(std::string entryHost, Preempt);
 
     PoolState& poolState(const std::string& name);
+    // Carries out all decisions that are due.
     void pump(const std::string& poolName);
     void answer(PoolState&, const std::string& requestId, Result<Grant>);
-    std::vector<RunnerSnapshot> snapshotRunners(const Pool&, const PoolState&) const;
 
     boost::asio::io_context& m_context;
+    peer::PeerClient& m_peers;
+    MemberDirectory& m_members;
     TableStore& m_tables;
-    std::string m_dataCentre;
+    SchedulerSettings m_settings;
     std::map<std::string, std::unique_ptr<PoolState>> m_pools;
+    WeightsSource m_weights;
     std::uint64_t m_acceptedCount = 0;
     bool m_isRefusing = false;
 };
--- a/packages/entry/chiveshelf/entry/EntryService.cpp
+++ b/packages/entry/chiveshelf/entry/EntryService.cpp
@@ -107,7 +107,7 @@
             return idempotent->fail(outcome.error().verdict);
         });
     }
-    CompletionTask task({ m_ports.tables, m_ports.dispatch, m_ports.runners, m_ports.cache, m_dataCentre }, headers, *call, *route, *pool);
+    CompletionTask task({ m_ports.tables, m_ports.dispatch, m_ports.quarantine, m_ports.runners, m_ports.cache, m_dataCentre }, headers, *call, *route, *pool);
     co_await task.run(writer);
     // The caller went away in the middle of its answer.
     if (idempotent)
