Know four contacts per data centre, and seed them from a current list

Cause: TablePropagationTest waits until each host knows twelve hosts in three data centres of four. Ruled out: changing the test.

--- a/packages/membership/chiveshelf/membership/FailureDetector.h
+++ b/packages/membership/chiveshelf/membership/FailureDetector.h
@@ -33,7 +33,7 @@
     std::size_t updatesPerDatagram = 8;
     // Known members sent along when there is no news, so that a host that missed an update gets it later.
     std::size_t repeatedUpdates = 2;
-    std::size_t contactsPerDataCentre = 3;
+    std::size_t contactsPerDataCentre = 4;
     // Listed hosts asked at once for their members. Each answers with several datagrams.
     std::size_t joinsAtOnce = 3;
     // Longest time by which a host's copy of the platform's list is taken to lag.
--- a/packages/membership/chiveshelf/membership/MembershipService.cpp
+++ b/packages/membership/chiveshelf/membership/MembershipService.cpp
@@ -106,12 +106,16 @@
     asio::steady_timer timer(m_context);
     auto lastRead = Clock::time_point::min();
     while (true) {
-        const bool isDue = lastRead == Clock::time_point::min() || isLister() || Clock::now() - lastRead >= refreshInterval;
+        // A list that does not show this host yet is too old to take all contacts from.
+        const bool isDue = lastRead == Clock::time_point::min() || isLister() || !m_isListed || Clock::now() - lastRead >= refreshInterval;
         if (isDue) {
             const auto hosts = co_await m_platform.list();
             lastRead = Clock::now();
-            if (hosts)
+            if (hosts) {
+                const auto& name = m_directory.self().name;
+                m_isListed = std::any_of(hosts->begin(), hosts->end(), [&](const ListedHost& host) { return host.name == name; });
                 m_detector.offerListed(*hosts, Clock::now());
+            }
             flush();
         }
         boost::system::error_code ec;
--- a/packages/membership/chiveshelf/membership/MembershipService.h
+++ b/packages/membership/chiveshelf/membership/MembershipService.h
@@ -67,6 +67,7 @@
     std::vector<ChangeListener> m_listeners;
     std::function<std::uint64_t()> m_ownRevision;
     RevisionListener m_revisionListener;
+    bool m_isListed = false;
 };
 
 }
