--- a/packages/daemon/chiveshelf/daemon/Daemon.h
+++ b/packages/daemon/chiveshelf/daemon/Daemon.h
@@ -48,7 +48,9 @@
     MembershipService m_membership;
     TableAgent m_tableAgent;
     SchedulerService m_scheduler;
+    LocalScheduler m_localScheduler;
     DispatchClient m_dispatch;
+    QuarantineService m_quarantine;
     HttpPlatform m_recordPlatform;
     IdempotencyService m_idempotency;
     RunnerBoard m_board;
--- a/packages/daemon/chiveshelf/daemon/DaemonSettings.h
+++ b/packages/daemon/chiveshelf/daemon/DaemonSettings.h
@@ -24,6 +24,11 @@
     OwnershipPolicy ownershipPolicy = OwnershipPolicy::BarReturned;
     bool hasRollouts = true;
     std::string logLevel;
+    std::string schedulingPolicy;
+    // Blocks that the cache of one runner holds, for the guess of what it still caches.
+    std::int64_t cacheBlocksPerRunner = 0;
+    std::chrono::milliseconds cacheHalfLife { 0 };
+    std::int64_t importsPerLink = 0;
     CacheSettings cache;
 
     bool operator==(const DaemonSettings&) const = default;
--- a/packages/runner/chiveshelf/runner/HttpRunner.cpp
+++ b/packages/runner/chiveshelf/runner/HttpRunner.cpp
@@ -121,9 +121,9 @@
 {
 }
 
-asio::awaitable<Result<std::unique_ptr<HttpTokenStream>>> HttpRunner::openStream(Address address, http::Request request)
+asio::awaitable<Result<std::unique_ptr<HttpTokenStream>>> HttpRunner::openStream(Address address, http::Request request, http::CallLimits limits)
 {
-    auto response = co_await m_client.open(std::move(address), std::move(request), m_limits);
+    auto response = co_await m_client.open(std::move(address), std::move(request), limits);
     if (!response)
         co_return tl::unexpected(response.error());
     const auto status = (*response)->status();
@@ -141,13 +141,15 @@
 
 asio::awaitable<Result<std::unique_ptr<HttpTokenStream>>> HttpRunner::start(Address address, CompletionRequest request)
 {
-    return openStream(std::move(address), http::makeRequest(http::Verb::post, "/v1/completions", toJson(request).dump()));
+    auto limits = m_limits;
+    limits.isReuseAllowed = request.mayRepeat;
+    return openStream(std::move(address), http::makeRequest(http::Verb::post, "/v1/completions", toJson(request).dump()), limits);
 }
 
 asio::awaitable<Result<std::unique_ptr<HttpTokenStream>>> HttpRunner::resume(Address address, std::string requestId, std::int64_t offset)
 {
     const auto target = "/v1/streams/" + http::percentEncode(requestId) + "?after=" + std::to_string(offset);
-    return openStream(std::move(address), http::makeRequest(http::Verb::get, target));
+    return openStream(std::move(address), http::makeRequest(http::Verb::get, target), m_limits);
 }
 
 asio::awaitable<Result<void>> HttpRunner::cancel(Address address, std::string requestId)
