--- a/packages/daemon/chiveshelf/daemon/Daemon.cpp
+++ b/packages/daemon/chiveshelf/daemon/Daemon.cpp
@@ -1,5 +1,6 @@
 #include "chiveshelf/daemon/Daemon.h"
 
+#include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -23,6 +24,44 @@
     // Callers wait for the records of their keys, so that a slow service is refused soon. A value has up to 1 MB.
     constexpr http::CallLimits recordLimits { std::chrono::milliseconds(200), std::chrono::milliseconds(400) };
     constexpr auto drainCheckInterval = std::chrono::milliseconds(20);
+    // The announcement of a leave is repeated, since a datagram may be lost.
+    constexpr auto announceInterval = std::chrono::milliseconds(250);
+    // Longest wait at shutdown for other hosts to confirm that requests have ended. Their slots would be freed later anyway.
+    constexpr auto reportLimit = std::chrono::milliseconds(1'000);
+
+    PolicyKind policyKind(const DaemonSettings& settings)
+    {
+        return policyKindFromName(settings.schedulingPolicy).value_or(PolicyKind::FairShare);
+    }
+
+    SchedulerSettings schedulerSettings(const DaemonSettings& settings)
+    {
+        SchedulerSettings out;
+        out.dataCentre = settings.dataCentre;
+        out.policy = policyKind(settings);
+        out.fairShare.cacheBlocksPerRunner = static_cast<std::size_t>(settings.cacheBlocksPerRunner);
+        out.fairShare.blockTokens = settings.cache.blockTokens;
+        out.fairShare.cacheHalfLife = settings.cacheHalfLife;
+        out.fairShare.importsPerLink = static_cast<std::size_t>(settings.importsPerLink);
+        // Differs between hosts, so that their callers' retry times do too.
+        out.fairShare.seed = static_cast<std::uint32_t>(hash64(settings.hostName));
+        return out;
+    }
+
+    void addSchedulerMetrics(prometheus::Registry& registry, const SchedulerCounters& counters)
+    {
+        auto& decisions = prometheus::BuildCounter()
+                              .Name("chiveshelf_scheduler_decisions_total")
+                              .Help("Decisions of this host as scheduler, by priority class.")
+                              .Register(registry);
+        for (const auto priority : allPriorities) {
+            const std::string name(priorityName(priority));
+            const auto index = priorityIndex(priority);
+            decisions.Add({ { "class", name }, { "decision", "granted" } }).Increment(static_cast<double>(counters.granted[index]));
+            decisions.Add({ { "class", name }, { "decision", "refused" } }).Increment(static_cast<double>(counters.refused[index]));
+            decisions.Add({ { "class", name }, { "decision", "preempted" } }).Increment(static_cast<double>(counters.preempted[index]));
+        }
+    }
 
 }
 
@@ -34,17 +73,19 @@
     , m_runners(m_client, runnerLimits)
     , m_cache(context, m_client, m_settings.cache,
           [this](Address runner, ExportRequest request) { return m_runners.exportBlock(std::move(runner), std::move(request)); })
-    , m_members({ m_settings.hostName, m_settings.dataCentre, m_settings.advertisedPeerAddress, MemberState::Live, 0 })
-    , m_membership(context, m_platform, m_members)
+    , m_members({ m_settings.hostName, m_settings.dataCentre, m_settings.advertisedPeerAddress, MemberState::Live, 0 }, m_settings.ownershipPolicy)
     , m_datagrams(context)
     , m_peerServer(context)
     , m_peerClient(context)
+    , m_membership(context, m_platform, m_datagrams, m_peerClient, m_members)
     , m_tableAgent(context, m_platform, m_tables, m_members, m_datagrams, m_peerServer, m_peerClient)
-    , m_scheduler(context, m_peerServer, m_tables, m_settings.dataCentre)
-    , m_dispatch(context, m_peerClient, m_members)
+    , m_scheduler(context, m_peerServer, m_peerClient, m_members, m_tables, schedulerSettings(m_settings))
+    , m_localScheduler(context, m_client, m_tables, policyKind(m_settings), m_settings.dataCentre)
+    , m_dispatch(context, m_peerServer, m_peerClient, m_members, hasCommonQueue(policyKind(m_settings)) ? nullptr : &m_localScheduler)
+    , m_quarantine(context, m_datagrams, m_members)
     , m_recordPlatform(m_client, m_settings.platformAddress, recordLimits)
     , m_idempotency(context, m_peerServer, m_peerClient, m_members, m_recordPlatform, m_settings.idempotency)
-    , m_entry(context, {}, { m_tables, m_dispatch, m_runners, m_cache, m_client, m_idempotency }, m_settings.dataCentre)
+    , m_entry(context, {}, { m_tables, m_dispatch, m_quarantine, m_runners, m_cache, m_client, m_idempotency }, m_settings.dataCentre)
     , m_admin(context,
           { [this] { return state(); }, [this] { return metrics(); },
               [this] { return m_tables.snapshot()->revision > 0 && !m_isDraining; }, [this] { drain(); } })
@@ -59,8 +100,12 @@
             return started;
     }
     m_tableAgent.start();
+    m_membership.subscribe([this](const MemberChange& change) { handleMemberChange(change); });
+    m_dispatch.onLostOwner([this](const Address& address) { m_membership.reportLostConnection(address); });
     m_membership.start();
     m_scheduler.start();
+    if (!hasCommonQueue(policyKind(m_settings)))
+        m_localScheduler.start();
     m_dispatch.start();
     m_cache.start();
     logEvent(LogLevel::Info, "started",
@@ -77,20 +122,53 @@
     asio::co_spawn(m_context, drainThenStop(), asio::detached);
 }
 
-asio::awaitable<void> Daemon::drainThenStop()
+void Daemon::handleMemberChange(const MemberChange& change)
+{
+    m_scheduler.setRefusing(m_members.mustHandOver());
+    const bool isNeighbour = change.member.dataCentre == m_settings.dataCentre;
+    if (!isNeighbour || change.member.state == MemberState::Suspect)
+        return;
+    m_scheduler.handOver([this](const std::string& pool) {
+        const auto* owner = m_members.owner("scheduler/" + pool);
+        return owner && owner->name != m_settings.hostName;
+    });
+    m_dispatch.redeclare();
+}
+
+asio::awaitable<void> Daemon::waitUntil(std::function<bool()> condition, std::chrono::steady_clock::time_point limit)
 {
-    auto self = m_members.self();
-    self.state = MemberState::Leaving;
-    m_members.put(self);
-    m_entry.drain();
-    const auto limit = std::chrono::steady_clock::now() + m_settings.drainLimit;
     asio::steady_timer timer(m_context);
-    while (m_entry.activeRequests() + m_idempotency.pendingCount() > 0 && std::chrono::steady_clock::now() < limit) {
+    while (!condition() && std::chrono::steady_clock::now() < limit) {
         boost::system::error_code ec;
         timer.expires_after(drainCheckInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
-    logEvent(LogLevel::Info, "drain_finished", { { "host", m_settings.hostName }, { "cut_off", m_entry.activeRequests() } });
+}
+
+asio::awaitable<void> Daemon::drainThenStop()
+{
+    using Clock = std::chrono::steady_clock;
+    const auto start = Clock::now();
+    const auto limit = start + m_settings.drainLimit;
+    const auto noticeEnd = std::min(start + m_settings.drainNotice, limit);
+    m_entry.announceClose();
+    do {
+        m_membership.announceLeaving();
+        const std::function<bool()> never = [] { return false; };
+        co_await waitUntil(never, std::min<Clock::time_point>(Clock::now() + announceInterval, noticeEnd));
+    } while (Clock::now() < noticeEnd);
+    m_entry.stopAccepting();
+    logEvent(LogLevel::Info, "drain_stopped_accepting",
+        { { "host", m_settings.hostName }, { "active", m_entry.activeRequests() }, { "connections", m_entry.connectionCount() } });
+    const std::function<bool()> hasNoConnections = [this] { return m_entry.connectionCount() == 0; };
+    co_await waitUntil(hasNoConnections, limit);
+    const auto cutOff = m_entry.activeRequests();
+    const std::function<bool()> hasNoRecords = [this] { return m_idempotency.pendingCount() == 0; };
+    co_await waitUntil(hasNoRecords, limit);
+    const std::function<bool()> hasNoReports = [this] { return m_dispatch.pendingReports() == 0; };
+    co_await waitUntil(hasNoReports, Clock::now() + reportLimit);
+    m_membership.announceGone();
+    logEvent(LogLevel::Info, "drain_finished", { { "host", m_settings.hostName }, { "cut_off", cutOff } });
     m_context.stop();
 }
 
@@ -101,6 +179,7 @@
     for (const auto& member : m_members.all())
         members.push_back({ { "name", member.name }, { "data_centre", member.dataCentre }, { "state", memberStateName(member.state) },
             { "peer_address", toString(member.peerAddress) }, { "incarnation", member.incarnation } });
+    const auto& counters = m_membership.counters();
     return {
         { "host", m_settings.hostName },
         { "data_centre", m_settings.dataCentre },
@@ -108,7 +187,17 @@
         { "tables_revision", m_tables.snapshot()->revision },
         { "tables", { { "watching", m_tableAgent.isWatching() }, { "edit_id", m_tables.snapshot()->editId } } },
         { "members", members },
-        { "pools", m_scheduler.state() },
+        { "membership",
+            { { "suspicions", counters.suspicions }, { "removals", counters.removals }, { "returns", counters.returns },
+                { "own_suspicions", counters.ownSuspicions }, { "sent_datagrams", counters.sentDatagrams },
+                { "received_datagrams", counters.receivedDatagrams }, { "sent_bytes", m_datagrams.sentBytes() },
+                { "received_bytes", m_datagrams.receivedBytes() }, { "role_moves", m_members.roleMoves() } } },
+        { "roles", m_members.roleOwners() },
+        { "scheduler_requests", m_scheduler.acceptedCount() },
+        { "pools", hasCommonQueue(policyKind(m_settings)) ? m_scheduler.state() : m_localScheduler.state() },
+        { "scheduling_policy", m_settings.schedulingPolicy },
+        { "quarantined", m_quarantine.quarantined() },
+        { "retry_budget", { { "available", m_dispatch.retryBudget().available() }, { "denied", m_dispatch.retryBudget().deniedCount() } } },
         { "active_requests", m_entry.activeRequests() },
         { "platform_calls", m_platform.callCount() + m_recordPlatform.callCount() },
         { "idempotency",
@@ -131,17 +220,6 @@
     };
     counter("chiveshelf_requests_total", "Requests received from callers.", m_entry.counters().requests);
     counter("chiveshelf_refusals_total", "Requests refused before they reached a runner.", m_entry.counters().refusals);
-    counter("chiveshelf_platform_calls_total", "Calls to the platform's key-value service, watches included.", m_platform.callCount() + m_recordPlatform.callCount());
-    const auto& records = m_idempotency.counters();
-    counter("chiveshelf_idempotency_operations_total", "Claims and completions that this host wrote for its shards.", records.operations);
-    counter("chiveshelf_idempotency_writes_total", "Compare-and-swaps of idempotency shards that succeeded.", records.writes);
-    counter("chiveshelf_idempotency_conflicts_total", "Compare-and-swaps that met another writer.", records.conflicts);
-    counter("chiveshelf_idempotency_read_backs_total", "Writes whose reply was lost and that were read back.", records.readBacks);
-    counter("chiveshelf_idempotency_failures_total", "Groups that were refused because the platform failed.", records.failures);
-    counter("chiveshelf_idempotency_full_total", "Claims refused because their shard was full.", records.full);
-    counter("chiveshelf_idempotency_replays_total", "Callers that got a recorded outcome.", m_entry.counters().replays);
-    counter("chiveshelf_idempotency_given_up_total", "Ends of attempts that could not be recorded.", m_idempotency.givenUpCount());
-    gauge("chiveshelf_idempotency_pending", "Ends of attempts that are not recorded yet.", static_cast<double>(m_idempotency.pendingCount()));
     const auto& cache = m_cache.counters();
     const auto& exports = m_cache.exports().counters();
     counter("chiveshelf_store_lookups_total", "Look-ups of stored blocks.", cache.lookUps);
@@ -155,6 +233,17 @@
     counter("chiveshelf_export_failures_total", "Exports that failed.", exports.failures);
     counter("chiveshelf_exports_dropped_total", "Export offers given up because of age, a full queue or an unreachable store.", exports.dropped);
     gauge("chiveshelf_exports_queued", "Export offers that wait for an idle link.", static_cast<double>(m_cache.exports().queued()));
+    counter("chiveshelf_platform_calls_total", "Calls to the platform's key-value service, watches included.", m_platform.callCount() + m_recordPlatform.callCount());
+    const auto& records = m_idempotency.counters();
+    counter("chiveshelf_idempotency_operations_total", "Claims and completions that this host wrote for its shards.", records.operations);
+    counter("chiveshelf_idempotency_writes_total", "Compare-and-swaps of idempotency shards that succeeded.", records.writes);
+    counter("chiveshelf_idempotency_conflicts_total", "Compare-and-swaps that met another writer.", records.conflicts);
+    counter("chiveshelf_idempotency_read_backs_total", "Writes whose reply was lost and that were read back.", records.readBacks);
+    counter("chiveshelf_idempotency_failures_total", "Groups that were refused because the platform failed.", records.failures);
+    counter("chiveshelf_idempotency_full_total", "Claims refused because their shard was full.", records.full);
+    counter("chiveshelf_idempotency_replays_total", "Callers that got a recorded outcome.", m_entry.counters().replays);
+    counter("chiveshelf_idempotency_given_up_total", "Ends of attempts that could not be recorded.", m_idempotency.givenUpCount());
+    gauge("chiveshelf_idempotency_pending", "Ends of attempts that are not recorded yet.", static_cast<double>(m_idempotency.pendingCount()));
     gauge("chiveshelf_active_requests", "Requests that are being served.", static_cast<double>(m_entry.activeRequests()));
     const auto& tables = m_tableAgent.counters();
     counter("chiveshelf_tables_pulls_total", "Pulls of the tables from peers.", tables.pulls);
@@ -164,6 +253,24 @@
     counter("chiveshelf_tables_rejected_total", "Values of the platform's service that are not valid tables.", tables.rejectedValues);
     gauge("chiveshelf_tables_watching", "1 while this host watches the platform's service.", m_tableAgent.isWatching() ? 1 : 0);
     gauge("chiveshelf_tables_revision", "Revision of the tables in force.", static_cast<double>(m_tables.snapshot()->revision));
+    std::map<MemberState, double> byState;
+    for (const auto& member : m_members.all())
+        ++byState[member.state];
+    auto& members = prometheus::BuildGauge().Name("chiveshelf_members").Help("Known hosts by state.").Register(registry);
+    for (const auto state : { MemberState::Live, MemberState::Suspect, MemberState::Leaving, MemberState::Gone })
+        members.Add({ { "state", std::string(memberStateName(state)) } }).Set(byState[state]);
+    const auto& membership = m_membership.counters();
+    counter("chiveshelf_member_suspicions_total", "Times that a host was suspected.", membership.suspicions);
+    counter("chiveshelf_member_removals_total", "Times that a host was given up.", membership.removals);
+    counter("chiveshelf_member_returns_total", "Times that a host returned after it was given up.", membership.returns);
+    counter("chiveshelf_own_suspicions_total", "Times that this host found that it had been frozen.", membership.ownSuspicions);
+    counter("chiveshelf_role_moves_total", "Times that the owner of a role changed in this host's view.", m_members.roleMoves());
+    counter("chiveshelf_datagram_sent_bytes_total", "Bytes of datagrams sent to other hosts.", m_datagrams.sentBytes());
+    counter("chiveshelf_datagram_received_bytes_total", "Bytes of datagrams received from other hosts.", m_datagrams.receivedBytes());
+    counter("chiveshelf_retries_denied_total", "Retries not made because the retry budget was used up.", m_dispatch.retryBudget().deniedCount());
+    gauge("chiveshelf_quarantined_requests", "Request fingerprints that are refused because runners crashed while they ran them.",
+        static_cast<double>(m_quarantine.quarantined().size()));
+    addSchedulerMetrics(registry, m_scheduler.counters());
     return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
--- a/packages/entry/chiveshelf/entry/EntryService.h
+++ b/packages/entry/chiveshelf/entry/EntryService.h
@@ -2,6 +2,7 @@
 
 #include "chiveshelf/cache/BlockCache.h"
 #include "chiveshelf/dispatch/DispatchClient.h"
+#include "chiveshelf/dispatch/QuarantineService.h"
 #include "chiveshelf/entry/CallerRequest.h"
 #include "chiveshelf/http/Server.h"
 #include "chiveshelf/idempotency/IdempotentRequest.h"
@@ -14,6 +15,7 @@
 struct EntryPorts {
     TableStore& tables;
     DispatchClient& dispatch;
+    QuarantineService& quarantine;
     HttpRunner& runners;
     BlockCache& cache;
     http::Client& client;
@@ -27,7 +29,8 @@
     std::uint64_t replays = 0;
 };
 
-// The callers' listener. Construct it and call start(); drain() stops accepting and lets running requests end.
+// The callers' listener. Construct it and call start(). At the end call announceClose(), later stopAccepting(), and wait until
+// connectionCount() is 0.
 class EntryService {
 public:
     EntryService(boost::asio::io_context&, http::ServerLimits, EntryPorts, std::string dataCentre);
@@ -35,7 +38,14 @@
     EntryService& operator=(const EntryService&) = delete;
 
     Result<void> start(const Address&);
-    void drain();
+
+    // From now on every answer asks its caller to close the connection.
+    void announceClose() { m_server.announceClose(); }
+
+    // Accepts no more connections and lets running requests end.
+    void stopAccepting() { m_server.stopAccepting(); }
+
+    std::size_t connectionCount() const { return m_server.connectionCount(); }
     std::size_t activeRequests() const { return m_server.activeRequests(); }
     const EntryCounters& counters() const { return m_counters; }
 
