--- a/packages/dispatch/chiveshelf/dispatch/DispatchClient.h
+++ b/packages/dispatch/chiveshelf/dispatch/DispatchClient.h
@@ -41,6 +41,15 @@
     const RetryBudget& retryBudget() const { return m_retries; }
 
     boost::asio::io_context& context() { return m_context; }
+    // Declares all running requests to the present owners at once, for instance because an owner has changed.
+    void redeclare();
+
+    // Registers a callback for an owner that did not answer.
+    void onLostOwner(std::function<void(const Address&)> listener) { m_onLostOwner = std::move(listener); }
+
+    // Reports of ended requests that no owner has confirmed yet.
+    std::size_t pendingReports() const { return m_pendingReports; }
+
     std::size_t runningCount() const { return m_running.size(); }
 
 private:
@@ -54,10 +63,11 @@
 
     boost::asio::awaitable<Result<PreemptReply>> preempt(Preempt);
 
+    void handleLostHost(const Address&);
     boost::asio::awaitable<void> renewLoop();
     boost::asio::awaitable<void> renew(std::string pool, std::vector<RunningRequest>);
     boost::asio::awaitable<void> sendFinished(Finished);
-    const Member* owner(const std::string& pool) const;
+    const Member* owner(const std::string& pool);
 
     boost::asio::io_context& m_context;
     peer::PeerClient& m_peers;
@@ -65,6 +75,9 @@
     LocalScheduler* m_local;
     RetryBudget m_retries;
     std::map<std::string, RunningEntry> m_running;
+    std::map<std::string, std::chrono::steady_clock::time_point> m_avoidedUntil;
+    std::function<void(const Address&)> m_onLostOwner;
+    std::size_t m_pendingReports = 0;
 };
 
 }
--- a/packages/dispatch/chiveshelf/dispatch/PoolScheduler.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/PoolScheduler.cpp
@@ -11,6 +11,8 @@
 namespace {
 
     constexpr std::size_t keptDecisions = 32;
+    // A change of the tables is in force within 4 s.
+    constexpr auto noRunnerRetry = std::chrono::milliseconds(4'000);
 
 }
 
@@ -48,7 +50,7 @@
 Result<void> PoolScheduler::enqueue(const Enqueue& message, TimePoint now)
 {
     if (m_addresses.empty())
-        return failure(ErrorCode::Unavailable, "pool '" + m_pool.name + "' has no runner in this data centre", Verdict::NotRun);
+        return failure(ErrorCode::Overloaded, "pool '" + m_pool.name + "' has no runner in this data centre", Verdict::NotRun, noRunnerRetry);
     QueuedRequest request;
     request.id = message.requestId;
     request.organisation = message.organisation;
--- a/packages/dispatch/chiveshelf/dispatch/SchedulerService.h
+++ b/packages/dispatch/chiveshelf/dispatch/SchedulerService.h
@@ -11,6 +11,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json_fwd.hpp>
 
+#include <functional>
+
 namespace chiveshelf {
 
 // How a host schedules.
@@ -31,6 +33,16 @@
 
     void start();
 
+    // Sends the waiting requests of the pools for which `isOwnedElsewhere` holds back to their entry hosts, which queue them
+    // at the present owner.
+    void handOver(const std::function<bool(const std::string& pool)>& isOwnedElsewhere);
+
+    // While refusing, Enqueue is answered with Unavailable and NotRun, and nothing waits here.
+    void setRefusing(bool);
+
+    // Number of Enqueue messages that were accepted.
+    std::uint64_t acceptedCount() const { return m_acceptedCount; }
+
     // Queues, running requests, last decisions, learned speeds and health of each pool, for the state dump.
     nlohmann::json state() const;
 
@@ -59,6 +71,8 @@
     TableStore& m_tables;
     SchedulerSettings m_settings;
     std::map<std::string, std::unique_ptr<PoolState>> m_pools;
+    std::uint64_t m_acceptedCount = 0;
+    bool m_isRefusing = false;
 };
 
 }
--- a/packages/scheduling/chiveshelf/scheduling/RunnerStatistics.cpp
+++ b/packages/scheduling/chiveshelf/scheduling/RunnerStatistics.cpp
@@ -12,7 +12,6 @@
 
     constexpr double gain = 0.2;
     constexpr double defaultPrefillSpeed = 10'000;
-    constexpr Estimate defaultTimePerToken { 20 };
     // Prompts below this show the fixed part of the time to first token, longer ones the prefill speed.
     constexpr std::int64_t shortPromptTokens = 256;
     // A runner is slow when its work takes this many times what the pool's median runner would need.
@@ -197,7 +196,8 @@
         if (runner.timePerToken.count() > 0)
             values.push_back(runner.timePerToken);
     }
-    return median(std::move(values), defaultTimePerToken);
+    // Without a measurement no end is foretold: an assumed 20 ms per token made admission refuse requests that had seconds left.
+    return median(std::move(values), Estimate(0));
 }
 
 void RunnerStatistics::learn(Runner& runner, const Running& running, const FinishedWork& work, TimePoint now)
@@ -227,7 +227,7 @@
 bool RunnerStatistics::isSlow(const Running& running, const FinishedWork& work) const
 {
     // With one runner there is no other to compare with, and to use it less would help nobody.
-    if (m_runners.size() < 2 || work.firstTokenMs < 0 || work.totalMs < 0)
+    if (m_runners.size() < 2 || work.firstTokenMs < 0 || work.totalMs < 0 || medianTimePerToken().count() <= 0)
         return false;
     const auto computed = static_cast<double>(std::max<std::int64_t>(work.promptTokens - work.cachedTokens - work.importedTokens, 0));
     const auto expected = running.prefillWait + Estimate(1'000.0 * computed / medianPrefillSpeed())
