--- a/packages/dispatch/chiveshelf/dispatch/DispatchClient.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/DispatchClient.cpp
@@ -100,12 +100,9 @@
             co_return grant;
         }
         logEvent(LogLevel::Info, "scheduler_lost",
-            { { "request_id", request.requestId }, { "organisation", request.organisation }, { "pool", request.pool }, { "error", grant.error().message } });
-        const auto* next = owner(request.pool);
-        const bool isSameOwner = next && next->peerAddress == address;
-        asio::steady_timer timer(m_context, isSameOwner && !m_retries.take() ? unbudgetedDelay : reassignDelay);
-        boost::system::error_code ec;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            { { "host", name }, { "request_id", request.requestId }, { "organisation", request.organisation }, { "pool", request.pool }, { "error", grant.error().message } });
+        lostHost = name;
+        m_avoidedUntil[name] = Clock::now() + avoidTime;
     }
 }
 
@@ -195,6 +192,8 @@
 
 void DispatchClient::redeclare()
 {
+    if (m_local)
+        return;
     std::map<std::string, std::vector<RunningRequest>> byPool;
     for (const auto& [id, entry] : m_running)
         byPool[entry.pool].push_back({ id, entry.runner, entry.priority });
--- a/packages/dispatch/chiveshelf/dispatch/DispatchClient.h
+++ b/packages/dispatch/chiveshelf/dispatch/DispatchClient.h
@@ -52,6 +52,7 @@
     bool mayRetry() { return m_retries.take(); }
     const RetryBudget& retryBudget() const { return m_retries; }
 
+    boost::asio::io_context& context() { return m_context; }
     std::size_t runningCount() const { return m_running.size(); }
 
 private:
--- a/packages/dispatch/chiveshelf/dispatch/PoolScheduler.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/PoolScheduler.cpp
@@ -13,6 +13,8 @@
     constexpr std::size_t keptDecisions = 32;
     // Time until a runner that loads weights serves again; engines take 0.2 to 0.3 s.
     constexpr Estimate weightLoadTime { 300 };
+    // A change of the tables is in force within 4 s.
+    constexpr auto noRunnerRetry = std::chrono::milliseconds(4'000);
 
 }
 
@@ -62,7 +64,7 @@
 Result<void> PoolScheduler::enqueue(const Enqueue& message, TimePoint now)
 {
     if (m_addresses.empty())
-        return failure(ErrorCode::Unavailable, "pool '" + m_pool.name + "' has no runner in this data centre", Verdict::NotRun);
+        return failure(ErrorCode::Overloaded, "pool '" + m_pool.name + "' has no runner in this data centre", Verdict::NotRun, noRunnerRetry);
     QueuedRequest request;
     request.id = message.requestId;
     request.organisation = message.organisation;
--- a/packages/scheduling/chiveshelf/scheduling/RunnerStatistics.cpp
+++ b/packages/scheduling/chiveshelf/scheduling/RunnerStatistics.cpp
@@ -12,7 +12,6 @@
 
     constexpr double gain = 0.2;
     constexpr double defaultPrefillSpeed = 10'000;
-    constexpr Estimate defaultTimePerToken { 20 };
     // Prompts below this show the fixed part of the time to first token, longer ones the prefill speed.
     constexpr std::int64_t shortPromptTokens = 256;
     // A runner is slow when its work takes this many times what the pool's median runner would need.
@@ -80,8 +79,6 @@
         return;
     auto& runner = it->second;
     const auto speed = runner.prefillTokensPerSecond > 0 ? runner.prefillTokensPerSecond : medianPrefillSpeed();
-    // Without a sample the end is taken to be near: a guessed speed refused requests that a new scheduler host could serve.
-    const bool isMeasured = m_serviceTime.count() > 0;
     const auto perToken = runner.timePerToken.count() > 0 ? runner.timePerToken : medianTimePerToken();
     Running running;
     running.runner = assignment.runner;
@@ -95,8 +92,7 @@
         busyUntil = std::max({ now, busyUntil, now + toClock(assignment.import.time) }) + toClock(running.prefill);
     }
     running.firstTokenExpected = runner.prefillBusyUntil[priorityIndex(assignment.priority)] + toClock(runner.overhead);
-    const auto tokens = isMeasured ? m_outputShare * static_cast<double>(assignment.maxTokens) : 0.0;
-    running.endExpected = running.firstTokenExpected + toClock(perToken * tokens);
+    running.endExpected = running.firstTokenExpected + toClock(perToken * (m_outputShare * static_cast<double>(assignment.maxTokens)));
     m_running[assignment.requestId] = std::move(running);
 }
 
@@ -200,7 +196,8 @@
         if (runner.timePerToken.count() > 0)
             values.push_back(runner.timePerToken);
     }
-    return median(std::move(values), defaultTimePerToken);
+    // Without a measurement no end is foretold: an assumed 20 ms per token made admission refuse requests that had seconds left.
+    return median(std::move(values), Estimate(0));
 }
 
 void RunnerStatistics::learn(Runner& runner, const Running& running, const FinishedWork& work, TimePoint now)
@@ -230,7 +227,7 @@
 bool RunnerStatistics::isSlow(const Running& running, const FinishedWork& work) const
 {
     // With one runner there is no other to compare with, and to use it less would help nobody.
-    if (m_runners.size() < 2 || work.firstTokenMs < 0 || work.totalMs < 0)
+    if (m_runners.size() < 2 || work.firstTokenMs < 0 || work.totalMs < 0 || medianTimePerToken().count() <= 0)
         return false;
     const auto computed = static_cast<double>(std::max<std::int64_t>(work.promptTokens - work.cachedTokens - work.importedTokens, 0));
     const auto expected = running.prefillWait + Estimate(1'000.0 * computed / medianPrefillSpeed())
