--- a/bench/endtoend/BenchFleet.cpp
+++ b/bench/endtoend/BenchFleet.cpp
@@ -13,7 +13,7 @@
     constexpr int hostsPerDataCentre = 2;
     constexpr const char* noStorePolicy = "no-store";
     constexpr const char* defaultPolicy = "chiveshelf";
-    // Speeds of the fake engines: 9,000 tokens take 0.36 s to compute and 64 of 80 conversations fit no single runner.
+    // Speeds of the fake engines: 9,000 tokens take 0.36 s to compute and a runner holds the blocks of 6 of 60 conversations.
     const std::vector<std::string> runnerFlags { "--slots", "8", "--prefill-us-per-token", "40", "--token-ms", "10", "--cache-blocks", "12" };
     const std::vector<std::string> storeFlags { "--link-bytes-per-second", "40000000" };
     constexpr std::int64_t slowLinkBytesPerSecond = 4'000'000;
--- a/packages/entry/chiveshelf/entry/CompletionTask.cpp
+++ b/packages/entry/chiveshelf/entry/CompletionTask.cpp
@@ -65,10 +65,10 @@
 asio::awaitable<void> CompletionTask::findBlocks()
 {
     std::vector<StoreHost> stores;
-    for (const auto& store : m_pool.stores) {
-        if (store.dataCentre == m_ports.dataCentre)
-            stores.push_back({ store.name, store.address });
-    }
+    // Stores of every data centre count: a conversation may return in another one, and the delay between data centres is small
+    // beside the transfer of a block.
+    for (const auto& store : m_pool.stores)
+        stores.push_back({ store.name, store.address });
     m_blocks = co_await m_ports.cache.lookUp(blockIdentity(m_pool.version), m_call.prompt, std::move(stores));
 }
 
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -16,6 +16,10 @@
 HOSTS_PER_DATA_CENTRE = 2
 RUNNERS_PER_DATA_CENTRE = 2
 START_LIMIT_S = 10
+# Hosts accept callers for 2 s more after SIGTERM.
+STOP_LIMIT_S = 5
+# Time for the blocks of an answer to be written to a store.
+EXPORT_PAUSE_S = 1
 MODEL = "rota-model"
 SHARED_PROMPT = "Staff handbook of the museum. " * 2000
 
@@ -48,6 +52,8 @@
         for data_centre in DATA_CENTRES:
             for n in range(1, RUNNERS_PER_DATA_CENTRE + 1):
                 self.start_backend(f"runner-{data_centre}-{n}", data_centre, "fake_runner")
+        for data_centre in DATA_CENTRES:
+            self.start_backend(f"store-{data_centre}", data_centre, "fake_store")
         self.start_backend("bookings-1", DATA_CENTRES[0], "fake_service")
         for data_centre in DATA_CENTRES:
             for n in range(1, HOSTS_PER_DATA_CENTRE + 1):
@@ -94,6 +100,7 @@
             "pools": [
                 {
                     "name": "rota-models", "kind": "model", "model": MODEL, "version": "v1", "runners": rows("fake_runner"),
+                    "stores": rows("fake_store"),
                     "targets_ms": {"urgent": 5000, "standard": 10000, "batch": 30000},
                 },
                 {"name": "bookings", "kind": "service", "runners": rows("fake_service")},
@@ -115,7 +122,7 @@
             process.terminate()
         for process in self.processes.values():
             try:
-                process.wait(timeout=5)
+                process.wait(timeout=STOP_LIMIT_S)
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
@@ -176,12 +183,16 @@
 
 
 def show_returning_prompts(demo):
-    print("\n1. A conversation returns, each time to another host:")
+    print("\n1. A conversation returns, each time to another host, from the third time on to another data centre:")
     prompt = SHARED_PROMPT
     for turn, (name, host) in enumerate(demo.hosts.items(), 1):
         text, usage, first = complete(host, prompt)
-        cached = usage["prompt_tokens_details"]["cached_tokens"]
-        print(f"   turn {turn} at {name}: first token after {first:.0f} ms, {usage['prompt_tokens']} prompt tokens, {cached} from cache")
+        details = usage["prompt_tokens_details"]
+        print(
+            f"   turn {turn} at {name}: first token after {first:.0f} ms, {usage['prompt_tokens']} prompt tokens, "
+            f"{details['cached_tokens']} from the runner's cache, {details['imported_tokens']} from a store"
+        )
+        time.sleep(EXPORT_PAUSE_S)
         prompt += text + f"\nquestion {turn}: who covers Saturday?\n"
 
 
@@ -217,7 +228,8 @@
 def serve(demo):
     """Prints all addresses as one JSON line and waits for an interrupt."""
     print(json.dumps({"hosts": demo.hosts, "platform": demo.platform, "backends": demo.backends}), flush=True)
-    signal.sigwait({signal.SIGINT, signal.SIGTERM})
+    while True:
+        signal.pause()
 
 
 def main():
@@ -225,7 +237,9 @@
     parser.add_argument("--serve", action="store_true", help="leave the system running until interrupted")
     parser.add_argument("--base-port", type=int, default=18000, help="first loopback port that is used")
     arguments = parser.parse_args()
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM} if arguments.serve else set())
+    # Both signals end the demonstration through stop_all(). A shell starts background jobs with SIGINT ignored.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_: sys.exit(0))
     demo = Demo(arguments.base_port)
     try:
         demo.start_all()
