Let the fake engine compute urgent prompts first

Cause: in the batch flood urgent work missed its target under our policy and the baselines alike. The fake engine honoured priorities in its queue only and gave compute time in the order of arrival, so up to 7 cheaper prefills slowed an urgent one; the platform's engines honour priorities. Ruled out: an estimate of ours that counts cheaper prefills, which would model the fake and not the engines.

--- a/fakes/fakes/FakeRunner.cpp
+++ b/fakes/fakes/FakeRunner.cpp
@@ -24,6 +24,7 @@
     constexpr std::size_t bytesPerPromptToken = 4;
     // Prompt tokens computed in one step, so that requests share the compute rate evenly.
     constexpr std::int64_t prefillStepTokens = 256;
+    constexpr auto prefillRetryDelay = std::chrono::milliseconds(1);
     constexpr std::string_view streamsPrefix = "/v1/streams/";
     // A queued request gets its response header after this time, so that its client sees progress.
     constexpr auto headerDelay = std::chrono::milliseconds(500);
@@ -266,7 +267,12 @@
     m_counters["imported_tokens"] += sequence->importedTokens;
     m_counters["computed_tokens"] += left;
     auto inBlock = std::int64_t { 0 };
+    ++m_prefilling[sequence->priority];
     while (left > 0 && sequence->state == SequenceState::Running) {
+        if (m_prefilling.begin()->first < sequence->priority) {
+            co_await sleepUntil(m_context, std::max(m_computeFreeAt, Clock::now() + prefillRetryDelay));
+            continue;
+        }
         const auto step = std::min({ left, prefillStepTokens, m_model.blockTokens - inBlock });
         m_computeFreeAt = std::max(m_computeFreeAt, Clock::now())
             + std::chrono::duration_cast<Clock::duration>(m_model.prefillPerToken * static_cast<double>(step) * m_slowFactor);
@@ -280,6 +286,8 @@
             useCachedBlock(*sequence, sequence->blocks[block]);
         ++block;
     }
+    if (--m_prefilling[sequence->priority] == 0)
+        m_prefilling.erase(sequence->priority);
 }
 
 asio::awaitable<bool> FakeRunner::importBlock(SequencePointer sequence, std::string key)
--- a/fakes/fakes/FakeRunner.h
+++ b/fakes/fakes/FakeRunner.h
@@ -106,6 +106,8 @@
     int m_running = 0;
     std::uint64_t m_order = 0;
     std::chrono::steady_clock::time_point m_computeFreeAt;
+    // Sequences in prefill by priority, most urgent first. Engines compute the more urgent prompts first.
+    std::map<int, int> m_prefilling;
     nlohmann::json m_report;
     std::string m_adapter;
     std::string m_role;
