--- a/packages/control/chiveshelf/control/ControllerLease.h
+++ b/packages/control/chiveshelf/control/ControllerLease.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "chiveshelf/platform/HttpPlatform.h"
+#include "chiveshelf/keyvalue/HttpPlatform.h"
 
 namespace chiveshelf {
 
--- a/packages/ctl/chiveshelf/ctl/TableEditor.h
+++ b/packages/ctl/chiveshelf/ctl/TableEditor.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "chiveshelf/ctl/ExitCode.h"
-#include "chiveshelf/platform/HttpPlatform.h"
+#include "chiveshelf/keyvalue/HttpPlatform.h"
 #include "chiveshelf/tables/TablesDiff.h"
 
 #include <boost/asio/io_context.hpp>
--- a/packages/daemon/chiveshelf/daemon/Daemon.cpp
+++ b/packages/daemon/chiveshelf/daemon/Daemon.cpp
@@ -241,7 +241,7 @@
     counter("chiveshelf_export_failures_total", "Exports that failed.", exports.failures);
     counter("chiveshelf_exports_dropped_total", "Export offers given up because of age, a full queue or an unreachable store.", exports.dropped);
     gauge("chiveshelf_exports_queued", "Export offers that wait for an idle link.", static_cast<double>(m_cache.exports().queued()));
-    counter("chiveshelf_platform_calls_total", "Calls to the platform's key-value service, watches included.", m_platform.callCount() + m_recordPlatform.callCount());
+    counter("chiveshelf_keyvalue_calls_total", "Calls to the platform's key-value service, watches included.", m_platform.callCount() + m_recordPlatform.callCount());
     const auto& records = m_idempotency.counters();
     counter("chiveshelf_idempotency_operations_total", "Claims and completions that this host wrote for its shards.", records.operations);
     counter("chiveshelf_idempotency_writes_total", "Compare-and-swaps of idempotency shards that succeeded.", records.writes);
--- a/packages/idempotency/chiveshelf/idempotency/ShardWriter.h
+++ b/packages/idempotency/chiveshelf/idempotency/ShardWriter.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "chiveshelf/idempotency/Shard.h"
-#include "chiveshelf/platform/HttpPlatform.h"
+#include "chiveshelf/keyvalue/HttpPlatform.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/packages/platform/chiveshelf/platform/HttpPlatform.cpp
+++ b/packages/keyvalue/chiveshelf/keyvalue/HttpPlatform.cpp
@@ -1,4 +1,4 @@
-#include "chiveshelf/platform/HttpPlatform.h"
+#include "chiveshelf/keyvalue/HttpPlatform.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/platform/chiveshelf/platform/HttpPlatform.h
+++ b/packages/keyvalue/chiveshelf/keyvalue/HttpPlatform.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "chiveshelf/http/Client.h"
-#include "chiveshelf/platform/KeyValueStore.h"
+#include "chiveshelf/keyvalue/KeyValueStore.h"
 
 namespace chiveshelf {
 
--- a/packages/platform/chiveshelf/platform/platform.h
+++ b/packages/keyvalue/chiveshelf/keyvalue/keyvalue.h
@@ -5,5 +5,5 @@
 //
 // Dependencies: core, http.
 
-#include "chiveshelf/platform/HttpPlatform.h"
-#include "chiveshelf/platform/KeyValueStore.h"
+#include "chiveshelf/keyvalue/HttpPlatform.h"
+#include "chiveshelf/keyvalue/KeyValueStore.h"
--- a/packages/membership/chiveshelf/membership/FailureDetector.h
+++ b/packages/membership/chiveshelf/membership/FailureDetector.h
@@ -3,7 +3,7 @@
 #include "chiveshelf/membership/Gossip.h"
 #include "chiveshelf/membership/MemberDirectory.h"
 #include "chiveshelf/membership/MemberStateMachine.h"
-#include "chiveshelf/platform/KeyValueStore.h"
+#include "chiveshelf/keyvalue/KeyValueStore.h"
 
 #include <deque>
 #include <optional>
--- a/packages/membership/chiveshelf/membership/MembershipService.h
+++ b/packages/membership/chiveshelf/membership/MembershipService.h
@@ -2,7 +2,7 @@
 
 #include "chiveshelf/membership/FailureDetector.h"
 #include "chiveshelf/peer/PeerClient.h"
-#include "chiveshelf/platform/HttpPlatform.h"
+#include "chiveshelf/keyvalue/HttpPlatform.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/packages/tables/chiveshelf/tables/TableAgent.h
+++ b/packages/tables/chiveshelf/tables/TableAgent.h
@@ -3,7 +3,7 @@
 #include "chiveshelf/membership/MemberDirectory.h"
 #include "chiveshelf/peer/DatagramChannel.h"
 #include "chiveshelf/peer/PeerClient.h"
-#include "chiveshelf/platform/HttpPlatform.h"
+#include "chiveshelf/keyvalue/HttpPlatform.h"
 #include "chiveshelf/tables/TableStore.h"
 #include "chiveshelf/tables/TablesDelta.h"
 
