--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -24,6 +24,16 @@
     endif()
 endfunction()
 
+# Makes the library of the folder platform/, the users' platform.
+function(chiveshelf_add_platform)
+    file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cpp)
+    add_library(chiveshelf_users_platform STATIC ${sources})
+    target_include_directories(chiveshelf_users_platform PUBLIC ${CMAKE_SOURCE_DIR})
+    target_link_libraries(chiveshelf_users_platform PUBLIC chiveshelf_options chiveshelf_core chiveshelf_http chiveshelf_keyvalue
+        chiveshelf_placement chiveshelf_routing)
+    chiveshelf_use_pch(chiveshelf_users_platform)
+endfunction()
+
 # Reuses the precompiled header of Asio, Beast and nlohmann-json, which take seconds per file otherwise.
 function(chiveshelf_use_pch TARGET)
     target_precompile_headers(${TARGET} REUSE_FROM chiveshelf_pch)
--- a/packages/core/chiveshelf/core/Log.cpp
+++ b/packages/core/chiveshelf/core/Log.cpp
@@ -4,16 +4,26 @@
 #include <ctime>
 #include <iostream>
 
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 
 namespace chiveshelf {
 
 namespace {
 
+    namespace sinks = boost::log::sinks;
+
+    // Lines that wait for a slow reader: a second's worth of a busy host.
+    constexpr std::size_t mostWaitingLines = 2'000;
+
     constexpr std::string_view levelNames[] = { "debug", "info", "warning", "error" };
 
     LogLevel minimumLevel = LogLevel::Info;
@@ -51,7 +61,21 @@
 {
     processName = process;
     minimumLevel = minimum;
-    boost::log::add_console_log(std::cerr, boost::log::keywords::format = (boost::log::expressions::stream << boost::log::expressions::smessage), boost::log::keywords::auto_flush = true);
+    const auto backend = boost::make_shared<sinks::text_ostream_backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+    backend->auto_flush(true);
+    const auto sink = boost::make_shared<sinks::asynchronous_sink<sinks::text_ostream_backend, sinks::bounded_fifo_queue<mostWaitingLines, sinks::drop_on_overflow>>>(backend);
+    sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(sink);
+    std::atexit([] {
+        boost::log::core::get()->flush();
+        boost::log::core::get()->remove_all_sinks();
+    });
+}
+
+bool isLogged(LogLevel level)
+{
+    return level >= minimumLevel;
 }
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
--- a/packages/core/chiveshelf/core/Log.h
+++ b/packages/core/chiveshelf/core/Log.h
@@ -46,9 +46,13 @@
     std::string value;
 };
 
-// Sets up logging to stderr. Lines below `minimum` are dropped. Call once at start.
+// Sets up logging to stderr. Lines below `minimum` are dropped. Lines are written by a thread of their own; while the reader
+// is slower than the process, lines beyond a bound are left out. Call once at start.
 void initializeLog(std::string_view process, LogLevel minimum);
 
+// Whether lines of this level are written, for callers whose fields are costly to make.
+bool isLogged(LogLevel level);
+
 // Writes one line of key=value pairs: time, level, process, event, then `fields`.
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
 
--- a/packages/core/chiveshelf/core/core.h
+++ b/packages/core/chiveshelf/core/core.h
@@ -12,4 +12,5 @@
 #include "chiveshelf/core/Mailbox.h"
 #include "chiveshelf/core/Priority.h"
 #include "chiveshelf/core/StoredPrefix.h"
+#include "chiveshelf/core/Time.h"
 #include "chiveshelf/core/Verdict.h"
--- a/packages/daemon/chiveshelf/daemon/main.cpp
+++ b/packages/daemon/chiveshelf/daemon/main.cpp
@@ -1,5 +1,6 @@
 #include "chiveshelf/core/Log.h"
 #include "chiveshelf/daemon/Daemon.h"
+#include "chiveshelf/gateway/Gateway.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -25,10 +26,12 @@
 
 int main(int argc, char** argv)
 {
+    if (argc > 1 && std::string_view(argv[1]) == "gateway")
+        return chiveshelf::runGateway(argc - 1, argv + 1);
     auto options = chiveshelf::makeDaemonOptions();
     auto problems = options.parse(argc, argv);
     if (options.isSet("help")) {
-        std::cout << "Usage: chiveshelfd [flags]\n\nThe serving process of an entry host.\n\n"
+        std::cout << "Usage: chiveshelfd [flags]\n       chiveshelfd gateway [flags]\n\nThe serving process of an entry host.\n\n"
                   << options.help();
         return 0;
     }
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/BackendPool.cpp
@@ -0,0 +1,150 @@
+#include "chiveshelf/gateway/BackendPool.h"
+
+#include "chiveshelf/http/Message.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace chiveshelf {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // Idle connections kept to one server: more are rarely in use at once, and each takes a place at the server.
+    constexpr std::size_t idlePerServer = 16;
+    // Probes that find a server without power while an answer is awaited: 4 s in all.
+    constexpr int probeIdleSeconds = 2;
+    constexpr int probeIntervalSeconds = 1;
+    constexpr int probeCount = 2;
+    // Time in which sent bytes have to be acknowledged.
+    constexpr unsigned unacknowledgedMs = 4'000;
+
+    void setOptions(asio::ip::tcp::socket& socket)
+    {
+        boost::system::error_code ec;
+        socket.set_option(asio::ip::tcp::no_delay(true), ec);
+        const int fd = socket.native_handle();
+        const int on = 1;
+        ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+        ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probeIdleSeconds, sizeof(probeIdleSeconds));
+        ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probeIntervalSeconds, sizeof(probeIntervalSeconds));
+        ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probeCount, sizeof(probeCount));
+        ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMs, sizeof(unacknowledgedMs));
+    }
+
+    // A connection that was closed, or on which unasked bytes arrived, is of no use.
+    bool isQuiet(asio::ip::tcp::socket& socket)
+    {
+        char byte = 0;
+        const auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+}
+
+void BackendConnection::close()
+{
+    boost::system::error_code ec;
+    socket.close(ec);
+}
+
+BackendPool::BackendPool(asio::io_context& context)
+    : m_context(context)
+{
+}
+
+std::shared_ptr<BackendConnection> BackendPool::takeIdle(const RunnerRecord& runner, std::chrono::milliseconds longestIdle, TimePoint now)
+{
+    const auto it = m_idle.find(keyOf(runner));
+    if (it == m_idle.end())
+        return nullptr;
+    auto& idle = it->second;
+    while (!idle.empty()) {
+        const auto& newest = idle.back();
+        if (now - newest->idleSince > std::min(longestIdle, newest->idleLimit))
+            return nullptr;
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (isQuiet(connection->socket)) {
+            connection->isReused = true;
+            return connection;
+        }
+        connection->close();
+    }
+    return nullptr;
+}
+
+asio::awaitable<Result<void>> BackendPool::connect(Address address, std::shared_ptr<BackendConnection>& slot)
+{
+    ++m_connects;
+    auto connection = std::make_shared<BackendConnection>(m_context);
+    slot = connection;
+    asio::steady_timer timer(m_context, connectLimit);
+    timer.async_wait([weak = std::weak_ptr(connection)](boost::system::error_code ec) {
+        const auto pending = weak.lock();
+        if (!ec && pending)
+            pending->close();
+    });
+    boost::system::error_code ec;
+    co_await connection->socket.async_connect(http::toEndpoint(address), asio::redirect_error(asio::use_awaitable, ec));
+    timer.cancel();
+    if (!ec && !connection->socket.is_open())
+        ec = asio::error::timed_out;
+    if (ec) {
+        connection->close();
+        slot.reset();
+        co_return failure(ErrorCode::Unavailable, "connect to " + toString(address) + ": " + ec.message(), Verdict::NotRun);
+    }
+    setOptions(connection->socket);
+    co_return Result<void> {};
+}
+
+void BackendPool::putBack(const RunnerRecord& runner, std::shared_ptr<BackendConnection> connection, TimePoint now)
+{
+    auto& idle = m_idle[keyOf(runner)];
+    connection->idleSince = now;
+    if (idle.size() >= idlePerServer) {
+        idle.front()->close();
+        idle.erase(idle.begin());
+    }
+    idle.push_back(std::move(connection));
+}
+
+void BackendPool::drop(const RunnerRecord& runner)
+{
+    const auto it = m_idle.find(keyOf(runner));
+    if (it == m_idle.end())
+        return;
+    for (const auto& connection : it->second)
+        connection->close();
+    m_idle.erase(it);
+}
+
+void BackendPool::sweep(TimePoint now)
+{
+    for (auto it = m_idle.begin(); it != m_idle.end();) {
+        auto& idle = it->second;
+        std::erase_if(idle, [&](const auto& connection) {
+            if (now - connection->idleSince <= connection->idleLimit)
+                return false;
+            connection->close();
+            return true;
+        });
+        it = idle.empty() ? m_idle.erase(it) : std::next(it);
+    }
+}
+
+std::size_t BackendPool::idleCount() const
+{
+    std::size_t n = 0;
+    for (const auto& [key, idle] : m_idle)
+        n += idle.size();
+    return n;
+}
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
@@ -0,0 +1,262 @@
+#include "chiveshelf/gateway/CallerConnection.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <sys/socket.h>
+
+namespace chiveshelf {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::redirect_error;
+using asio::use_awaitable;
+
+namespace {
+
+    // Time for a whole body behind its header: a megabyte over a slow line.
+    constexpr std::chrono::milliseconds bodyTime { 15'000 };
+    // After an answer to a request that was not read whole, further bytes are read for this long, since closing earlier would
+    // reset the connection before the answer was read.
+    constexpr std::chrono::milliseconds lingerTime { 500 };
+    constexpr std::size_t lingerPieceBytes = 16 * 1024;
+
+    struct ReadRefusal {
+        unsigned status;
+        const char* code;
+        const char* message;
+    };
+
+    // Returns the answer for a request that could not be read, or nothing if the connection just ended.
+    std::optional<ReadRefusal> refusalForReadError(const boost::system::error_code& ec)
+    {
+        if (ec == beast::http::error::header_limit)
+            return ReadRefusal { 431, "header_too_large", "the header is over the limit" };
+        if (ec == beast::http::error::body_limit)
+            return ReadRefusal { 413, "body_too_large", "the body is over the limit" };
+        const bool isParseError = ec.category() == beast::http::make_error_code(beast::http::error::bad_method).category();
+        if (isParseError && ec != beast::http::error::end_of_stream && ec != beast::http::error::partial_message)
+            return ReadRefusal { 400, "invalid_request", "the request can not be read" };
+        return std::nullopt;
+    }
+
+    // Codings other than plain chunked would leave open where the body ends.
+    bool hasClearFraming(const beast::http::fields& fields)
+    {
+        const auto n = fields.count(beast::http::field::transfer_encoding);
+        if (n == 0)
+            return fields.count(beast::http::field::content_length) <= 1;
+        return n == 1 && beast::iequals(fields[beast::http::field::transfer_encoding], "chunked")
+            && fields.count(beast::http::field::content_length) == 0;
+    }
+
+    std::string secondsText(std::chrono::milliseconds duration)
+    {
+        char buf[32];
+        std::snprintf(buf, sizeof(buf), "%.3f", static_cast<double>(duration.count()) / 1'000);
+        return buf;
+    }
+
+}
+
+std::string formatOwnAnswer(const OwnAnswer& answer, bool isKept)
+{
+    const nlohmann::json body { { "error", { { "code", answer.code }, { "message", answer.message } } } };
+    const auto text = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    const auto reason = beast::http::obsolete_reason(static_cast<beast::http::status>(answer.status));
+    std::string out = "HTTP/1.1 " + std::to_string(answer.status) + " " + std::string(reason) + "\r\nContent-Type: application/json\r\n";
+    if (answer.retryAfter)
+        out += "Retry-After: " + secondsText(*answer.retryAfter) + "\r\n";
+    if (!isKept)
+        out += "Connection: close\r\n";
+    return out + "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+}
+
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket)
+    : m_socket(std::move(socket))
+    , m_timer(m_socket.get_executor())
+{
+}
+
+void CallerConnection::expireAfter(std::chrono::milliseconds duration)
+{
+    m_expiry = std::chrono::steady_clock::now() + duration;
+    if (m_expiry < m_timerAt)
+        armTimer();
+}
+
+void CallerConnection::armTimer()
+{
+    m_timerAt = m_expiry;
+    m_timer.expires_at(m_expiry);
+    m_timer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
+        const auto connection = weak.lock();
+        if (ec || !connection)
+            return;
+        connection->m_timerAt = TimePoint::max();
+        if (connection->m_expiry == TimePoint::max())
+            return;
+        if (connection->m_expiry > std::chrono::steady_clock::now()) {
+            connection->armTimer();
+            return;
+        }
+        connection->m_hasExpired = true;
+        boost::system::error_code ignored;
+        connection->m_socket.cancel(ignored);
+    });
+}
+
+asio::awaitable<std::optional<CallerRequest>> CallerConnection::refuseRequest(unsigned status, const char* code, const char* message)
+{
+    m_isKept = false;
+    OwnAnswer refusal { status, code, message, std::nullopt };
+    co_await answer(std::move(refusal));
+    co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<CallerRequest>> CallerConnection::read(CallerLimits limits)
+{
+    boost::system::error_code ec;
+    m_isIdle = true;
+    if (m_buffer.size() == 0) {
+        expireAfter(limits.idleTime);
+        co_await m_socket.async_wait(asio::socket_base::wait_read, redirect_error(use_awaitable, ec));
+        if (ec || m_hasExpired)
+            co_return std::nullopt;
+    }
+    m_isIdle = false;
+    expireAfter(limits.headerTime);
+    beast::http::request_parser<beast::http::string_body> parser;
+    parser.header_limit(limits.headerBytes);
+    parser.body_limit(limits.bodyBytes);
+    co_await beast::http::async_read_header(m_socket, m_buffer, parser, redirect_error(use_awaitable, ec));
+    if (m_hasExpired)
+        co_return co_await refuseRequest(408, "timeout", "the header took too long");
+    if (!ec) {
+        expireAfter(bodyTime);
+        if (!hasClearFraming(parser.get()))
+            co_return co_await refuseRequest(400, "invalid_request", "the body's framing is ambiguous");
+        if (beast::iequals(parser.get()[beast::http::field::expect], "100-continue") && !co_await write("HTTP/1.1 100 Continue\r\n\r\n"))
+            co_return std::nullopt;
+        if (!parser.is_done())
+            co_await beast::http::async_read(m_socket, m_buffer, parser, redirect_error(use_awaitable, ec));
+    }
+    if (m_hasExpired)
+        co_return co_await refuseRequest(408, "timeout", "the body took too long");
+    if (ec) {
+        const auto refusal = refusalForReadError(ec);
+        if (refusal)
+            co_return co_await refuseRequest(refusal->status, refusal->code, refusal->message);
+        co_return std::nullopt;
+    }
+    neverExpire();
+    m_isKept = parser.keep_alive();
+    CallerRequest out { parser.release(), std::chrono::steady_clock::now() };
+    co_return out;
+}
+
+asio::awaitable<bool> CallerConnection::write(std::string bytes)
+{
+    boost::system::error_code ec;
+    co_await asio::async_write(m_socket, asio::buffer(bytes), redirect_error(use_awaitable, ec));
+    if (ec)
+        m_hasDeparted = true;
+    co_return !ec;
+}
+
+asio::awaitable<void> CallerConnection::answer(OwnAnswer own)
+{
+    auto bytes = formatOwnAnswer(own, m_isKept);
+    co_await write(std::move(bytes));
+}
+
+void CallerConnection::watchDeparture(std::function<void()> onGone)
+{
+    m_onGone = std::move(onGone);
+    if (!m_isAwaitingReadable)
+        awaitReadable();
+}
+
+void CallerConnection::awaitReadable()
+{
+    m_isAwaitingReadable = true;
+    m_socket.async_wait(asio::socket_base::wait_read, [weak = weak_from_this()](boost::system::error_code ec) {
+        const auto connection = weak.lock();
+        if (!connection)
+            return;
+        connection->m_isAwaitingReadable = false;
+        if (!ec)
+            connection->onReadable();
+    });
+}
+
+void CallerConnection::onReadable()
+{
+    if (!m_onGone || !m_socket.is_open())
+        return;
+    char byte = 0;
+    const auto n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool isOpen = n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR));
+    if (isOpen && n < 0) {
+        awaitReadable();
+        return;
+    }
+    if (isOpen)
+        return;
+    m_hasDeparted = true;
+    const auto onGone = std::exchange(m_onGone, nullptr);
+    onGone();
+}
+
+bool CallerConnection::hasInput()
+{
+    boost::system::error_code ec;
+    return m_buffer.size() > 0 || m_socket.available(ec) > 0;
+}
+
+void CallerConnection::close()
+{
+    boost::system::error_code ec;
+    m_socket.close(ec);
+}
+
+void CallerConnection::cut()
+{
+    boost::system::error_code ec;
+    // Lingering for no time sends a reset, which no reader can take for a proper end.
+    m_socket.set_option(asio::socket_base::linger(true, 0), ec);
+    m_socket.close(ec);
+    m_isKept = false;
+    m_hasDeparted = true;
+}
+
+asio::awaitable<void> CallerConnection::finish()
+{
+    m_timer.cancel();
+    boost::system::error_code ec;
+    if (!m_socket.is_open())
+        co_return;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    if (!ec && !m_hasDeparted) {
+        asio::steady_timer timer(m_socket.get_executor(), lingerTime);
+        timer.async_wait([weak = weak_from_this()](boost::system::error_code timerError) {
+            const auto connection = weak.lock();
+            boost::system::error_code ignored;
+            if (!timerError && connection)
+                connection->m_socket.cancel(ignored);
+        });
+        std::string piece(lingerPieceBytes, '\0');
+        while (!ec)
+            co_await m_socket.async_read_some(asio::buffer(piece), redirect_error(use_awaitable, ec));
+    }
+    m_socket.close(ec);
+}
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/EventCursor.cpp
@@ -0,0 +1,63 @@
+#include "chiveshelf/gateway/EventCursor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace chiveshelf {
+
+namespace {
+
+    constexpr std::string_view boundary = "\n\n";
+    constexpr std::string_view longBoundary = "\r\n\r\n";
+
+    // Returns the offset behind the last event boundary in `text`, 0 if there is none.
+    std::size_t endOfEvents(std::string_view text)
+    {
+        const auto plain = text.rfind(boundary);
+        const auto withReturns = text.rfind(longBoundary);
+        std::size_t end = 0;
+        if (plain != std::string_view::npos)
+            end = plain + boundary.size();
+        if (withReturns != std::string_view::npos)
+            end = std::max(end, withReturns + longBoundary.size());
+        return end;
+    }
+
+}
+
+std::string EventCursor::take(std::string_view bytes)
+{
+    m_partial.append(bytes);
+    const auto end = endOfEvents(m_partial);
+    if (end == 0)
+        return {};
+    auto out = m_partial.substr(0, end);
+    m_partial.erase(0, end);
+    readIds(out);
+    return out;
+}
+
+std::string EventCursor::finish()
+{
+    readIds(m_partial);
+    return std::exchange(m_partial, {});
+}
+
+void EventCursor::readIds(std::string_view events)
+{
+    while (!events.empty()) {
+        const auto end = std::min(events.find('\n'), events.size());
+        auto line = events.substr(0, end);
+        events.remove_prefix(std::min(end + 1, events.size()));
+        if (!line.starts_with("id:"))
+            continue;
+        line.remove_prefix(3);
+        while (!line.empty() && line.front() == ' ')
+            line.remove_prefix(1);
+        while (!line.empty() && line.back() == '\r')
+            line.remove_suffix(1);
+        m_lastId = line;
+    }
+}
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "chiveshelf/gateway/BackendPool.h"
+#include "chiveshelf/gateway/CallerConnection.h"
+#include "chiveshelf/gateway/EventCursor.h"
+#include "chiveshelf/gateway/GatewayMetrics.h"
+#include "chiveshelf/gateway/HostExchange.h"
+#include "chiveshelf/gateway/RunnerUse.h"
+#include "chiveshelf/gateway/ServingState.h"
+#include "chiveshelf/placement/AttemptHistory.h"
+#include "platform/RequestHeaders.h"
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+namespace chiveshelf {
+
+// What all requests of a gateway share.
+struct ForwardContext {
+    boost::asio::io_context& io;
+    const GatewaySettings& settings;
+    ServingState& state;
+    BackendPool& backends;
+    HostExchange& exchange;
+    GatewayMetrics& metrics;
+};
+
+// One request of a caller, from its arrival to its final answer. Decides nothing about runners or repeats by itself: it asks
+// the placement for a runner and the attempt history for what may follow, and moves bytes.
+class ForwardTask {
+public:
+    ForwardTask(ForwardContext&, std::shared_ptr<CallerConnection>, CallerRequest);
+    ForwardTask(const ForwardTask&) = delete;
+    ForwardTask& operator=(const ForwardTask&) = delete;
+
+    // Serves the request. `isStopping` refuses it at once, since the process is about to end.
+    boost::asio::awaitable<void> run(bool isStopping);
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    // How one send to a runner ended.
+    enum class SendEnd {
+        // The caller has its final answer, or has gone.
+        Finished,
+        // The runner gave no usable answer; see the history.
+        Failed,
+    };
+
+    // How the forwarding of an answer ended.
+    enum class RelayEnd {
+        Complete,
+        RunnerBroke,
+        CallerGone,
+    };
+
+    // How the body of the answer to the caller is delimited.
+    enum class Framing {
+        None,
+        Length,
+        Chunks,
+        Close,
+    };
+
+    std::optional<OwnAnswer> resolve();
+    std::optional<OwnAnswer> authorize();
+    bool isQuarantined();
+    PlacementResult choose(TimePoint now);
+    boost::asio::awaitable<SendEnd> send(const Placement&);
+    boost::asio::awaitable<bool> connect(const Placement&);
+    boost::asio::awaitable<bool> writeRequest(const Placement&);
+    boost::asio::awaitable<bool> readHead(std::unique_ptr<Parser>&, RunnerUse&);
+    boost::asio::awaitable<SendEnd> handleAnswer(Parser&, RunnerUse&);
+    boost::asio::awaitable<RelayEnd> relay(Parser&, RunnerUse&);
+    boost::asio::awaitable<void> answer(unsigned status, std::string_view code, std::string message, std::optional<std::chrono::milliseconds> retryAfter);
+    boost::asio::awaitable<void> refuse(const PlacementRefusal&);
+    boost::asio::awaitable<void> fail();
+    boost::asio::awaitable<void> endInterrupted();
+
+    std::string formatRequest(const Placement&) const;
+    std::string formatHead(const Parser&, Framing) const;
+    std::string frame(std::string bytes, Framing) const;
+    Framing framingFor(const Parser&) const;
+    bool isAnswerOfRunner(const platform::RunnerHeaders&, unsigned status) const;
+    SendEnd recordFailure(RunnerUse&, Verdict, bool isBroken, std::string_view reason);
+    SendEnd recordRefusal(RunnerUse&, const platform::RunnerHeaders&, unsigned status);
+    void observeFirstByte(RunnerUse&);
+    void keepConnection(const Parser&, const platform::RunnerHeaders&, const RunnerUse&);
+    void startTimers();
+    void interrupt();
+    void armPatience(const Placement&);
+    void logOutcome(std::string_view outcome, std::string_view reason) const;
+    std::chrono::milliseconds timeLeft(TimePoint now) const;
+    bool isInterrupted() const { return m_isCallerGone || m_isTimeUp; }
+    bool mayResume() const { return m_route->kind == RequestKind::Stream && m_route->isResumable; }
+
+    ForwardContext& m_context;
+    std::shared_ptr<CallerConnection> m_caller;
+    CallerRequest m_request;
+    // The tables under which the request arrived.
+    std::shared_ptr<const RouteIndex> m_index;
+    const PathRoute* m_route = nullptr;
+    const Organisation* m_organisation = nullptr;
+    platform::CallerHeaders m_headers;
+    std::string m_pool;
+    unsigned m_rank = 0;
+    std::uint64_t m_scope = 0;
+    std::string m_fingerprint;
+    std::optional<AttemptHistory> m_history;
+    std::vector<std::string> m_excluded;
+    std::shared_ptr<BackendConnection> m_connection;
+    boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_patience;
+    TimePoint m_deadline {};
+    EventCursor m_cursor;
+    // Lets callbacks of timers find out that the task has ended.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    bool m_isCallerGone = false;
+    bool m_isTimeUp = false;
+    bool m_isImpatient = false;
+    // Whether a runner was sent the request, so that any further send is a repeat.
+    bool m_hasArrived = false;
+    // Whether part of an answer was sent to the caller.
+    bool m_hasStarted = false;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -0,0 +1,246 @@
+#include "chiveshelf/gateway/Gateway.h"
+
+#include "chiveshelf/core/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace chiveshelf {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // Exit codes, documented in docs/OPERATIONS.md.
+    constexpr int exitSettings = 2;
+    constexpr int exitListen = 3;
+
+    // Descriptors kept back for files, peers, the store and the admin address.
+    constexpr std::size_t reservedDescriptors = 264;
+    constexpr http::ServerLimits adminLimits { 16 * 1024, 64 * 1024, 32 };
+    constexpr std::chrono::milliseconds sweepInterval { 500 };
+
+    // Registrations of hosts: peers hear of an end within seconds, and renewals are rare.
+    constexpr std::chrono::milliseconds registrationTime { 9'000 };
+    constexpr std::chrono::milliseconds registrationRenewal { 3'000 };
+
+    // The load balancer asks each second and takes a host out after two misses.
+    constexpr std::chrono::milliseconds balancerNotice { 2'600 };
+    // Kept back from the time to stop for the end of the process itself.
+    constexpr std::chrono::milliseconds stopMargin { 250 };
+    // Requests that come later than this share of the time to stop are left to other hosts: they might not end in time.
+    constexpr double lastStartShare = 0.45;
+    constexpr std::chrono::milliseconds stopCheckInterval { 50 };
+
+    LogLevel levelFromName(const std::string& name)
+    {
+        if (name == "debug")
+            return LogLevel::Debug;
+        if (name == "warning")
+            return LogLevel::Warning;
+        return name == "error" ? LogLevel::Error : LogLevel::Info;
+    }
+
+}
+
+Gateway::Gateway(asio::io_context& context, GatewaySettings settings)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_state(m_settings)
+    , m_backends(context)
+    , m_exchange(context, m_settings, m_state)
+    , m_client(context)
+    , m_store(m_client, m_settings.storeAddress)
+    , m_follower(context, m_store, m_state, m_exchange)
+    , m_registration(context, m_store,
+          StoreLease::Options { std::string(hostPrefix) + m_settings.hostName, toString(m_settings.peerAddress), registrationTime, registrationRenewal, false },
+          [this] { return m_follower.isInContact(); })
+    , m_leader(context, m_settings, m_client, m_store, m_state, m_follower, m_exchange)
+    , m_forward { context, m_settings, m_state, m_backends, m_exchange, m_metrics }
+    , m_server(
+          context, (m_settings.mostDescriptors - std::min(reservedDescriptors, m_settings.mostDescriptors / 2)) / 2,
+          [this] { return m_state.routes() ? m_state.routes()->tables().limits : CallerLimits {}; },
+          [this](std::shared_ptr<CallerConnection> caller, CallerRequest request) { return serve(std::move(caller), std::move(request)); })
+    , m_admin(context, adminLimits, [this](http::Exchange& exchange) { return serveAdmin(exchange); })
+{
+    m_exchange.setRelay([this] { return m_follower.relayItems(); },
+        [this](const std::vector<std::pair<std::string, std::string>>& items) { m_follower.takeRelayedItems(items); },
+        [this](const std::string& text) { m_follower.takeRelayedTables(text); });
+}
+
+Result<void> Gateway::start()
+{
+    auto started = m_server.start(m_settings.callerAddress);
+    if (started)
+        started = m_admin.start(m_settings.adminAddress);
+    if (started)
+        started = m_exchange.start();
+    if (!started)
+        return started;
+    m_follower.start();
+    m_registration.start();
+    m_leader.start();
+    asio::co_spawn(m_context, sweepLoop(), asio::detached);
+    logEvent(LogLevel::Info, "started", { { "data_centre", m_settings.dataCentre }, { "listen", toString(m_settings.callerAddress) } });
+    return {};
+}
+
+bool Gateway::isReady() const
+{
+    return m_state.routes() && !m_server.isClosing() && !m_state.board().all().empty();
+}
+
+asio::awaitable<void> Gateway::serve(std::shared_ptr<CallerConnection> caller, CallerRequest request)
+{
+    const bool isStopping = std::chrono::steady_clock::now() >= m_stopAt;
+    ForwardTask task(m_forward, std::move(caller), std::move(request));
+    co_await task.run(isStopping);
+}
+
+asio::awaitable<void> Gateway::serveAdmin(http::Exchange& exchange)
+{
+    const auto target = exchange.request().target();
+    const auto path = http::parseTarget({ target.data(), target.size() }).path;
+    if (path == "/ready" || path == "/readyz") {
+        auto response = http::makeResponse(isReady() ? http::Status::ok : http::Status::service_unavailable, isReady() ? "ready\n" : "not ready\n", "text/plain");
+        co_await exchange.respond(std::move(response));
+    } else if (path == "/metrics") {
+        auto response = http::makeResponse(http::Status::ok, metricsText(), "text/plain; version=0.0.4");
+        co_await exchange.respond(std::move(response));
+    } else if (path == "/state") {
+        auto response = http::makeResponse(http::Status::ok, stateText());
+        co_await exchange.respond(std::move(response));
+    } else {
+        auto response = http::makeResponse(http::Status::not_found, "unknown path\n", "text/plain");
+        co_await exchange.respond(std::move(response));
+    }
+}
+
+asio::awaitable<void> Gateway::sleep(std::chrono::milliseconds duration)
+{
+    asio::steady_timer timer(m_context, duration);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+asio::awaitable<void> Gateway::sweepLoop()
+{
+    while (true) {
+        co_await sleep(sweepInterval);
+        m_backends.sweep(std::chrono::steady_clock::now());
+    }
+}
+
+void Gateway::stop()
+{
+    if (m_server.isClosing())
+        return;
+    logEvent(LogLevel::Info, "stopping", { { "active", m_server.activeRequests() } });
+    m_server.announceClose();
+    m_stopAt = std::chrono::steady_clock::now() + std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.stopLimit * lastStartShare);
+    asio::co_spawn(m_context, stopInOrder(), asio::detached);
+}
+
+asio::awaitable<void> Gateway::stopInOrder()
+{
+    const auto start = std::chrono::steady_clock::now();
+    co_await m_leader.stop();
+    co_await sleep(balancerNotice);
+    m_server.closeIdle();
+    while (m_server.connectionCount() > 0 && std::chrono::steady_clock::now() - start < m_settings.stopLimit - stopMargin) {
+        co_await sleep(stopCheckInterval);
+        m_server.closeIdle();
+    }
+    co_await m_registration.stop();
+    logEvent(LogLevel::Info, "stopped", { { "active", m_server.activeRequests() } });
+    m_context.stop();
+}
+
+std::string Gateway::stateText() const
+{
+    const auto now = std::chrono::steady_clock::now();
+    nlohmann::json out { { "host", m_settings.hostName }, { "ready", isReady() }, { "tables_version", m_state.tablesVersion() },
+        { "store_reached", m_follower.isInContact() }, { "leading", m_leader.isLeading() }, { "hosts", m_exchange.hostCount() },
+        { "active", m_server.activeRequests() }, { "connections", m_server.connectionCount() } };
+    for (const auto& [model, target] : m_state.targets())
+        out["versions"][model] = target.version;
+    for (const auto& [id, runner] : m_state.board().all()) {
+        const auto total = runner->total(now);
+        out["runners"][id] = { { "pool", runner->record().pool }, { "address", toString(runner->record().address) },
+            { "leaving", runner->record().isLeaving }, { "usable", runner->health().isUsable(now) }, { "loading", runner->isLoading(now) },
+            { "versions", runner->record().modelVersions }, { "requests", runner->requests(now) }, { "prefill_tokens", total.prefillTokens },
+            { "memory_tokens", total.memoryTokens }, { "failure_share", runner->health().failureShare(now) },
+            { "tokens_per_ms", runner->tokensPerMs(0) }, { "cached_tokens", runner->parts().tokens() } };
+    }
+    return out.dump(2) + "\n";
+}
+
+std::string Gateway::metricsText() const
+{
+    return formatGatewayMetrics(m_metrics,
+        { { "active_requests", static_cast<double>(m_server.activeRequests()) }, { "connections", static_cast<double>(m_server.connectionCount()) },
+            { "idle_backend_connections", static_cast<double>(m_backends.idleCount()) },
+            { "backend_connects", static_cast<double>(m_backends.connectCount()) }, { "store_calls", static_cast<double>(m_store.callCount()) },
+            { "tables_version", static_cast<double>(m_state.tablesVersion()) }, { "runners", static_cast<double>(m_state.board().all().size()) },
+            { "hosts", static_cast<double>(m_exchange.hostCount()) }, { "store_reached", m_follower.isInContact() ? 1.0 : 0.0 },
+            { "leading", m_leader.isLeading() ? 1.0 : 0.0 } });
+}
+
+int runGateway(int argc, char** argv)
+{
+    auto options = makeGatewayOptions();
+    auto problems = options.parse(argc, argv);
+    if (options.isSet("help")) {
+        std::cout << "Usage: chiveshelfd gateway [flags]\n\nServes routes by host and path on an entry host.\n\n"
+                  << options.help();
+        return 0;
+    }
+    for (const auto& argument : options.arguments())
+        problems.push_back(argument + ": unexpected argument");
+    auto settings = readGatewaySettings(options, problems);
+    if (options.isSet("print-settings"))
+        std::cout << options.describe();
+    for (const auto& problem : problems)
+        std::cerr << "chiveshelfd gateway: " << problem << "\n";
+    if (!problems.empty())
+        return exitSettings;
+    if (options.isSet("print-settings"))
+        return 0;
+    std::signal(SIGPIPE, SIG_IGN);
+    initializeLog(settings.hostName, levelFromName(settings.logLevel));
+    asio::io_context context(1);
+    Gateway gateway(context, std::move(settings));
+    const auto started = gateway.start();
+    if (!started) {
+        logEvent(LogLevel::Error, "start_failed", { { "error", started.error().message } });
+        return exitListen;
+    }
+    asio::signal_set stopSignals(context, SIGINT, SIGTERM);
+    stopSignals.async_wait([&](boost::system::error_code ec, int) {
+        if (!ec)
+            gateway.stop();
+    });
+    // Settings come from flags and variables, which do not change while the process runs.
+    asio::signal_set reloadSignals(context, SIGHUP);
+    std::function<void()> awaitReload = [&] {
+        reloadSignals.async_wait([&](boost::system::error_code ec, int) {
+            if (ec)
+                return;
+            logEvent(LogLevel::Info, "reload_ignored", { { "reason", "settings change at the next start" } });
+            awaitReload();
+        });
+    };
+    awaitReload();
+    context.run();
+    return 0;
+}
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/GatewayMetrics.cpp
@@ -0,0 +1,35 @@
+#include "chiveshelf/gateway/GatewayMetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace chiveshelf {
+
+std::string formatGatewayMetrics(const GatewayMetrics& metrics, const std::map<std::string, double>& gauges)
+{
+    prometheus::Registry registry;
+    const auto addCounters = [&](const char* name, const char* help, const char* label, const std::map<std::string, std::uint64_t>& values) {
+        auto& family = prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+        for (const auto& [key, value] : values)
+            family.Add({ { label, key } }).Increment(static_cast<double>(value));
+    };
+    const auto addCounter = [&](const char* name, const char* help, double value) {
+        prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({}).Increment(value);
+    };
+    addCounters("chiveshelf_gateway_requests_total", "Requests by how they ended.", "outcome", metrics.requests);
+    addCounters("chiveshelf_gateway_refusals_total", "Refusals by reason.", "reason", metrics.refusals);
+    addCounter("chiveshelf_gateway_repeats_total", "Sends beyond the first of each request.", static_cast<double>(metrics.repeats));
+    addCounter("chiveshelf_gateway_resumes_total", "Streams resumed at another runner.", static_cast<double>(metrics.resumes));
+    addCounter("chiveshelf_gateway_stray_answers_total", "Answers that belonged to other requests.", static_cast<double>(metrics.strayAnswers));
+    addCounter("chiveshelf_gateway_predictions_total", "First bytes whose time was predicted.", static_cast<double>(metrics.predictions));
+    addCounter("chiveshelf_gateway_prediction_error_ms_total", "Sum of the absolute errors of these predictions.", metrics.predictionErrorMs);
+    addCounter("chiveshelf_gateway_predicted_ms_total", "Sum of the predicted times.", metrics.predictedMs);
+    addCounter("chiveshelf_gateway_measured_ms_total", "Sum of the measured times.", metrics.measuredMs);
+    for (const auto& [name, value] : gauges)
+        prometheus::BuildGauge().Name("chiveshelf_gateway_" + name).Help("Present value.").Register(registry).Add({}).Set(value);
+    return prometheus::TextSerializer().Serialize(registry.Collect());
+}
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/GatewayServer.cpp
@@ -0,0 +1,135 @@
+#include "chiveshelf/gateway/GatewayServer.h"
+
+#include "chiveshelf/core/Log.h"
+#include "chiveshelf/http/Message.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace chiveshelf {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // Wait after a failed accept, for instance when file descriptors run out.
+    constexpr std::chrono::milliseconds acceptRetryDelay { 20 };
+    // Bounds what a caller that reads slowly holds in the kernel.
+    constexpr int sendBufferBytes = 128 * 1024;
+    // Time in which a caller's host has to acknowledge what it was sent.
+    constexpr unsigned unacknowledgedMs = 5'000;
+
+    // Counts a request while it is handled.
+    class ActiveCount {
+    public:
+        explicit ActiveCount(std::size_t& count)
+            : m_count(count)
+        {
+            ++m_count;
+        }
+        ~ActiveCount() { --m_count; }
+        ActiveCount(const ActiveCount&) = delete;
+        ActiveCount& operator=(const ActiveCount&) = delete;
+
+    private:
+        std::size_t& m_count;
+    };
+
+    void setOptions(asio::ip::tcp::socket& socket)
+    {
+        boost::system::error_code ec;
+        socket.set_option(asio::ip::tcp::no_delay(true), ec);
+        socket.set_option(asio::socket_base::send_buffer_size(sendBufferBytes), ec);
+        ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMs, sizeof(unacknowledgedMs));
+    }
+
+}
+
+GatewayServer::GatewayServer(asio::io_context& context, std::size_t mostConnections, std::function<CallerLimits()> limits, Handler handler)
+    : m_context(context)
+    , m_mostConnections(mostConnections)
+    , m_limits(std::move(limits))
+    , m_handler(std::move(handler))
+    , m_acceptor(context)
+{
+}
+
+Result<void> GatewayServer::start(const Address& address)
+{
+    boost::system::error_code ec;
+    const auto endpoint = http::toEndpoint(address);
+    m_acceptor.open(endpoint.protocol(), ec);
+    if (!ec)
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    if (!ec)
+        m_acceptor.bind(endpoint, ec);
+    if (!ec)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (ec)
+        return failure(ErrorCode::Unavailable, "cannot listen on " + toString(address) + ": " + ec.message(), Verdict::NotRun);
+    asio::co_spawn(m_context, acceptLoop(), asio::detached);
+    return {};
+}
+
+void GatewayServer::closeIdle()
+{
+    for (const auto& connection : m_connections) {
+        if (connection->isIdle() && !connection->hasInput())
+            connection->close();
+    }
+}
+
+asio::awaitable<void> GatewayServer::acceptLoop()
+{
+    while (m_acceptor.is_open()) {
+        boost::system::error_code ec;
+        asio::ip::tcp::socket socket(m_context);
+        co_await m_acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, ec));
+        if (ec == asio::error::operation_aborted || ec == asio::error::bad_descriptor)
+            break;
+        if (ec) {
+            logEvent(LogLevel::Warning, "accept_failed", { { "error", ec.message() } });
+            asio::steady_timer timer(m_context, acceptRetryDelay);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+            continue;
+        }
+        if (m_connections.size() >= m_mostConnections) {
+            logEvent(LogLevel::Warning, "connection_refused", { { "connections", m_connections.size() } });
+            continue;
+        }
+        setOptions(socket);
+        auto connection = std::make_shared<CallerConnection>(std::move(socket));
+        m_connections.insert(connection);
+        asio::co_spawn(m_context, serve(connection), asio::detached);
+    }
+}
+
+asio::awaitable<void> GatewayServer::serve(std::shared_ptr<CallerConnection> connection)
+{
+    try {
+        while (true) {
+            auto request = co_await connection->read(m_limits());
+            if (!request)
+                break;
+            if (m_isClosing)
+                connection->setKept(false);
+            const ActiveCount active(m_activeRequests);
+            co_await m_handler(connection, std::move(*request));
+            if (!connection->isKept() || m_isClosing)
+                break;
+        }
+        co_await connection->finish();
+    } catch (const std::exception& error) {
+        logEvent(LogLevel::Error, "connection_failed", { { "error", error.what() } });
+        connection->cut();
+    }
+    m_connections.erase(connection);
+}
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
@@ -0,0 +1,102 @@
+#include "chiveshelf/gateway/GatewaySettings.h"
+
+#include <map>
+
+namespace chiveshelf {
+
+namespace {
+
+    std::vector<std::string> splitList(const std::string& text)
+    {
+        std::vector<std::string> out;
+        std::size_t start = 0;
+        while (start < text.size()) {
+            const auto comma = std::min(text.find(',', start), text.size());
+            if (comma > start)
+                out.push_back(text.substr(start, comma - start));
+            start = comma + 1;
+        }
+        return out;
+    }
+
+    std::string checkAddressList(const std::string& text)
+    {
+        for (const auto& entry : splitList(text)) {
+            if (!parseAddress(entry))
+                return "must be a list of IP:PORT, separated by commas";
+        }
+        return {};
+    }
+
+    std::chrono::milliseconds milliseconds(const OptionSet& options, const std::string& name)
+    {
+        return std::chrono::milliseconds(options.number(name));
+    }
+
+    std::chrono::milliseconds seconds(const OptionSet& options, const std::string& name)
+    {
+        return std::chrono::milliseconds(static_cast<std::int64_t>(options.decimal(name) * 1'000));
+    }
+
+}
+
+OptionSet makeGatewayOptions()
+{
+    std::vector<OptionSpec> specs {
+        { "host-name", "", "Name of this host, unique in the fleet.", true, false, checkName() },
+        { "data-centre", "", "Data centre of this host.", true, false, checkName() },
+        { "listen", "", "IP:PORT for callers.", true, false, checkAddress() },
+        { "admin-listen", "", "IP:PORT for readiness, metrics and state.", true, false, checkAddress() },
+        { "peer-listen", "", "IP:PORT for other hosts, TCP and UDP; the port is the same on all hosts.", true, false, checkAddress() },
+        { "contacts", "", "Addresses of hosts, separated by commas, to ask for the tables while the store can not be read. Their ports are ignored.",
+            false, false, checkAddressList },
+        { "store", "", "IP:PORT of the store with tables, runners and leases.", true, false, checkAddress() },
+        { "stop-limit-s", "8", "Time from the signal to stop until the process is killed, in s.", false, false, checkDecimal(1, 3'600, "s") },
+        { "order-gap-ms", "3000", "Least time between orders of two hosts to one runner, in ms.", false, false, checkNumber(0, 60'000, "ms") },
+        { "version-limit-ms", "6000", "Time in which a named version has to be in place, in ms.", false, false, checkNumber(1, 3'600'000, "ms") },
+        { "retry-share", "0.2", "Repeats per request that all hosts together may send to a pool.", false, false, checkDecimal(0, 10, "") },
+        { "retry-reserve", "50", "Repeats in each window that all hosts together may send beside the share.", false, false, checkDecimal(0, 1'000'000, "") },
+        { "retry-window-s", "10", "Window over which repeats are counted, in s.", false, false, checkDecimal(1, 3'600, "s") },
+        { "most-descriptors", "4096", "File descriptors that the process may use.", false, false, checkNumber(64, 10'000'000, "") },
+        { "log-level", "info", "Lowest level that is logged.", false, false, checkOneOf({ "debug", "info", "warning", "error" }) },
+        { "print-settings", "", "Print the effective settings with their origin and exit.", false, true, nullptr },
+        { "help", "", "Print this help and exit.", false, true, nullptr },
+    };
+    return OptionSet("CHIVESHELF_GATEWAY", std::move(specs));
+}
+
+GatewaySettings readGatewaySettings(const OptionSet& options, std::vector<std::string>& problems)
+{
+    GatewaySettings out;
+    out.hostName = options.text("host-name");
+    out.dataCentre = options.text("data-centre");
+    out.callerAddress = options.address("listen");
+    out.adminAddress = options.address("admin-listen");
+    out.peerAddress = options.address("peer-listen");
+    for (const auto& entry : splitList(options.text("contacts"))) {
+        // A problem with an entry was reported when the options were parsed.
+        if (auto address = parseAddress(entry))
+            out.contacts.push_back({ address->ip, out.peerAddress.port });
+    }
+    out.storeAddress = options.address("store");
+    out.stopLimit = seconds(options, "stop-limit-s");
+    out.orderGap = milliseconds(options, "order-gap-ms");
+    out.versionLimit = milliseconds(options, "version-limit-ms");
+    out.retryShare = options.decimal("retry-share");
+    out.retryReserve = options.decimal("retry-reserve");
+    out.retryWindow = seconds(options, "retry-window-s");
+    out.mostDescriptors = static_cast<std::size_t>(options.number("most-descriptors"));
+    out.logLevel = options.text("log-level");
+    std::map<Address, std::string> used;
+    for (const auto* name : { "listen", "admin-listen", "peer-listen", "store" }) {
+        const auto address = options.address(name);
+        if (address.port == 0)
+            continue;
+        const auto [it, isNew] = used.emplace(address, name);
+        if (!isNew)
+            problems.push_back("--" + std::string(name) + ": same address as --" + it->second);
+    }
+    return out;
+}
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -0,0 +1,232 @@
+#include "chiveshelf/gateway/HostExchange.h"
+
+#include "chiveshelf/core/Hash.h"
+#include "chiveshelf/core/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace chiveshelf {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // Interval of notices in a small fleet: several within the time in which a prompt is read.
+    constexpr std::chrono::milliseconds shortestInterval { 150 };
+    // In a large fleet the interval grows with the number of hosts, so that each receives some 70 notices a second at most.
+    constexpr std::chrono::milliseconds intervalPerHost { 14 };
+    constexpr std::chrono::milliseconds longestInterval { 1'000 };
+    // Entries per datagram, so that it fits into a frame.
+    constexpr std::size_t loadsPerNotice = 24;
+    constexpr std::size_t partsPerNotice = 16;
+    // Parts that wait for the next notice; more are not told.
+    constexpr std::size_t mostWaitingParts = 160;
+    // Time that a host's own watch has to bring tables of which a peer tells.
+    constexpr std::chrono::milliseconds ownWatchTime { 250 };
+    constexpr std::chrono::milliseconds pullLimit { 500 };
+    // Time in which a runner loads weights, with the end of its runs, if nothing else is heard.
+    constexpr std::chrono::milliseconds loadingTime { 2'500 };
+
+    std::uint32_t shortHash(const RunnerRecord& runner)
+    {
+        return static_cast<std::uint32_t>(runnerHash(runner));
+    }
+
+}
+
+HostExchange::HostExchange(asio::io_context& context, const GatewaySettings& settings, ServingState& state)
+    : m_context(context)
+    , m_settings(settings)
+    , m_state(state)
+    , m_datagrams(context)
+    , m_server(context)
+    , m_client(context)
+    , m_hostHash(hash64(settings.hostName))
+{
+}
+
+void HostExchange::setRelay(ItemSource source, ItemHandler items, TablesHandler tables)
+{
+    m_itemSource = std::move(source);
+    m_itemHandler = std::move(items);
+    m_tablesHandler = std::move(tables);
+}
+
+Result<void> HostExchange::start()
+{
+    m_datagrams.handle<LoadNotice>([this](const Address& from, LoadNotice notice) { onLoad(from, notice); });
+    m_datagrams.handle<CrashNotice>([this](const Address&, CrashNotice notice) {
+        m_state.crashes().record(notice.fingerprint, notice.runner, std::chrono::steady_clock::now());
+    });
+    m_datagrams.handle<RolloutNotice>([this](const Address&, RolloutNotice notice) { onRollout(notice); });
+    m_server.handle<PullRoutingTables>([this](PullRoutingTables request) -> asio::awaitable<Result<RoutingTablesReply>> {
+        RoutingTablesReply reply;
+        reply.version = m_state.tablesVersion();
+        if (reply.version > request.knownVersion)
+            reply.text = m_state.tablesText();
+        if (request.wantsItems)
+            reply.items = m_itemSource();
+        co_return reply;
+    });
+    auto started = m_datagrams.start(m_settings.peerAddress);
+    if (started)
+        started = m_server.start(m_settings.peerAddress);
+    if (started)
+        asio::co_spawn(m_context, noticeLoop(), asio::detached);
+    return started;
+}
+
+void HostExchange::stop()
+{
+    m_isStopped = true;
+    m_datagrams.stop();
+    m_server.stop();
+}
+
+void HostExchange::setHosts(std::map<std::string, Address> hosts)
+{
+    hosts.erase(m_settings.hostName);
+    m_hosts = std::move(hosts);
+}
+
+void HostExchange::notePlacement(const RunnerRecord& runner, const std::vector<PromptPart>& parts, std::uint64_t scope)
+{
+    // The last part is the request's own and never comes again on another host.
+    for (std::size_t i = 0; i + 1 < parts.size() && m_parts.size() < mostWaitingParts; ++i)
+        m_parts.push_back({ shortHash(runner), scope, parts[i].id, static_cast<std::uint32_t>(parts[i].tokens) });
+}
+
+void HostExchange::announceCrash(const std::string& fingerprint, const std::string& runner)
+{
+    sendToAll(CrashNotice { fingerprint, runner });
+}
+
+void HostExchange::announceRollout(const RunnerRecord& runner, const std::string& model, std::uint64_t version, bool isDone)
+{
+    const RolloutNotice notice { shortHash(runner), model, version, isDone };
+    onRollout(notice);
+    sendToAll(notice);
+}
+
+void HostExchange::onRollout(const RolloutNotice& notice)
+{
+    const auto runner = m_state.board().findByHash(notice.runner);
+    if (!runner)
+        return;
+    if (notice.isDone)
+        runner->setVersion(notice.model, notice.version);
+    else
+        runner->setLoadingUntil(std::chrono::steady_clock::now() + loadingTime);
+}
+
+void HostExchange::onLoad(const Address& from, const LoadNotice& notice)
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::map<std::uint32_t, OutstandingWork> loads;
+    for (const auto& entry : notice.loads) {
+        auto& work = loads[entry.runner];
+        work.requests = entry.requests;
+        work.memoryTokens = entry.memoryTokens;
+        for (std::size_t i = 0; i < std::min(entry.prefillTokens.size(), rankClassCount); ++i)
+            work.prefillTokens[i] = entry.prefillTokens[i];
+    }
+    for (const auto& [id, runner] : m_state.board().all()) {
+        const auto it = loads.find(shortHash(runner->record()));
+        if (it != loads.end())
+            runner->setPeerWork(notice.host, it->second, now);
+        else
+            runner->clearPeerWork(notice.host);
+    }
+    for (const auto& part : notice.parts) {
+        if (const auto runner = m_state.board().findByHash(part.runner))
+            runner->parts().touch(PromptPart { part.part, part.tokens }, part.scope);
+    }
+    if (notice.tablesVersion > m_state.tablesVersion() && notice.tablesVersion > m_pulledVersion) {
+        m_pulledVersion = notice.tablesVersion;
+        asio::co_spawn(m_context, pullSoon(from), asio::detached);
+    }
+}
+
+asio::awaitable<void> HostExchange::pullSoon(Address from)
+{
+    asio::steady_timer timer(m_context, ownWatchTime);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    if (m_state.tablesVersion() >= m_pulledVersion)
+        co_return;
+    if (!co_await pull(from, false))
+        m_pulledVersion = m_state.tablesVersion();
+}
+
+asio::awaitable<bool> HostExchange::pull(Address from, bool wantsItems)
+{
+    PullRoutingTables request;
+    request.knownVersion = m_state.tablesVersion();
+    request.wantsItems = wantsItems;
+    const Address address { from.ip, m_settings.peerAddress.port };
+    const auto reply = co_await m_client.call(address, request, pullLimit);
+    if (!reply) {
+        logEvent(LogLevel::Warning, "pull_failed", { { "peer", toString(address) }, { "error", reply.error().message } });
+        co_return false;
+    }
+    if (!reply->text.empty())
+        m_tablesHandler(reply->text);
+    if (wantsItems)
+        m_itemHandler(reply->items);
+    co_return m_state.tablesVersion() > 0;
+}
+
+asio::awaitable<bool> HostExchange::pullFromContacts()
+{
+    for (const auto& contact : m_settings.contacts) {
+        if (contact.ip == m_settings.peerAddress.ip)
+            continue;
+        if (co_await pull(contact, true))
+            co_return true;
+    }
+    co_return false;
+}
+
+std::chrono::milliseconds HostExchange::noticeInterval() const
+{
+    const auto scaled = intervalPerHost * static_cast<std::int64_t>(m_hosts.size());
+    return std::clamp<std::chrono::milliseconds>(scaled, shortestInterval, longestInterval);
+}
+
+asio::awaitable<void> HostExchange::noticeLoop()
+{
+    asio::steady_timer timer(m_context);
+    while (!m_isStopped) {
+        boost::system::error_code ec;
+        timer.expires_after(noticeInterval());
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        sendNotice();
+    }
+}
+
+void HostExchange::sendNotice()
+{
+    LoadNotice notice;
+    notice.host = m_hostHash;
+    notice.tablesVersion = m_state.tablesVersion();
+    for (const auto& [id, runner] : m_state.board().all()) {
+        const auto& own = runner->own();
+        if (own.requests <= 0 || notice.loads.size() >= loadsPerNotice)
+            continue;
+        RunnerLoadEntry entry { shortHash(runner->record()), static_cast<std::uint16_t>(own.requests), {}, 0 };
+        for (const auto tokens : own.prefillTokens)
+            entry.prefillTokens.push_back(static_cast<std::uint32_t>(std::max<std::int64_t>(tokens, 0)));
+        entry.memoryTokens = static_cast<std::uint32_t>(std::max<std::int64_t>(own.memoryTokens, 0));
+        notice.loads.push_back(std::move(entry));
+    }
+    const auto n = std::min(m_parts.size(), partsPerNotice);
+    notice.parts.assign(m_parts.begin(), m_parts.begin() + static_cast<std::ptrdiff_t>(n));
+    m_parts.erase(m_parts.begin(), m_parts.begin() + static_cast<std::ptrdiff_t>(n));
+    sendToAll(notice);
+}
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "chiveshelf/gateway/HostMessages.h"
+#include "chiveshelf/gateway/ServingState.h"
+#include "chiveshelf/peer/PeerClient.h"
+#include "chiveshelf/peer/PeerServer.h"
+
+#include <set>
+
+namespace chiveshelf {
+
+// What hosts tell each other: their outstanding work, requests that crash runners, weights being loaded, and tables for hosts
+// that the store refuses. All of it is soft: a lost message costs precision, never correctness.
+class HostExchange {
+public:
+    // Called with raw items (key and text) that a peer knows.
+    using ItemHandler = std::function<void(const std::vector<std::pair<std::string, std::string>>&)>;
+    using ItemSource = std::function<std::vector<std::pair<std::string, std::string>>()>;
+    using TablesHandler = std::function<void(const std::string& text)>;
+
+    HostExchange(boost::asio::io_context&, const GatewaySettings&, ServingState&);
+    HostExchange(const HostExchange&) = delete;
+    HostExchange& operator=(const HostExchange&) = delete;
+
+    // Sets what is given to and taken from peers beside the tables' version. Call before start().
+    void setRelay(ItemSource, ItemHandler, TablesHandler);
+
+    // Binds the peer address. Fails with Unavailable if it can not be bound.
+    Result<void> start();
+    void stop();
+
+    // Sets the peer addresses of the other hosts, from their registrations.
+    void setHosts(std::map<std::string, Address> hosts);
+
+    // Hosts including this one.
+    std::size_t hostCount() const { return m_hosts.size() + 1; }
+
+    // Notes that a prompt's parts were sent to a runner, for the next notice.
+    void notePlacement(const RunnerRecord&, const std::vector<PromptPart>&, std::uint64_t scope);
+
+    void announceCrash(const std::string& fingerprint, const std::string& runner);
+    void announceRollout(const RunnerRecord&, const std::string& model, std::uint64_t version, bool isDone);
+
+    // Asks a host, or a contact, for newer tables and, if asked for, for items.
+    boost::asio::awaitable<bool> pull(Address, bool wantsItems);
+
+    // Asks the contacts in turn until one of them has tables.
+    boost::asio::awaitable<bool> pullFromContacts();
+
+private:
+    boost::asio::awaitable<void> noticeLoop();
+    boost::asio::awaitable<void> pullSoon(Address);
+    void sendNotice();
+    void onLoad(const Address& from, const LoadNotice&);
+    void onRollout(const RolloutNotice&);
+    std::chrono::milliseconds noticeInterval() const;
+
+    template <typename Message>
+    void sendToAll(const Message& message)
+    {
+        for (const auto& [name, address] : m_hosts)
+            m_datagrams.send(address, message);
+    }
+
+    boost::asio::io_context& m_context;
+    const GatewaySettings& m_settings;
+    ServingState& m_state;
+    peer::DatagramChannel m_datagrams;
+    peer::PeerServer m_server;
+    peer::PeerClient m_client;
+    ItemSource m_itemSource;
+    ItemHandler m_itemHandler;
+    TablesHandler m_tablesHandler;
+    std::map<std::string, Address> m_hosts;
+    std::vector<PlacedPart> m_parts;
+    std::uint64_t m_hostHash;
+    // Versions that are being fetched already.
+    std::uint64_t m_pulledVersion = 0;
+    bool m_isStopped = false;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "chiveshelf/peer/DatagramChannel.h"
+#include "chiveshelf/peer/MessageType.h"
+
+#include <cereal/types/utility.hpp>
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace chiveshelf {
+
+// A host's outstanding work at one runner. Runners are named by the low half of runnerHash().
+struct RunnerLoadEntry {
+    std::uint32_t runner = 0;
+    std::uint16_t requests = 0;
+    std::vector<std::uint32_t> prefillTokens;
+    std::uint32_t memoryTokens = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(runner, requests, prefillTokens, memoryTokens);
+    }
+};
+
+// A part of a prompt that a host sent to a runner.
+struct PlacedPart {
+    std::uint32_t runner = 0;
+    std::uint64_t scope = 0;
+    std::uint64_t part = 0;
+    std::uint32_t tokens = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(runner, scope, part, tokens);
+    }
+};
+
+// What a host tells all others several times a second. A runner that is not listed has no work of this host.
+struct LoadNotice {
+    static constexpr peer::DatagramType datagramType = peer::DatagramType::LoadNotice;
+
+    std::uint64_t host = 0;
+    std::uint64_t tablesVersion = 0;
+    std::vector<RunnerLoadEntry> loads;
+    std::vector<PlacedPart> parts;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(host, tablesVersion, loads, parts);
+    }
+};
+
+// A request was running when a runner broke off.
+struct CrashNotice {
+    static constexpr peer::DatagramType datagramType = peer::DatagramType::CrashNotice;
+
+    std::string fingerprint;
+    std::string runner;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(fingerprint, runner);
+    }
+};
+
+// A runner is about to load weights, or has loaded them.
+struct RolloutNotice {
+    static constexpr peer::DatagramType datagramType = peer::DatagramType::RolloutNotice;
+
+    std::uint32_t runner = 0;
+    std::string model;
+    std::uint64_t version = 0;
+    bool isDone = false;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(runner, model, version, isDone);
+    }
+};
+
+// The tables of a host, as the operator wrote them; empty if the asking host has them.
+struct RoutingTablesReply {
+    std::uint64_t version = 0;
+    std::string text;
+    // Registered runners and named versions as key and text, if they were asked for.
+    std::vector<std::pair<std::string, std::string>> items;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(version, text, items);
+    }
+};
+
+// Asks a host for tables that are newer than `knownVersion`.
+struct PullRoutingTables {
+    static constexpr peer::MessageType messageType = peer::MessageType::PullRoutingTables;
+    using Reply = RoutingTablesReply;
+
+    std::uint64_t knownVersion = 0;
+    bool wantsItems = false;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(knownVersion, wantsItems);
+    }
+};
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
@@ -0,0 +1,184 @@
+#include "chiveshelf/gateway/RolloutLeader.h"
+
+#include "chiveshelf/core/Hash.h"
+#include "chiveshelf/core/Log.h"
+#include "platform/RunnerOrders.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace chiveshelf {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // A holder that is gone is replaced within this time; renewals may fail twice meanwhile.
+    constexpr std::chrono::milliseconds leaseTime { 2'000 };
+    constexpr std::chrono::milliseconds renewInterval { 600 };
+    // Part of the lease that must be left when an order is sent: the order's way, and the limit of the call.
+    constexpr std::chrono::milliseconds orderMargin { 700 };
+    // Hosts try to take the lease one after another, so that one call is made and not one per host.
+    constexpr std::chrono::milliseconds campaignSpread { 300 };
+    constexpr std::chrono::milliseconds checkInterval { 100 };
+    // Time in which the notice of an order reaches the other hosts, which then send the runner nothing more.
+    constexpr std::chrono::milliseconds noticeTime { 20 };
+    // How often a runner that loads weights is asked, and for how long before it counts as stuck.
+    constexpr std::chrono::milliseconds reportInterval { 120 };
+    constexpr std::chrono::milliseconds loadLimit { 3'500 };
+    // An order without an answer is given again if the runner shows no sign of it for this long.
+    constexpr std::chrono::milliseconds repeatAfter { 700 };
+    constexpr int mostOrders = 3;
+
+}
+
+RolloutLeader::RolloutLeader(asio::io_context& context, const GatewaySettings& settings, http::Client& client, platform::StoreClient& store,
+    ServingState& state, StoreFollower& follower, HostExchange& exchange)
+    : m_context(context)
+    , m_settings(settings)
+    , m_client(client)
+    , m_state(state)
+    , m_follower(follower)
+    , m_exchange(exchange)
+    , m_lease(context, store, StoreLease::Options { std::string(leaderKey), settings.hostName, leaseTime, renewInterval, true },
+          [this] { return mayCampaign(); })
+    , m_startedAt(std::chrono::steady_clock::now())
+{
+}
+
+void RolloutLeader::start()
+{
+    m_lease.start();
+    asio::co_spawn(m_context, run(), asio::detached);
+}
+
+asio::awaitable<void> RolloutLeader::stop()
+{
+    m_isStopped = true;
+    co_await m_lease.stop();
+}
+
+bool RolloutLeader::mayCampaign() const
+{
+    if (m_isStopped || !m_follower.isInContact() || m_follower.ownItems().contains(std::string(leaderKey)))
+        return false;
+    // Hosts wait for a time of their own after the start.
+    const auto turn = hash64(m_settings.hostName) % 8;
+    return std::chrono::steady_clock::now() - m_startedAt > campaignSpread * static_cast<int>(turn);
+}
+
+bool RolloutLeader::isLeading() const
+{
+    return !m_isStopped && m_lease.isHeld(orderMargin) && m_lease.heldFor() >= m_settings.orderGap;
+}
+
+asio::awaitable<void> RolloutLeader::sleep(std::chrono::milliseconds duration)
+{
+    asio::steady_timer timer(m_context, duration);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+asio::awaitable<void> RolloutLeader::run()
+{
+    while (!m_isStopped) {
+        co_await sleep(checkInterval);
+        if (isLeading() && !m_state.targets().empty())
+            startUpdates();
+    }
+}
+
+void RolloutLeader::startUpdates()
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto& [model, target] : m_state.targets()) {
+        std::map<std::string, std::vector<RolloutRunner>> pools;
+        for (const auto& [id, runner] : m_state.board().all()) {
+            const auto version = runner->version(model);
+            if (version && !runner->record().isLeaving)
+                pools[runner->record().pool].push_back({ id, *version, runner->requests(now) });
+        }
+        for (auto& [pool, runners] : pools) {
+            for (const auto& id : m_schedules[{ model, pool }].next(std::move(runners), target.version, now)) {
+                if (auto runner = m_state.board().find(id))
+                    asio::co_spawn(m_context, update(std::move(runner), model, target.version), asio::detached);
+            }
+        }
+    }
+}
+
+asio::awaitable<void> RolloutLeader::update(std::shared_ptr<BackendState> runner, std::string model, std::uint64_t version)
+{
+    const auto id = runner->record().id;
+    const bool isDone = co_await order(runner, model, version);
+    if (isDone)
+        m_exchange.announceRollout(runner->record(), model, version, true);
+    else
+        m_schedules[{ model, runner->record().pool }].onFailed(id);
+    logEvent(LogLevel::Info, "rollout_step", { { "runner", id }, { "model", model }, { "version", version }, { "done", isDone ? "yes" : "no" } });
+}
+
+asio::awaitable<bool> RolloutLeader::order(std::shared_ptr<BackendState> runner, std::string model, std::uint64_t version)
+{
+    const auto record = runner->record();
+    const auto report = co_await platform::readWeightReport(m_client, record.address);
+    if (!report || (report->bornMs != 0 && record.bornMs != 0 && report->bornMs != record.bornMs)) {
+        co_await sleep(repeatAfter);
+        co_return false;
+    }
+    const auto present = report->modelVersions.find(model);
+    if (present != report->modelVersions.end() && present->second >= version)
+        co_return true;
+    if (report->isBusy)
+        co_return co_await awaitVersion(runner, model, version, report->orderCount + 1);
+    m_exchange.announceRollout(record, model, version, false);
+    co_await sleep(noticeTime);
+    platform::VersionOrder command;
+    command.model = model;
+    command.version = version;
+    command.holder = m_settings.hostName;
+    command.expectedOrderCount = report->orderCount;
+    for (int i = 0; i < mostOrders; ++i) {
+        if (!isLeading())
+            co_return false;
+        command.fence = m_lease.fence();
+        const auto outcome = co_await platform::orderVersion(m_client, record, command);
+        logEvent(LogLevel::Info, "order_sent", { { "runner", record.id }, { "version", version }, { "fence", command.fence }, { "outcome", static_cast<int>(outcome) } });
+        if (outcome == platform::OrderOutcome::AlreadyInPlace)
+            co_return true;
+        if (outcome == platform::OrderOutcome::Refused)
+            co_return false;
+        if (co_await awaitVersion(runner, model, version, report->orderCount + (outcome == platform::OrderOutcome::Accepted ? 0 : 1)))
+            co_return true;
+        if (outcome == platform::OrderOutcome::Accepted)
+            co_return false;
+    }
+    co_return false;
+}
+
+// Waits until the runner has the version. Ends early if it has taken fewer than `orderCount` orders and is not busy, so that the
+// order in question has not arrived.
+asio::awaitable<bool> RolloutLeader::awaitVersion(std::shared_ptr<BackendState> runner, std::string model, std::uint64_t version,
+    std::uint64_t orderCount)
+{
+    const auto address = runner->record().address;
+    const auto start = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - start < loadLimit && !m_isStopped) {
+        co_await sleep(reportInterval);
+        const auto report = co_await platform::readWeightReport(m_client, address);
+        if (!report)
+            continue;
+        const auto present = report->modelVersions.find(model);
+        if (present != report->modelVersions.end() && present->second >= version)
+            co_return true;
+        const bool hasNotArrived = !report->isBusy && report->orderCount < orderCount;
+        if (hasNotArrived && std::chrono::steady_clock::now() - start >= repeatAfter)
+            co_return false;
+    }
+    co_return false;
+}
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "chiveshelf/gateway/StoreFollower.h"
+#include "chiveshelf/gateway/StoreLease.h"
+#include "chiveshelf/http/Client.h"
+#include "chiveshelf/placement/RolloutSchedule.h"
+
+namespace chiveshelf {
+
+// Brings the runners to the versions that the operator names. All hosts run it; the one that holds the lease gives orders, and
+// only after it has held it for so long that no order of a former holder can be close.
+class RolloutLeader {
+public:
+    RolloutLeader(boost::asio::io_context&, const GatewaySettings&, http::Client&, platform::StoreClient&, ServingState&, StoreFollower&,
+        HostExchange&);
+    RolloutLeader(const RolloutLeader&) = delete;
+    RolloutLeader& operator=(const RolloutLeader&) = delete;
+
+    void start();
+    boost::asio::awaitable<void> stop();
+
+    bool isLeading() const;
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> update(std::shared_ptr<BackendState>, std::string model, std::uint64_t version);
+    boost::asio::awaitable<bool> order(std::shared_ptr<BackendState>, std::string model, std::uint64_t version);
+    boost::asio::awaitable<bool> awaitVersion(std::shared_ptr<BackendState>, std::string model, std::uint64_t version, std::uint64_t orderCount);
+    boost::asio::awaitable<void> sleep(std::chrono::milliseconds);
+    void startUpdates();
+    bool mayCampaign() const;
+
+    boost::asio::io_context& m_context;
+    const GatewaySettings& m_settings;
+    http::Client& m_client;
+    ServingState& m_state;
+    StoreFollower& m_follower;
+    HostExchange& m_exchange;
+    StoreLease m_lease;
+    // By model and pool.
+    std::map<std::pair<std::string, std::string>, RolloutSchedule> m_schedules;
+    TimePoint m_startedAt;
+    bool m_isStopped = false;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/RunnerUse.cpp
@@ -0,0 +1,41 @@
+#include "chiveshelf/gateway/RunnerUse.h"
+
+namespace chiveshelf {
+
+RunnerUse::RunnerUse(const Placement& placement, TimePoint now)
+    : m_placement(placement)
+    , m_work(placement.work)
+    , m_sentAt(now)
+{
+    runner().begin(m_work);
+    runner().health().onSent(placement.predicted, now);
+}
+
+RunnerUse::~RunnerUse()
+{
+    runner().end(m_work);
+    if (!m_hasEnded)
+        runner().health().onAbandoned();
+}
+
+std::chrono::milliseconds RunnerUse::firstByte(TimePoint now)
+{
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_sentAt);
+    if (m_hasFirstByte)
+        return elapsed;
+    m_hasFirstByte = true;
+    OutstandingWork read;
+    read.prefillTokens = std::exchange(m_work.prefillTokens, {});
+    runner().end(read);
+    return elapsed;
+}
+
+void RunnerUse::end(bool isFailure, TimePoint now)
+{
+    if (m_hasEnded)
+        return;
+    m_hasEnded = true;
+    runner().health().onEnded(isFailure, now);
+}
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -0,0 +1,84 @@
+#include "chiveshelf/gateway/ServingState.h"
+
+#include "chiveshelf/core/Hash.h"
+#include "chiveshelf/core/Log.h"
+
+namespace chiveshelf {
+
+namespace {
+
+    // A request that crashed runners is remembered for longer than callers go on sending it, and as many as fit into 1 MB.
+    constexpr std::chrono::minutes crashLifetime { 2 };
+    constexpr std::size_t crashCapacity = 4'096;
+    // Share of the time for a version in which older weights are still used. The rest covers the time between the naming and
+    // this host's learning of it.
+    constexpr double versionGraceShare = 0.85;
+
+}
+
+ServingState::ServingState(const GatewaySettings& settings)
+    : m_settings(settings)
+    , m_crashes(crashLifetime, crashCapacity)
+    , m_engine(hash64(settings.hostName + makeUniqueId()))
+{
+}
+
+bool ServingState::acceptTables(RoutingTables tables, std::string text, std::string_view source)
+{
+    if (m_routes && tables.version <= m_routes->tables().version)
+        return false;
+    const auto version = tables.version;
+    m_routes = std::make_shared<const RouteIndex>(std::move(tables));
+    m_tablesText = std::move(text);
+    logEvent(LogLevel::Info, "tables_in_force", { { "version", version }, { "source", source }, { "routes", m_routes->tables().routes.size() }, { "organisations", m_routes->tables().organisations.size() } });
+    refreshRunners();
+    return true;
+}
+
+void ServingState::acceptTarget(const ModelTarget& target, TimePoint now)
+{
+    auto& known = m_targets[target.model];
+    if (target.version <= known.version)
+        return;
+    known = { target.version, now };
+    logEvent(LogLevel::Info, "version_named", { { "model", target.model }, { "version", target.version } });
+}
+
+void ServingState::refreshRunners()
+{
+    m_board.update(m_registry.records(), [this](const std::string& pool) -> std::int64_t {
+        const auto* row = m_routes ? m_routes->findPool(pool) : nullptr;
+        return row && row->engine ? row->engine->memoryTokens : 0;
+    });
+}
+
+const NamedVersion* ServingState::target(const std::string& model) const
+{
+    const auto it = m_targets.find(model);
+    return it == m_targets.end() ? nullptr : &it->second;
+}
+
+bool ServingState::isReturning(const std::string& route, std::optional<std::chrono::milliseconds> timeLeft, std::chrono::milliseconds goal)
+{
+    if (!timeLeft)
+        return false;
+    auto& longest = m_longestTimes[route];
+    longest = std::max(longest, *timeLeft);
+    return longest - *timeLeft > goal;
+}
+
+PoolPolicies& ServingState::policies(const std::string& pool)
+{
+    const auto it = m_policies.find(pool);
+    if (it != m_policies.end())
+        return it->second;
+    const auto* row = m_routes ? m_routes->findPool(pool) : nullptr;
+    PoolPolicies policies { std::nullopt, {}, FleetRetryBudget(m_settings.retryShare, m_settings.retryReserve, m_settings.retryWindow) };
+    if (row && row->engine) {
+        const auto grace = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.versionLimit * versionGraceShare);
+        policies.engine.emplace(grace, row->engine->slots);
+    }
+    return m_policies.emplace(pool, std::move(policies)).first->second;
+}
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "chiveshelf/gateway/GatewaySettings.h"
+#include "chiveshelf/placement/EnginePlacement.h"
+#include "chiveshelf/placement/FleetRetryBudget.h"
+#include "chiveshelf/placement/RunnerRegistry.h"
+#include "chiveshelf/placement/ServicePlacement.h"
+#include "chiveshelf/routing/RouteIndex.h"
+#include "chiveshelf/scheduling/CrashRegistry.h"
+
+#include <memory>
+#include <random>
+
+namespace chiveshelf {
+
+// A version that the operator named, with the moment at which this host learned of it.
+struct NamedVersion {
+    std::uint64_t version = 0;
+    TimePoint since;
+};
+
+// The decisions of one pool.
+struct PoolPolicies {
+    std::optional<EnginePlacement> engine;
+    ServicePlacement service;
+    FleetRetryBudget retries;
+};
+
+// What this host knows and believes, and the decisions that work on it. Owned by the one thread of the process. Whatever the
+// source, tables and named versions only ever move forward.
+class ServingState {
+public:
+    explicit ServingState(const GatewaySettings&);
+
+    // Takes tables if their version is higher than the present one, and returns whether it was.
+    bool acceptTables(RoutingTables, std::string text, std::string_view source);
+
+    // Takes a named version if it is higher than the known one.
+    void acceptTarget(const ModelTarget&, TimePoint now);
+
+    // Changes to the registry take effect with refreshRunners().
+    RunnerRegistry& registry() { return m_registry; }
+    void refreshRunners();
+
+    // The tables in force, or nullptr before the first were read.
+    const std::shared_ptr<const RouteIndex>& routes() const { return m_routes; }
+    const std::string& tablesText() const { return m_tablesText; }
+    std::uint64_t tablesVersion() const { return m_routes ? m_routes->tables().version : 0; }
+
+    BackendBoard& board() { return m_board; }
+    const BackendBoard& board() const { return m_board; }
+    const std::map<std::string, NamedVersion>& targets() const { return m_targets; }
+
+    // Returns the version that is wanted of a model, or nullptr.
+    const NamedVersion* target(const std::string& model) const;
+
+    PoolPolicies& policies(const std::string& pool);
+    CrashRegistry& crashes() { return m_crashes; }
+
+    // Whether a caller has less time left than fresh ones of the route, by more than the goal: it was refused before and comes
+    // again. Learns the time of fresh ones from the longest seen.
+    bool isReturning(const std::string& route, std::optional<std::chrono::milliseconds> timeLeft, std::chrono::milliseconds goal);
+
+    // A number from 0 to 1 for spreading.
+    double random() { return std::uniform_real_distribution<double>(0, 1)(m_engine); }
+
+private:
+    const GatewaySettings& m_settings;
+    std::shared_ptr<const RouteIndex> m_routes;
+    std::string m_tablesText;
+    RunnerRegistry m_registry;
+    BackendBoard m_board;
+    std::map<std::string, NamedVersion> m_targets;
+    std::map<std::string, PoolPolicies> m_policies;
+    CrashRegistry m_crashes;
+    std::map<std::string, std::chrono::milliseconds> m_longestTimes;
+    std::mt19937_64 m_engine;
+};
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "chiveshelf/gateway/HostExchange.h"
+#include "platform/StoreClient.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace chiveshelf {
+
+// Follows the store by one read of everything and then one long watch, and keeps the serving state in step with it.
+//
+// Failures: calls that fail are repeated with growing pauses, a lost history leads to a new full read, and while nothing was
+// ever read the contacts are asked.
+class StoreFollower {
+public:
+    StoreFollower(boost::asio::io_context&, platform::StoreClient&, ServingState&, HostExchange&);
+    StoreFollower(const StoreFollower&) = delete;
+    StoreFollower& operator=(const StoreFollower&) = delete;
+
+    void start();
+    void stop() { m_isStopped = true; }
+
+    // Registrations of hosts and the leader's key, as last seen. Values by key.
+    const std::map<std::string, StoredItem>& ownItems() const { return m_ownItems; }
+
+    // Registered runners and named versions as key and text, for hosts that the store refuses.
+    std::vector<std::pair<std::string, std::string>> relayItems() const;
+
+    // Takes items of a peer. Only what the own view lacks is used.
+    void takeRelayedItems(const std::vector<std::pair<std::string, std::string>>&);
+
+    // Takes tables that a peer relayed.
+    void takeRelayedTables(const std::string& text);
+
+    // Whether the last call to the store succeeded.
+    bool isInContact() const { return m_isInContact; }
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> expireLoop();
+    boost::asio::awaitable<std::optional<Revision>> readAll();
+    boost::asio::awaitable<void> follow(Revision);
+    boost::asio::awaitable<void> pause();
+    void apply(const ItemChange&);
+    void applyAll(const std::vector<StoredItem>&);
+    void applyDecoded(const ItemChange&, std::vector<RunnerRecord>* runners);
+    void finishChanges();
+    void onContact();
+    void onFailure(const Error&, std::string_view call);
+
+    boost::asio::io_context& m_context;
+    platform::StoreClient& m_store;
+    ServingState& m_state;
+    HostExchange& m_exchange;
+    std::map<std::string, StoredItem> m_ownItems;
+    std::map<std::string, std::string> m_relayTexts;
+    std::chrono::milliseconds m_pause;
+    bool m_isInContact = false;
+    bool m_hasRead = false;
+    bool m_haveHostsChanged = false;
+    bool m_isStopped = false;
+};
+
+// Key prefix below which hosts register, and the key of the host that gives orders to runners.
+constexpr std::string_view hostPrefix = "hosts/";
+constexpr std::string_view leaderKey = "rollout/leader";
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/StoreLease.cpp
@@ -0,0 +1,135 @@
+#include "chiveshelf/gateway/StoreLease.h"
+
+#include "chiveshelf/core/Log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <ctime>
+
+namespace chiveshelf {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // Pause after a call that failed, or while another host holds the key.
+    constexpr std::chrono::milliseconds retryPause { 400 };
+
+}
+
+std::chrono::nanoseconds bootTime()
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+StoreLease::StoreLease(asio::io_context& context, platform::StoreClient& store, Options options, std::function<bool()> mayAcquire)
+    : m_context(context)
+    , m_store(store)
+    , m_options(std::move(options))
+    , m_mayAcquire(std::move(mayAcquire))
+{
+}
+
+void StoreLease::start()
+{
+    asio::co_spawn(m_context, run(), asio::detached);
+}
+
+asio::awaitable<void> StoreLease::stop()
+{
+    m_isStopped = true;
+    if (m_lease != 0)
+        co_await m_store.endLease(m_lease);
+    lose("stopped");
+}
+
+bool StoreLease::isHeld(std::chrono::milliseconds margin) const
+{
+    return m_hasKey && bootTime() + margin < m_validUntil;
+}
+
+std::chrono::milliseconds StoreLease::heldFor() const
+{
+    if (!m_hasKey)
+        return std::chrono::milliseconds(0);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(bootTime() - m_heldSince);
+}
+
+asio::awaitable<void> StoreLease::sleep(std::chrono::milliseconds duration)
+{
+    asio::steady_timer timer(m_context, duration);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+asio::awaitable<void> StoreLease::run()
+{
+    while (!m_isStopped) {
+        if (!m_hasKey) {
+            const bool hasAcquired = m_mayAcquire() && co_await acquire();
+            if (!hasAcquired)
+                co_await sleep(retryPause);
+            continue;
+        }
+        co_await sleep(m_options.renewInterval);
+        if (m_hasKey && !m_isStopped)
+            co_await renew();
+    }
+}
+
+asio::awaitable<bool> StoreLease::acquire()
+{
+    const auto before = bootTime();
+    const auto lease = co_await m_store.grantLease(m_options.timeToLive);
+    if (!lease)
+        co_return false;
+    std::vector<KeyCondition> conditions;
+    if (m_options.isExclusive)
+        conditions.push_back({ m_options.key, 0 });
+    std::vector<KeyWrite> writes;
+    writes.push_back({ m_options.key, m_options.value, *lease });
+    const auto written = co_await m_store.write(conditions, writes);
+    if (!written) {
+        // The write may still happen; ending its lease removes the key.
+        co_await m_store.endLease(*lease);
+        co_return false;
+    }
+    m_lease = *lease;
+    m_fence = *written;
+    m_validUntil = before + m_options.timeToLive;
+    m_heldSince = bootTime();
+    m_hasKey = true;
+    logEvent(LogLevel::Info, "lease_taken", { { "key", m_options.key }, { "revision", m_fence } });
+    co_return true;
+}
+
+asio::awaitable<bool> StoreLease::renew()
+{
+    const auto before = bootTime();
+    const auto kept = co_await m_store.keepAlive(m_lease);
+    if (kept) {
+        m_validUntil = before + m_options.timeToLive;
+        co_return true;
+    }
+    if (kept.error().code == ErrorCode::NotFound)
+        lose("ended");
+    else if (m_options.isExclusive && bootTime() > m_validUntil)
+        lose("not renewed in time");
+    co_return false;
+}
+
+void StoreLease::lose(std::string_view reason)
+{
+    if (m_hasKey)
+        logEvent(LogLevel::Info, "lease_lost", { { "key", m_options.key }, { "reason", reason } });
+    m_hasKey = false;
+    m_lease = 0;
+}
+
+}
--- a/packages/http/chiveshelf/http/Client.cpp
+++ b/packages/http/chiveshelf/http/Client.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace chiveshelf::http {
@@ -26,6 +28,21 @@
         return Error { code, std::string(step) + " " + toString(address) + ": " + ec.message(), verdict, std::nullopt };
     }
 
+    // Probes find a connection that went silent while an answer is awaited for long, as a watch does.
+    constexpr int probeIdleSeconds = 1;
+    constexpr int probeIntervalSeconds = 1;
+    constexpr int probeCount = 2;
+
+    void enableProbes(asio::ip::tcp::socket& socket)
+    {
+        const int fd = socket.native_handle();
+        const int on = 1;
+        ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+        ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probeIdleSeconds, sizeof(probeIdleSeconds));
+        ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probeIntervalSeconds, sizeof(probeIntervalSeconds));
+        ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probeCount, sizeof(probeCount));
+    }
+
     // A pooled connection that its peer has closed reads as end of file; one that is still usable has nothing to read.
     bool isUsable(asio::ip::tcp::socket& socket)
     {
@@ -152,6 +169,7 @@
     if (ec)
         co_return tl::unexpected(legFailure(address, "connect to", ec, Verdict::NotRun));
     connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+    enableProbes(connection->stream.socket());
     co_return connection;
 }
 
--- a/packages/keyvalue/chiveshelf/keyvalue/keyvalue.h
+++ b/packages/keyvalue/chiveshelf/keyvalue/keyvalue.h
@@ -6,4 +6,5 @@
 // Dependencies: core, http.
 
 #include "chiveshelf/keyvalue/HttpPlatform.h"
+#include "chiveshelf/keyvalue/ItemStore.h"
 #include "chiveshelf/keyvalue/KeyValueStore.h"
--- a/packages/membership/chiveshelf/membership/FailureDetector.h
+++ b/packages/membership/chiveshelf/membership/FailureDetector.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "chiveshelf/keyvalue/KeyValueStore.h"
 #include "chiveshelf/membership/Gossip.h"
 #include "chiveshelf/membership/MemberDirectory.h"
 #include "chiveshelf/membership/MemberStateMachine.h"
-#include "chiveshelf/keyvalue/KeyValueStore.h"
 
 #include <deque>
 #include <optional>
--- a/packages/membership/chiveshelf/membership/MembershipService.h
+++ b/packages/membership/chiveshelf/membership/MembershipService.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "chiveshelf/keyvalue/HttpPlatform.h"
 #include "chiveshelf/membership/FailureDetector.h"
 #include "chiveshelf/peer/PeerClient.h"
-#include "chiveshelf/keyvalue/HttpPlatform.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/packages/peer/chiveshelf/peer/DatagramChannel.h
+++ b/packages/peer/chiveshelf/peer/DatagramChannel.h
@@ -20,6 +20,9 @@
     Gossip = 1,
     TablesAnnouncement = 2,
     QuarantineNotice = 3,
+    LoadNotice = 4,
+    CrashNotice = 5,
+    RolloutNotice = 6,
 };
 
 // A message that is sent as one datagram, without a reply.
--- a/packages/peer/chiveshelf/peer/MessageType.h
+++ b/packages/peer/chiveshelf/peer/MessageType.h
@@ -16,6 +16,7 @@
     SchedulerReport = 8,
     CancelQueued = 9,
     Preempt = 10,
+    PullRoutingTables = 11,
 };
 
 }
--- /dev/null
+++ b/packages/placement/chiveshelf/placement/BackendBoard.cpp
@@ -0,0 +1,52 @@
+#include "chiveshelf/placement/BackendBoard.h"
+
+#include "chiveshelf/core/Hash.h"
+
+namespace chiveshelf {
+
+std::uint64_t runnerHash(const RunnerRecord& record)
+{
+    return hash64(record.id, static_cast<std::uint64_t>(record.bornMs));
+}
+
+void BackendBoard::update(const std::map<std::string, RunnerRecord>& records, const std::function<std::int64_t(const std::string& pool)>& memoryOf)
+{
+    std::map<std::string, std::shared_ptr<BackendState>> runners;
+    m_byHash.clear();
+    m_pools.clear();
+    for (const auto& [id, record] : records) {
+        const auto it = m_runners.find(id);
+        const auto memory = memoryOf(record.pool);
+        const bool isKnown = it != m_runners.end() && it->second->record().isSameIncarnation(record)
+            && it->second->record().address == record.address && it->second->memoryTokens() == memory;
+        auto runner = isKnown ? it->second : std::make_shared<BackendState>(record, memory);
+        if (isKnown)
+            runner->update(record);
+        runners.emplace(id, runner);
+        m_byHash.emplace(static_cast<std::uint32_t>(runnerHash(record)), runner);
+        if (!record.isLeaving)
+            m_pools[record.pool].push_back(runner);
+    }
+    m_runners = std::move(runners);
+}
+
+const BackendBoard::RunnerList& BackendBoard::runnersOf(const std::string& pool) const
+{
+    static const RunnerList none;
+    const auto it = m_pools.find(pool);
+    return it == m_pools.end() ? none : it->second;
+}
+
+std::shared_ptr<BackendState> BackendBoard::find(const std::string& id) const
+{
+    const auto it = m_runners.find(id);
+    return it == m_runners.end() ? nullptr : it->second;
+}
+
+std::shared_ptr<BackendState> BackendBoard::findByHash(std::uint32_t shortHash) const
+{
+    const auto it = m_byHash.find(shortHash);
+    return it == m_byHash.end() ? nullptr : it->second;
+}
+
+}
--- /dev/null
+++ b/packages/placement/chiveshelf/placement/BackendState.cpp
@@ -0,0 +1,91 @@
+#include "chiveshelf/placement/BackendState.h"
+
+namespace chiveshelf {
+
+namespace {
+
+    // Weight of the newest sample of the speed.
+    constexpr double speedWeight = 0.2;
+    // Slowest and fastest engines that a sample can tell of; others are measurements gone wrong.
+    constexpr double slowestTokensPerMs = 5;
+    constexpr double fastestTokensPerMs = 1'000;
+
+}
+
+BackendState::BackendState(RunnerRecord record, std::int64_t memoryTokens)
+    : m_record(std::move(record))
+    , m_memoryTokens(memoryTokens)
+    , m_parts(memoryTokens)
+{
+}
+
+void BackendState::update(RunnerRecord record)
+{
+    for (const auto& [model, version] : record.modelVersions) {
+        const auto known = m_record.modelVersions.find(model);
+        // Answers tell of new weights sooner than the registry.
+        if (known != m_record.modelVersions.end() && known->second > version)
+            record.modelVersions[model] = known->second;
+        else if (known != m_record.modelVersions.end() && known->second < version)
+            m_parts.clear();
+    }
+    m_record = std::move(record);
+}
+
+void BackendState::setPeerWork(std::uint64_t host, const OutstandingWork& work, TimePoint now)
+{
+    m_peers[host] = { work, now };
+}
+
+OutstandingWork BackendState::total(TimePoint now) const
+{
+    auto sum = m_own;
+    for (const auto& [host, peer] : m_peers) {
+        if (now - peer.at <= figureLifetime)
+            sum += peer.work;
+    }
+    return sum;
+}
+
+void BackendState::setReport(const LoadReport& report, TimePoint now)
+{
+    m_report = report;
+    m_reportAt = now;
+}
+
+std::int32_t BackendState::requests(TimePoint now) const
+{
+    const auto known = total(now).requests;
+    // A report is of the moment of one answer, so it fades while its age grows.
+    const auto age = now - m_reportAt;
+    if (age > figureLifetime)
+        return known;
+    const auto weight = 1 - toMilliseconds(age) / toMilliseconds(figureLifetime);
+    const auto reported = static_cast<std::int32_t>((m_report.running + m_report.waiting) * weight);
+    return std::max(known, reported);
+}
+
+std::optional<std::uint64_t> BackendState::version(const std::string& model) const
+{
+    const auto it = m_record.modelVersions.find(model);
+    return it == m_record.modelVersions.end() ? std::nullopt : std::optional(it->second);
+}
+
+void BackendState::setVersion(const std::string& model, std::uint64_t version)
+{
+    auto& known = m_record.modelVersions[model];
+    if (known == version)
+        return;
+    known = version;
+    m_parts.clear();
+    m_loadingUntil = {};
+}
+
+void BackendState::learnSpeed(double tokensPerMs)
+{
+    if (tokensPerMs < slowestTokensPerMs || tokensPerMs > fastestTokensPerMs)
+        return;
+    m_tokensPerMs = m_tokensPerMs == 0 ? tokensPerMs : m_tokensPerMs * (1 - speedWeight) + tokensPerMs * speedWeight;
+}
+
+}
--- /dev/null
+++ b/packages/placement/chiveshelf/placement/BackendState.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "chiveshelf/placement/BackendHealth.h"
+#include "chiveshelf/placement/OutstandingWork.h"
+#include "chiveshelf/placement/PartMemory.h"
+#include "chiveshelf/placement/RunnerRecord.h"
+
+#include <optional>
+
+namespace chiveshelf {
+
+// Load that a runner reports with an answer.
+struct LoadReport {
+    std::int32_t running = 0;
+    std::int32_t waiting = 0;
+    std::int32_t slots = 0;
+
+    auto operator<=>(const LoadReport&) const = default;
+};
+
+// All that this host believes of one incarnation of a runner.
+class BackendState {
+public:
+    // Age at which another host's figures and a runner's report no longer count: several notices may be lost before.
+    static constexpr std::chrono::milliseconds figureLifetime { 2'500 };
+
+    // `memoryTokens` is the engine's memory, 0 for plain services.
+    BackendState(RunnerRecord, std::int64_t memoryTokens);
+
+    const RunnerRecord& record() const { return m_record; }
+    std::int64_t memoryTokens() const { return m_memoryTokens; }
+
+    // Takes a newer record of the same incarnation.
+    void update(RunnerRecord);
+
+    // Counts work that this host sent, and removes it again. begin() and end() get the same figures, but for prompts that
+    // firstTokenSeen() has already taken out.
+    void begin(const OutstandingWork& work) { m_own += work; }
+    void end(const OutstandingWork& work) { m_own -= work; }
+
+    const OutstandingWork& own() const { return m_own; }
+
+    // Sets what another host says that it has sent.
+    void setPeerWork(std::uint64_t host, const OutstandingWork&, TimePoint now);
+
+    // Tells that another host has no work there.
+    void clearPeerWork(std::uint64_t host) { m_peers.erase(host); }
+
+    // Returns the work of all hosts, as far as it is known.
+    OutstandingWork total(TimePoint now) const;
+
+    void setReport(const LoadReport&, TimePoint now);
+
+    // Returns the requests at the runner: the greater of what hosts say and what it reported.
+    std::int32_t requests(TimePoint now) const;
+
+    // Returns the version of the model's weights, or nothing if it is not known.
+    std::optional<std::uint64_t> version(const std::string& model) const;
+
+    // Records a version that an answer or an order showed. Cached parts of the former weights are forgotten.
+    void setVersion(const std::string& model, std::uint64_t version);
+
+    // Tells that new weights are being loaded until about `end`.
+    void setLoadingUntil(TimePoint end) { m_loadingUntil = end; }
+    bool isLoading(TimePoint now) const { return now < m_loadingUntil; }
+
+    // Learns the speed from a prompt of which nothing was cached and before which nothing waited.
+    void learnSpeed(double tokensPerMs);
+
+    // Prompt tokens read per ms; `fallback` until it was learned.
+    double tokensPerMs(double fallback) const { return m_tokensPerMs > 0 ? m_tokensPerMs : fallback; }
+
+    BackendHealth& health() { return m_health; }
+    const BackendHealth& health() const { return m_health; }
+    PartMemory& parts() { return m_parts; }
+    const PartMemory& parts() const { return m_parts; }
+
+private:
+    struct PeerWork {
+        OutstandingWork work;
+        TimePoint at;
+    };
+
+    RunnerRecord m_record;
+    std::int64_t m_memoryTokens;
+    OutstandingWork m_own;
+    std::map<std::uint64_t, PeerWork> m_peers;
+    LoadReport m_report;
+    TimePoint m_reportAt {};
+    TimePoint m_loadingUntil {};
+    double m_tokensPerMs = 0;
+    BackendHealth m_health;
+    PartMemory m_parts;
+};
+
+}
--- /dev/null
+++ b/packages/placement/chiveshelf/placement/OutstandingWork.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+
+namespace chiveshelf {
+
+// Ranks of priority that are told apart when waits are predicted: 0, 1, and all that are less urgent.
+constexpr std::size_t rankClassCount = 3;
+
+constexpr std::size_t rankClass(unsigned rank)
+{
+    return std::min<std::size_t>(rank, rankClassCount - 1);
+}
+
+// Work that was sent to a runner and has not ended.
+struct OutstandingWork {
+    std::int32_t requests = 0;
+    // Prompt tokens to be read for requests without a first token yet, by rank class.
+    std::array<std::int64_t, rankClassCount> prefillTokens {};
+    // Memory that the requests need in full, in tokens.
+    std::int64_t memoryTokens = 0;
+
+    auto operator<=>(const OutstandingWork&) const = default;
+
+    OutstandingWork& operator+=(const OutstandingWork& other)
+    {
+        requests += other.requests;
+        for (std::size_t i = 0; i < rankClassCount; ++i)
+            prefillTokens[i] += other.prefillTokens[i];
+        memoryTokens += other.memoryTokens;
+        return *this;
+    }
+
+    OutstandingWork& operator-=(const OutstandingWork& other)
+    {
+        requests -= other.requests;
+        for (std::size_t i = 0; i < rankClassCount; ++i)
+            prefillTokens[i] -= other.prefillTokens[i];
+        memoryTokens -= other.memoryTokens;
+        return *this;
+    }
+};
+
+}
--- /dev/null
+++ b/packages/placement/chiveshelf/placement/Placement.cpp
@@ -0,0 +1,23 @@
+#include "chiveshelf/placement/Placement.h"
+
+namespace chiveshelf {
+
+namespace {
+
+    // Shortest pause: a round trip of the load figures between hosts.
+    constexpr std::chrono::milliseconds shortestRetryAfter { 100 };
+    // Callers wait for at most this share of the time that they have left.
+    constexpr double longestShare = 0.32;
+    // The spread, as a share of the pause.
+    constexpr double spread = 0.5;
+
+}
+
+std::chrono::milliseconds spreadRetryAfter(std::chrono::milliseconds wait, std::chrono::milliseconds timeLeft, double random)
+{
+    const auto base = static_cast<double>(std::max(wait, shortestRetryAfter).count());
+    const auto longest = static_cast<double>(timeLeft.count()) * longestShare;
+    return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(base * (1 + spread * random), std::max(longest, 0.0))));
+}
+
+}
--- /dev/null
+++ b/packages/placement/chiveshelf/placement/Placement.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "chiveshelf/core/Time.h"
+#include "chiveshelf/placement/BackendState.h"
+#include "chiveshelf/placement/OutstandingWork.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+namespace chiveshelf {
+
+// What every choice of a runner depends on, whatever the pool does.
+struct PlacementContext {
+    TimePoint now;
+    // Data centre of this host. Bytes between data centres are dear.
+    std::string dataCentre;
+    // Runners that this request must not try again.
+    std::vector<std::string> excluded;
+    // Time to the first byte that is worth having.
+    std::chrono::milliseconds goal { 0 };
+    // Time after which the caller is not served any more.
+    std::chrono::milliseconds timeLeft { 0 };
+    // Whether the caller has been refused before, so that the goal can not be met any more.
+    bool isLate = false;
+
+    bool isExcluded(const std::string& id) const
+    {
+        return std::find(excluded.begin(), excluded.end(), id) != excluded.end();
+    }
+};
+
+// A runner that was chosen, with the figures that the choice was made on.
+struct Placement {
+    std::shared_ptr<BackendState> runner;
+    // Predicted time to the first byte.
+    std::chrono::milliseconds predicted { 0 };
+    // Of which until the runner turns to the request.
+    std::chrono::milliseconds wait { 0 };
+    // What the request adds to the runner's work.
+    OutstandingWork work;
+    // Whether a measured first token tells the runner's speed: nothing cached, nothing waiting.
+    bool isSpeedSample = false;
+};
+
+// Why no runner was chosen.
+enum class RefusalReason {
+    // The pool has no runner that could be tried.
+    NoRunner,
+    // No runner would be in time.
+    Overloaded,
+};
+
+constexpr std::string_view refusalReasonName(RefusalReason reason)
+{
+    return reason == RefusalReason::NoRunner ? "no_runner" : "overloaded";
+}
+
+// A request that is turned away at once, with the time after which it is worth coming back.
+struct PlacementRefusal {
+    RefusalReason reason = RefusalReason::NoRunner;
+    std::chrono::milliseconds retryAfter { 0 };
+    // The wait that led to the refusal.
+    std::chrono::milliseconds predicted { 0 };
+};
+
+using PlacementResult = tl::expected<Placement, PlacementRefusal>;
+
+// Returns when a refused caller should come back: after `wait`, spread over half as long again by `random` (0 to 1) so that
+// callers do not return together, and within the third of its time that callers are ready to wait.
+std::chrono::milliseconds spreadRetryAfter(std::chrono::milliseconds wait, std::chrono::milliseconds timeLeft, double random);
+
+}
--- /dev/null
+++ b/packages/placement/chiveshelf/placement/RolloutSchedule.cpp
@@ -0,0 +1,36 @@
+#include "chiveshelf/placement/RolloutSchedule.h"
+
+#include <algorithm>
+
+namespace chiveshelf {
+
+namespace {
+
+    // Part of a pool that may be out of service at once: three rounds of loads fit into the time in which a version has to be
+    // in place, and two thirds of the pool go on serving.
+    constexpr std::size_t poolPart = 3;
+
+}
+
+std::vector<std::string> RolloutSchedule::next(std::vector<RolloutRunner> runners, std::uint64_t target, TimePoint now)
+{
+    std::erase_if(m_inProgress, [&](const auto& entry) {
+        const auto it = std::find_if(runners.begin(), runners.end(), [&](const auto& runner) { return runner.id == entry.first; });
+        return it == runners.end() || it->version >= target || now - entry.second > orderLifetime;
+    });
+    const auto most = std::max<std::size_t>(runners.size() / poolPart, 1);
+    std::erase_if(runners, [&](const auto& runner) { return runner.version >= target || m_inProgress.contains(runner.id); });
+    std::sort(runners.begin(), runners.end(), [](const auto& a, const auto& b) {
+        return a.requests != b.requests ? a.requests < b.requests : a.id < b.id;
+    });
+    std::vector<std::string> out;
+    for (const auto& runner : runners) {
+        if (m_inProgress.size() >= most)
+            break;
+        m_inProgress.emplace(runner.id, now);
+        out.push_back(runner.id);
+    }
+    return out;
+}
+
+}
--- /dev/null
+++ b/packages/placement/chiveshelf/placement/ServicePlacement.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "chiveshelf/placement/BackendBoard.h"
+#include "chiveshelf/placement/Placement.h"
+
+namespace chiveshelf {
+
+// Chooses a runner of a plain service: the one with the least work per slot.
+//
+// Answers the load patterns "few slots and strict times", where two hosts must not pile onto one runner, and "a runner fails
+// part of its requests", which counts as if it were slower.
+class ServicePlacement {
+public:
+    // `random` is uniform in 0 to 1. It breaks near ties, so that hosts with the same figures choose different runners.
+    PlacementResult choose(const PlacementContext&, const BackendBoard::RunnerList&, double random) const;
+
+    // Learns how long a request takes at the runner.
+    void learnWork(std::chrono::milliseconds);
+
+private:
+    double m_workMs = 50;
+};
+
+}
--- a/packages/scheduling/chiveshelf/scheduling/QueuedRequest.h
+++ b/packages/scheduling/chiveshelf/scheduling/QueuedRequest.h
@@ -3,6 +3,7 @@
 #include "chiveshelf/core/Error.h"
 #include "chiveshelf/core/Priority.h"
 #include "chiveshelf/core/StoredPrefix.h"
+#include "chiveshelf/core/Time.h"
 
 #include <array>
 #include <chrono>
@@ -12,7 +13,6 @@
 
 namespace chiveshelf {
 
-using TimePoint = std::chrono::steady_clock::time_point;
 // Estimated times. Fractions matter where many short times are added.
 using Estimate = std::chrono::duration<double, std::milli>;
 
--- a/packages/settings/chiveshelf/settings/OptionSet.cpp
+++ b/packages/settings/chiveshelf/settings/OptionSet.cpp
@@ -23,6 +23,16 @@
         return value;
     }
 
+    std::optional<double> parseDecimal(const std::string& text)
+    {
+        double value = 0;
+        const auto* last = text.data() + text.size();
+        const auto [end, status] = std::from_chars(text.data(), last, value);
+        if (status != std::errc() || end != last)
+            return std::nullopt;
+        return value;
+    }
+
     std::string_view originName(OptionOrigin origin)
     {
         switch (origin) {
@@ -118,6 +128,11 @@
     return parseNumber(text(name)).value_or(0);
 }
 
+double OptionSet::decimal(const std::string& name) const
+{
+    return parseDecimal(text(name)).value_or(0);
+}
+
 bool OptionSet::isSet(const std::string& name) const
 {
     return !text(name).empty() && text(name) != "false";
@@ -168,6 +183,16 @@
     };
 }
 
+std::function<std::string(const std::string&)> checkDecimal(double minimum, double maximum, std::string unit)
+{
+    return [=](const std::string& text) -> std::string {
+        const auto value = parseDecimal(text);
+        if (value && *value >= minimum && *value <= maximum)
+            return {};
+        return "must be a number from " + std::to_string(minimum) + " to " + std::to_string(maximum) + (unit.empty() ? "" : " (" + unit + ")");
+    };
+}
+
 std::function<std::string(const std::string&)> checkAddress()
 {
     return [](const std::string& text) -> std::string {
--- a/packages/settings/chiveshelf/settings/OptionSet.h
+++ b/packages/settings/chiveshelf/settings/OptionSet.h
@@ -37,6 +37,7 @@
 
     const std::string& text(const std::string& name) const;
     std::int64_t number(const std::string& name) const;
+    double decimal(const std::string& name) const;
     bool isSet(const std::string& name) const;
     Address address(const std::string& name) const;
     OptionOrigin origin(const std::string& name) const;
@@ -67,6 +68,7 @@
 
 // Checks for OptionSpec.
 std::function<std::string(const std::string&)> checkNumber(std::int64_t minimum, std::int64_t maximum, std::string unit);
+std::function<std::string(const std::string&)> checkDecimal(double minimum, double maximum, std::string unit);
 std::function<std::string(const std::string&)> checkAddress();
 std::function<std::string(const std::string&)> checkOneOf(std::vector<std::string> choices);
 std::function<std::string(const std::string&)> checkName();
--- a/packages/tables/chiveshelf/tables/TableAgent.h
+++ b/packages/tables/chiveshelf/tables/TableAgent.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "chiveshelf/keyvalue/HttpPlatform.h"
 #include "chiveshelf/membership/MemberDirectory.h"
 #include "chiveshelf/peer/DatagramChannel.h"
 #include "chiveshelf/peer/PeerClient.h"
-#include "chiveshelf/keyvalue/HttpPlatform.h"
 #include "chiveshelf/tables/TableStore.h"
 #include "chiveshelf/tables/TablesDelta.h"
 
