Read plain services' answers whole

Cause: with Beast 1.74 a body limit of none compares as 0, so that every answer with a length was cut at its header (log: 'body limit exceeded').

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include <cmath>
+#include <limits>
 
 namespace chiveshelf {
 
@@ -319,7 +320,7 @@
         co_return recordFailure(use, Verdict::NotRun, false, "connection_closed");
     std::unique_ptr<Parser> parser;
     if (!co_await readHead(parser, use))
-        co_return recordFailure(use, Verdict::MayHaveRun, !m_isImpatient && !isInterrupted(), m_isImpatient ? "silent" : "broken");
+        co_return recordFailure(use, Verdict::MayHaveRun, !m_isImpatient && !isInterrupted(), m_isImpatient ? "silent" : m_problem);
     const auto end = co_await handleAnswer(*parser, use);
     m_patience.cancel();
     co_return end;
@@ -331,13 +332,15 @@
     for (int strays = 0; strays < mostStrays;) {
         parser = std::make_unique<Parser>();
         parser->header_limit(answerHeaderBytes);
-        parser->body_limit(boost::none);
+        parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         if (m_request.message.method() == beast::http::verb::head)
             parser->skip(true);
         boost::system::error_code ec;
         co_await beast::http::async_read_header(connection->socket, connection->buffer, *parser, redirect_error(use_awaitable, ec));
-        if (ec)
+        if (ec) {
+            m_problem = ec.message();
             co_return false;
+        }
         use.runner().health().onHeard(std::chrono::steady_clock::now());
         const auto status = parser->get().result_int();
         if (status >= 100 && status < 200)
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -120,6 +120,8 @@
     bool m_isImpatient = false;
     // Whether a runner was sent the request, so that any further send is a repeat.
     bool m_hasArrived = false;
+    // Why no answer could be read, for the log.
+    std::string m_problem;
     // Whether part of an answer was sent to the caller.
     bool m_hasStarted = false;
 };
