--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/CacheFollower.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "chiveshelf/gateway/HostExchange.h"
+#include "chiveshelf/gateway/StoreLease.h"
+#include "chiveshelf/http/Client.h"
+
+namespace chiveshelf {
+
+// Follows the contents of the stores of cached parts, one task per store, and frees parts of weights that nobody uses any more.
+//
+// Failures: a store that does not answer counts as empty until it was listed again, so that nothing is fetched from it on old
+// knowledge.
+class CacheFollower {
+public:
+    // `mayFree` tells whether this host is the one that frees parts.
+    CacheFollower(boost::asio::io_context&, http::Client&, ServingState&, std::function<bool()> mayFree);
+    CacheFollower(const CacheFollower&) = delete;
+    CacheFollower& operator=(const CacheFollower&) = delete;
+
+    void start();
+    void stop() { m_isStopped = true; }
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> follow(std::shared_ptr<CacheContents>);
+    boost::asio::awaitable<bool> list(std::shared_ptr<CacheContents>, std::uint64_t& position);
+    boost::asio::awaitable<bool> poll(std::shared_ptr<CacheContents>, std::uint64_t& position);
+    boost::asio::awaitable<void> freeObsolete(std::shared_ptr<CacheContents>);
+    boost::asio::awaitable<void> sleep(std::chrono::milliseconds);
+    bool isNamed(const std::shared_ptr<CacheContents>&) const;
+
+    boost::asio::io_context& m_context;
+    http::Client& m_client;
+    ServingState& m_state;
+    std::function<bool()> m_mayFree;
+    std::set<std::shared_ptr<CacheContents>> m_followed;
+    bool m_isStopped = false;
+};
+
+}
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -102,7 +102,6 @@
     const auto limit = m_headers.timeLeft ? std::min(m_route->timeLimit, *m_headers.timeLeft) : m_route->timeLimit;
     m_deadline = m_request.arrivedAt + limit;
     m_pool = RouteIndex::choosePool(*m_route, hash64(m_headers.requestId));
-    m_scope = m_organisation && m_organisation->isDedicated ? hash64(m_organisation->name) : 0;
     m_history.emplace(m_route->mayRepeat(), m_route->attempts);
     m_fingerprint = toHex(hash128(std::string(view(message.target())) + '\n' + m_headers.key + '\n' + message.body()));
     return std::nullopt;
@@ -221,6 +220,7 @@
     auto& policies = state.policies(m_pool);
     PlacementContext context;
     context.now = now;
+    context.bootNow = bootTime();
     context.dataCentre = m_context.settings.dataCentre;
     context.excluded = m_excluded;
     context.goal = m_route->goal;
@@ -229,15 +229,22 @@
     const auto& runners = state.board().runnersOf(m_pool);
     if (!policies.engine || !m_headers.prompt)
         return policies.service.choose(context, runners, state.random());
+    const auto request = engineRequest();
+    return policies.engine->choose(request, context, runners, state.cacheStores(), state.random());
+}
+
+EngineRequest ForwardTask::engineRequest() const
+{
     EngineRequest request;
     request.prompt = &*m_headers.prompt;
-    request.scope = m_scope;
+    if (m_organisation && m_organisation->isDedicated)
+        request.dedicatedOrganisation = m_organisation->name;
     request.rank = m_rank;
-    if (const auto* target = state.target(m_headers.prompt->model)) {
+    if (const auto* target = m_context.state.target(m_headers.prompt->model)) {
         request.targetVersion = target->version;
         request.targetSince = target->since;
     }
-    return policies.engine->choose(request, context, runners, state.random());
+    return request;
 }
 
 asio::awaitable<bool> ForwardTask::connect(const Placement& placement)
@@ -275,9 +282,9 @@
         order.rank = m_rank;
         order.version = placement.runner->version(m_headers.prompt->model);
         // Without a known version nothing may be shared.
-        order.cacheScope = order.version ? "v" + std::to_string(*order.version) : "u" + m_headers.requestId;
-        if (m_scope != 0)
-            order.cacheScope += "-" + m_organisation->name;
+        order.cacheScope = order.version ? cacheScope(engineRequest(), *order.version).text() : "request/" + m_headers.requestId;
+        order.fetchFrom = placement.fetchFrom;
+        order.saveTo = placement.saveTo;
     }
     order.lastEventId = m_cursor.lastId();
     platform::appendRunnerHeaders(out, message, order);
@@ -312,8 +319,9 @@
     RunnerUse use(placement, std::chrono::steady_clock::now());
     m_hasArrived = true;
     if (m_headers.prompt) {
-        EnginePlacement::recordParts(*runner, m_headers.prompt->parts, m_scope);
-        m_context.exchange.notePlacement(runner->record(), m_headers.prompt->parts, m_scope);
+        const auto request = engineRequest();
+        EnginePlacement::recordSend(request, placement, m_context.state.cacheStores(), std::chrono::steady_clock::now());
+        m_context.exchange.notePlacement(runner->record(), m_headers.prompt->parts, memoryScope(request.dedicatedOrganisation));
     }
     armPatience(placement);
     if (!co_await writeRequest(placement))
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -66,6 +66,7 @@
     std::optional<OwnAnswer> authorize();
     bool isQuarantined();
     PlacementResult choose(TimePoint now);
+    EngineRequest engineRequest() const;
     boost::asio::awaitable<SendEnd> send(const Placement&);
     boost::asio::awaitable<bool> connect(const Placement&);
     boost::asio::awaitable<bool> writeRequest(const Placement&);
@@ -104,7 +105,6 @@
     platform::CallerHeaders m_headers;
     std::string m_pool;
     unsigned m_rank = 0;
-    std::uint64_t m_scope = 0;
     std::string m_fingerprint;
     std::optional<AttemptHistory> m_history;
     std::vector<std::string> m_excluded;
--- a/packages/gateway/chiveshelf/gateway/Gateway.h
+++ b/packages/gateway/chiveshelf/gateway/Gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chiveshelf/gateway/BackendPool.h"
+#include "chiveshelf/gateway/CacheFollower.h"
 #include "chiveshelf/gateway/ForwardTask.h"
 #include "chiveshelf/gateway/GatewayServer.h"
 #include "chiveshelf/gateway/RolloutLeader.h"
@@ -43,6 +44,7 @@
     StoreFollower m_follower;
     StoreLease m_registration;
     RolloutLeader m_leader;
+    CacheFollower m_caches;
     ForwardContext m_forward;
     GatewayServer m_server;
     http::Server m_admin;
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -21,7 +21,7 @@
     constexpr std::chrono::milliseconds intervalPerHost { 14 };
     constexpr std::chrono::milliseconds longestInterval { 1'000 };
     // Entries per datagram, so that it fits into a frame.
-    constexpr std::size_t loadsPerNotice = 24;
+    constexpr std::size_t loadsPerNotice = 20;
     constexpr std::size_t partsPerNotice = 16;
     // Parts that wait for the next notice; more are not told.
     constexpr std::size_t mostWaitingParts = 160;
@@ -130,6 +130,7 @@
     for (const auto& entry : notice.loads) {
         auto& work = loads[entry.runner];
         work.requests = entry.requests;
+        work.fetchTokens = entry.fetchTokens;
         work.memoryTokens = entry.memoryTokens;
         for (std::size_t i = 0; i < std::min(entry.prefillTokens.size(), rankClassCount); ++i)
             work.prefillTokens[i] = entry.prefillTokens[i];
@@ -217,9 +218,10 @@
         const auto& own = runner->own();
         if (own.requests <= 0 || notice.loads.size() >= loadsPerNotice)
             continue;
-        RunnerLoadEntry entry { shortHash(runner->record()), static_cast<std::uint16_t>(own.requests), {}, 0 };
+        RunnerLoadEntry entry { shortHash(runner->record()), static_cast<std::uint16_t>(own.requests), {}, 0, 0 };
         for (const auto tokens : own.prefillTokens)
             entry.prefillTokens.push_back(static_cast<std::uint32_t>(std::max<std::int64_t>(tokens, 0)));
+        entry.fetchTokens = static_cast<std::uint32_t>(std::max<std::int64_t>(own.fetchTokens, 0));
         entry.memoryTokens = static_cast<std::uint32_t>(std::max<std::int64_t>(own.memoryTokens, 0));
         notice.loads.push_back(std::move(entry));
     }
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -17,12 +17,13 @@
     std::uint32_t runner = 0;
     std::uint16_t requests = 0;
     std::vector<std::uint32_t> prefillTokens;
+    std::uint32_t fetchTokens = 0;
     std::uint32_t memoryTokens = 0;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(runner, requests, prefillTokens, memoryTokens);
+        archive(runner, requests, prefillTokens, fetchTokens, memoryTokens);
     }
 };
 
--- a/packages/gateway/chiveshelf/gateway/RunnerUse.cpp
+++ b/packages/gateway/chiveshelf/gateway/RunnerUse.cpp
@@ -26,6 +26,7 @@
     m_hasFirstByte = true;
     OutstandingWork read;
     read.prefillTokens = std::exchange(m_work.prefillTokens, {});
+    read.fetchTokens = std::exchange(m_work.fetchTokens, 0);
     runner().end(read);
     return elapsed;
 }
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -3,6 +3,8 @@
 #include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
 
+#include <algorithm>
+
 namespace chiveshelf {
 
 namespace {
@@ -31,10 +33,34 @@
     m_routes = std::make_shared<const RouteIndex>(std::move(tables));
     m_tablesText = std::move(text);
     logEvent(LogLevel::Info, "tables_in_force", { { "version", version }, { "source", source }, { "routes", m_routes->tables().routes.size() }, { "organisations", m_routes->tables().organisations.size() } });
+    updateCacheStores();
     refreshRunners();
     return true;
 }
 
+void ServingState::updateCacheStores()
+{
+    CacheStores stores;
+    for (const auto& pool : m_routes->tables().pools) {
+        if (!pool.store)
+            continue;
+        const auto it = std::find_if(m_cacheStores.begin(), m_cacheStores.end(), [&](const auto& known) { return known->store() == *pool.store; });
+        stores.push_back(it != m_cacheStores.end() ? *it : std::make_shared<CacheContents>(*pool.store));
+    }
+    m_cacheStores = std::move(stores);
+}
+
+bool ServingState::isObsolete(const CacheScope& scope) const
+{
+    const auto* wanted = target(scope.model);
+    if (!wanted || scope.version >= wanted->version)
+        return false;
+    return std::all_of(m_board.all().begin(), m_board.all().end(), [&](const auto& entry) {
+        const auto version = entry.second->version(scope.model);
+        return !version || *version > scope.version;
+    });
+}
+
 void ServingState::acceptTarget(const ModelTarget& target, TimePoint now)
 {
     auto& known = m_targets[target.model];
@@ -76,7 +102,7 @@
     PoolPolicies policies { std::nullopt, {}, FleetRetryBudget(m_settings.retryShare, m_settings.retryReserve, m_settings.retryWindow) };
     if (row && row->engine) {
         const auto grace = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.versionLimit * versionGraceShare);
-        policies.engine.emplace(grace, row->engine->slots);
+        policies.engine.emplace(grace, *row->engine);
     }
     return m_policies.emplace(pool, std::move(policies)).first->second;
 }
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -55,6 +55,12 @@
     const NamedVersion* target(const std::string& model) const;
 
     PoolPolicies& policies(const std::string& pool);
+
+    // The stores of cached parts that the tables name.
+    const CacheStores& cacheStores() const { return m_cacheStores; }
+
+    // Whether no runner that serves uses the weights of a scope any more, and none will.
+    bool isObsolete(const CacheScope&) const;
     CrashRegistry& crashes() { return m_crashes; }
 
     // Whether a caller has less time left than fresh ones of the route, by more than the goal: it was refused before and comes
@@ -65,6 +71,8 @@
     double random() { return std::uniform_real_distribution<double>(0, 1)(m_engine); }
 
 private:
+    void updateCacheStores();
+
     const GatewaySettings& m_settings;
     std::shared_ptr<const RouteIndex> m_routes;
     std::string m_tablesText;
@@ -72,6 +80,7 @@
     BackendBoard m_board;
     std::map<std::string, NamedVersion> m_targets;
     std::map<std::string, PoolPolicies> m_policies;
+    CacheStores m_cacheStores;
     CrashRegistry m_crashes;
     std::map<std::string, std::chrono::milliseconds> m_longestTimes;
     std::mt19937_64 m_engine;
--- a/packages/gateway/chiveshelf/gateway/StoreLease.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreLease.cpp
@@ -1,6 +1,7 @@
 #include "chiveshelf/gateway/StoreLease.h"
 
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Time.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -8,8 +9,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <ctime>
-
 namespace chiveshelf {
 
 namespace asio = boost::asio;
@@ -21,13 +20,6 @@
 
 }
 
-std::chrono::nanoseconds bootTime()
-{
-    timespec time {};
-    clock_gettime(CLOCK_BOOTTIME, &time);
-    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
-}
-
 StoreLease::StoreLease(asio::io_context& context, platform::StoreClient& store, Options options, std::function<bool()> mayAcquire)
     : m_context(context)
     , m_store(store)
--- a/packages/gateway/chiveshelf/gateway/StoreLease.h
+++ b/packages/gateway/chiveshelf/gateway/StoreLease.h
@@ -64,7 +64,4 @@
     bool m_isStopped = false;
 };
 
-// Returns the time since the machine's start, suspension included.
-std::chrono::nanoseconds bootTime();
-
 }
--- /dev/null
+++ b/packages/placement/chiveshelf/placement/CacheContents.cpp
@@ -0,0 +1,119 @@
+#include "chiveshelf/placement/CacheContents.h"
+
+#include "chiveshelf/core/Hash.h"
+
+#include <algorithm>
+
+namespace chiveshelf {
+
+namespace {
+
+    // Part of a store's room that is used: it counts in blocks, and hosts save without knowing of each other's saves.
+    constexpr double usedShare = 0.95;
+
+    std::uint64_t keyOf(const std::string& scope, std::uint64_t part)
+    {
+        return hash64(scope, part);
+    }
+
+}
+
+CacheContents::CacheContents(CacheStore store)
+    : m_store(std::move(store))
+{
+}
+
+void CacheContents::add(const CacheChange& change)
+{
+    const auto key = keyOf(change.name.scope, change.partId);
+    m_saves.erase(key);
+    const auto [it, isNew] = m_parts.insert_or_assign(key, Part { change.name, change.tokens });
+    if (isNew)
+        m_tokens += change.tokens;
+}
+
+void CacheContents::remove(std::uint64_t key)
+{
+    const auto it = m_parts.find(key);
+    if (it == m_parts.end())
+        return;
+    m_tokens -= it->second.tokens;
+    m_parts.erase(it);
+}
+
+void CacheContents::replaceAll(const std::vector<CacheChange>& parts, std::uint64_t epoch, TimePoint now)
+{
+    clear();
+    m_listedAt = now;
+    m_epoch = epoch;
+    m_isKnown = true;
+    for (const auto& part : parts)
+        add(part);
+}
+
+bool CacheContents::apply(const std::vector<CacheChange>& changes, std::uint64_t epoch)
+{
+    if (!m_isKnown || epoch != m_epoch) {
+        clear();
+        return false;
+    }
+    for (const auto& change : changes) {
+        if (change.isStored)
+            add(change);
+        else
+            remove(keyOf(change.name.scope, change.partId));
+    }
+    return true;
+}
+
+void CacheContents::clear()
+{
+    m_parts.clear();
+    m_saves.clear();
+    m_tokens = 0;
+    m_isKnown = false;
+}
+
+bool CacheContents::contains(const CacheScope& scope, std::uint64_t part) const
+{
+    return m_parts.contains(keyOf(scope.text(), part));
+}
+
+bool CacheContents::maySave(const CacheScope& scope, std::uint64_t part, std::int64_t tokens, TimePoint now) const
+{
+    const auto key = keyOf(scope.text(), part);
+    if (!m_isKnown || now - m_listedAt < settleTime || m_parts.contains(key))
+        return false;
+    if (isSaving(scope, part, now))
+        return false;
+    return static_cast<double>(usedTokens(now) + tokens) <= static_cast<double>(m_store.memoryTokens) * usedShare;
+}
+
+bool CacheContents::isSaving(const CacheScope& scope, std::uint64_t part, TimePoint now) const
+{
+    const auto it = m_saves.find(keyOf(scope.text(), part));
+    return it != m_saves.end() && now - it->second.at < saveTime;
+}
+
+void CacheContents::noteSave(const CacheScope& scope, std::uint64_t part, std::int64_t tokens, TimePoint now)
+{
+    m_saves.insert_or_assign(keyOf(scope.text(), part), Save { now, tokens });
+}
+
+std::int64_t CacheContents::usedTokens(TimePoint now) const
+{
+    std::erase_if(m_saves, [&](const auto& entry) { return now - entry.second.at >= saveTime; });
+    auto tokens = m_tokens;
+    for (const auto& [key, save] : m_saves)
+        tokens += save.tokens;
+    return tokens;
+}
+
+void CacheContents::forget(const CachedPartName& name)
+{
+    const auto it = std::find_if(m_parts.begin(), m_parts.end(), [&](const auto& entry) { return entry.second.name == name; });
+    if (it != m_parts.end())
+        remove(it->first);
+}
+
+}
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -6,6 +6,13 @@
 
 namespace chiveshelf {
 
+// Where a part can be fetched from.
+struct EnginePlacement::Source {
+    Address address;
+    bool isNear = false;
+    bool isStore = false;
+};
+
 namespace {
 
     // Prompt tokens per ms that an engine is taken to read before any was measured: a large model on a current accelerator.
@@ -23,6 +30,15 @@
     // Preference of one runner for parts that no host remembers, as a share of the time to read them, and its bound in ms.
     constexpr double homeShare = 0.2;
     constexpr double homeMostMs = 10;
+    // How much the time to fetch counts beside the first token's time: moving memory has a price, but reading it again a far
+    // higher one.
+    constexpr double fetchWeight = 0.5;
+    // Transfers between data centres take twice as long.
+    constexpr double farFetchFactor = 2;
+    constexpr double bitsPerByte = 8;
+    constexpr double bitsPerMsAndMbps = 1'000;
+    // A store in another data centre counts as having this share of its room.
+    constexpr double farStoreShare = 0.3;
     // Share of the engine's memory that requests may fill before new ones wait; the rest is for tokens still to come.
     constexpr double memoryShare = 0.95;
     // Time in which a request frees its memory, in ms, for the prediction of waits.
@@ -71,9 +87,75 @@
 
 }
 
-EnginePlacement::EnginePlacement(std::chrono::milliseconds versionGrace, unsigned slots)
+// The runners and stores that hold the parts of one prompt, shared parts only: the last one is the request's own.
+struct EnginePlacement::PartHolders {
+    PartHolders(const EngineRequest& request, const PlacementContext& context, const BackendBoard::RunnerList& runners, const CacheStores& stores)
+        : request(request)
+        , context(context)
+        , stores(stores)
+        , scope(memoryScope(request.dedicatedOrganisation))
+    {
+        const auto& parts = request.prompt->parts;
+        byPart.resize(parts.empty() ? 0 : parts.size() - 1);
+        for (const auto& runner : runners) {
+            if (!runner->health().isUsable(context.now) || runner->isLoading(context.now))
+                continue;
+            for (std::size_t i = 0; i < byPart.size(); ++i) {
+                if (runner->parts().contains(parts[i], scope))
+                    byPart[i].push_back(runner.get());
+            }
+        }
+    }
+
+    // Returns where `reader` can fetch the part from: a store, since its contents are certain, or another runner with the same
+    // weights; one in the reader's data centre if there is one.
+    std::optional<Source> find(std::size_t i, const BackendState& reader) const
+    {
+        const auto version = reader.version(request.prompt->model);
+        if (!version || i >= byPart.size())
+            return std::nullopt;
+        std::optional<Source> best;
+        const auto cacheScopeOfReader = cacheScope(request, *version);
+        for (const auto& store : stores) {
+            if (store->isConfirmed(context.bootNow) && store->contains(cacheScopeOfReader, request.prompt->parts[i].id))
+                consider(best, Source { store->store().address, store->store().dataCentre == reader.record().dataCentre, true });
+        }
+        if (best)
+            return best;
+        for (const auto* holder : byPart[i]) {
+            if (holder != &reader && holder->version(request.prompt->model) == version)
+                consider(best, Source { holder->record().address, holder->record().dataCentre == reader.record().dataCentre, false });
+        }
+        return best;
+    }
+
+    static void consider(std::optional<Source>& best, Source source)
+    {
+        if (!best || (source.isNear && !best->isNear))
+            best = std::move(source);
+    }
+
+    const EngineRequest& request;
+    const PlacementContext& context;
+    const CacheStores& stores;
+    std::uint64_t scope;
+    std::vector<std::vector<const BackendState*>> byPart;
+};
+
+CacheScope cacheScope(const EngineRequest& request, std::uint64_t version)
+{
+    return { request.prompt->model, version, request.dedicatedOrganisation };
+}
+
+std::uint64_t memoryScope(const std::string& dedicatedOrganisation)
+{
+    return dedicatedOrganisation.empty() ? 0 : hash64(dedicatedOrganisation);
+}
+
+EnginePlacement::EnginePlacement(std::chrono::milliseconds versionGrace, const EngineLimits& limits)
     : m_versionGrace(versionGrace)
-    , m_slots(std::max(slots, 1U))
+    , m_limits(limits)
+    , m_fetchMsPerToken(limits.linkMbps > 0 ? static_cast<double>(limits.bytesPerToken) * bitsPerByte / (limits.linkMbps * bitsPerMsAndMbps) : 0)
 {
 }
 
@@ -87,20 +169,39 @@
     return version && *version >= request.targetVersion;
 }
 
-EnginePlacement::Prediction EnginePlacement::predict(const EngineRequest& request, const BackendState& runner, TimePoint now, double fallbackSpeed) const
+EnginePlacement::Prediction EnginePlacement::predict(const EngineRequest& request, const BackendState& runner, const PartHolders& holders,
+    TimePoint now, double fallbackSpeed) const
 {
     const auto& prompt = *request.prompt;
     const auto work = runner.total(now);
     const auto speed = runner.tokensPerMs(fallbackSpeed);
     Prediction out;
-    out.uncachedTokens = std::max<std::int64_t>(prompt.promptTokens - runner.parts().cachedTokens(prompt.parts, request.scope), 1);
+    const auto cached = runner.parts().cachedTokens(prompt.parts, holders.scope);
+    double fetchMs = 0;
+    std::int64_t covered = 0;
+    for (std::size_t i = 0; i < prompt.parts.size(); ++i) {
+        const auto tokens = prompt.parts[i].tokens;
+        if (covered + tokens > cached) {
+            const auto source = holders.find(i, runner);
+            if (!source)
+                break;
+            out.fetchTokens += tokens;
+            fetchMs += static_cast<double>(tokens) * m_fetchMsPerToken * (source->isNear ? 1 : farFetchFactor);
+        }
+        covered += tokens;
+    }
+    out.fetchMs = fetchMs;
+    out.uncachedTokens = std::max<std::int64_t>(prompt.promptTokens - covered, 1);
     double aheadTokens = 0;
     double lessUrgentTokens = 0;
     for (std::size_t i = 0; i < rankClassCount; ++i)
         (i <= rankClass(request.rank) ? aheadTokens : lessUrgentTokens) += static_cast<double>(work.prefillTokens[i]);
     out.waitMs = (aheadTokens + std::min(lessUrgentTokens, chunkTokens) / 2) / speed;
+    // Transfers run beside the reading of other prompts, one after another.
+    if (out.fetchTokens > 0)
+        out.waitMs = std::max(out.waitMs, static_cast<double>(work.fetchTokens) * m_fetchMsPerToken);
     const auto requests = runner.requests(now);
-    const auto slots = static_cast<std::int32_t>(m_slots);
+    const auto slots = static_cast<std::int32_t>(std::max(m_limits.slots, 1U));
     if (requests >= slots)
         out.waitMs += residenceMs * (requests - slots + 1) / slots;
     const auto memory = static_cast<double>(runner.memoryTokens()) * memoryShare;
@@ -109,14 +210,16 @@
     if (memory > 0 && excess > 0 && request.rank > 0)
         out.waitMs += residenceMs * excess / memory;
     out.readMs = static_cast<double>(out.uncachedTokens) / speed;
-    out.firstMs = fixedMs + out.waitMs + out.readMs;
+    out.firstMs = fixedMs + out.waitMs + out.fetchMs + out.readMs;
     out.isIdle = aheadTokens + lessUrgentTokens == 0 && requests < slots / 4 && out.uncachedTokens >= prompt.promptTokens;
     return out;
 }
 
-PlacementResult EnginePlacement::choose(const EngineRequest& request, const PlacementContext& context, const BackendBoard::RunnerList& runners, double random) const
+PlacementResult EnginePlacement::choose(const EngineRequest& request, const PlacementContext& context, const BackendBoard::RunnerList& runners, const CacheStores& stores,
+    double random) const
 {
     const auto& prompt = *request.prompt;
+    const PartHolders holders(request, context, runners, stores);
     const auto fallbackSpeed = averageSpeed(runners);
     const auto part = sessionPart(prompt);
     std::shared_ptr<BackendState> best;
@@ -136,8 +239,8 @@
     for (const auto& runner : runners) {
         if (!isCandidate(request, context, *runner))
             continue;
-        const auto prediction = predict(request, *runner, context.now, fallbackSpeed);
-        double cost = prediction.firstMs + readWeight * prediction.readMs;
+        const auto prediction = predict(request, *runner, holders, context.now, fallbackSpeed);
+        double cost = prediction.firstMs + readWeight * prediction.readMs + fetchWeight * prediction.fetchMs;
         if (runner == home)
             cost -= std::min(prediction.readMs * homeShare, homeMostMs);
         if (runner->record().dataCentre != context.dataCentre)
@@ -162,13 +265,68 @@
         const auto pause = roundedMs(std::max(bestPrediction.waitMs - goalMs * lateWaitShare, 0.0));
         return tl::unexpected(PlacementRefusal { RefusalReason::Overloaded, spreadRetryAfter(pause, context.timeLeft, random), roundedMs(firstMs) });
     }
-    Placement out { best, roundedMs(firstMs), roundedMs(bestPrediction.waitMs), {}, bestPrediction.isIdle };
+    Placement out;
+    out.runner = best;
+    out.predicted = roundedMs(firstMs);
+    out.wait = roundedMs(bestPrediction.waitMs);
+    out.isSpeedSample = bestPrediction.isIdle;
     out.work.requests = 1;
     out.work.prefillTokens[rankClass(request.rank)] = bestPrediction.uncachedTokens;
+    out.work.fetchTokens = bestPrediction.fetchTokens;
     out.work.memoryTokens = prompt.promptTokens + prompt.outputTokens;
+    planTransfers(request, context, holders, stores, out);
     return out;
 }
 
+void EnginePlacement::planTransfers(const EngineRequest& request, const PlacementContext& context, const PartHolders& holders, const CacheStores& stores,
+    Placement& placement) const
+{
+    const auto& parts = request.prompt->parts;
+    const auto& runner = *placement.runner;
+    const auto version = runner.version(request.prompt->model);
+    if (!version || parts.size() < 2)
+        return;
+    placement.fetchFrom.resize(parts.size());
+    placement.saveTo.resize(parts.size());
+    const auto scope = cacheScope(request, *version);
+    const auto cached = runner.parts().cachedTokens(parts, holders.scope);
+    std::int64_t covered = 0;
+    bool isContinuous = true;
+    // The last part is the request's own.
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        covered += parts[i].tokens;
+        // A store's copy is named even where the runner is believed to have the part: it is not fetched then.
+        const auto source = isContinuous ? holders.find(i, runner) : std::nullopt;
+        if (source && (source->isStore || covered > cached))
+            placement.fetchFrom[i] = source->address;
+        isContinuous = isContinuous && (source || covered <= cached);
+        const auto* store = chooseStore(stores, scope, parts[i], runner.record().dataCentre, context);
+        if (store)
+            placement.saveTo[i] = store->store().address;
+    }
+}
+
+const CacheContents* EnginePlacement::chooseStore(const CacheStores& stores, const CacheScope& scope, const PromptPart& part, const std::string& dataCentre,
+    const PlacementContext& context)
+{
+    const CacheContents* best = nullptr;
+    double bestRoom = 0;
+    for (const auto& store : stores) {
+        if (store->contains(scope, part.id) || store->isSaving(scope, part.id, context.now))
+            return nullptr;
+        if (!store->isConfirmed(context.bootNow) || !store->maySave(scope, part.id, part.tokens, context.now))
+            continue;
+        auto room = static_cast<double>(store->store().memoryTokens - store->usedTokens(context.now));
+        if (store->store().dataCentre != dataCentre)
+            room *= farStoreShare;
+        if (!best || room > bestRoom) {
+            best = store.get();
+            bestRoom = room;
+        }
+    }
+    return best;
+}
+
 void EnginePlacement::learnSpeed(BackendState& runner, const Placement& placement, std::chrono::milliseconds firstToken)
 {
     std::int64_t tokens = 0;
@@ -179,10 +337,18 @@
         runner.learnSpeed(static_cast<double>(tokens) / readMs);
 }
 
-void EnginePlacement::recordParts(BackendState& runner, const std::vector<PromptPart>& parts, std::uint64_t scope)
+void EnginePlacement::recordSend(const EngineRequest& request, const Placement& placement, const CacheStores& stores, TimePoint now)
 {
+    const auto& parts = request.prompt->parts;
     for (const auto& part : parts)
-        runner.parts().touch(part, scope);
+        placement.runner->parts().touch(part, memoryScope(request.dedicatedOrganisation));
+    const auto version = placement.runner->version(request.prompt->model);
+    for (std::size_t i = 0; version && i < placement.saveTo.size(); ++i) {
+        for (const auto& store : stores) {
+            if (placement.saveTo[i] == store->store().address)
+                store->noteSave(cacheScope(request, *version), parts[i].id, parts[i].tokens, now);
+        }
+    }
 }
 
 }
--- a/packages/placement/chiveshelf/placement/EnginePlacement.h
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chiveshelf/placement/BackendBoard.h"
+#include "chiveshelf/placement/CacheContents.h"
 #include "chiveshelf/placement/Placement.h"
 #include "chiveshelf/routing/Prompt.h"
 
@@ -11,14 +12,23 @@
 // A prompt that wants a model runner.
 struct EngineRequest {
     const Prompt* prompt = nullptr;
-    // Prompts of different scopes share no cached parts.
-    std::uint64_t scope = 0;
+    // Set for an organisation that shares no cached parts with others.
+    std::string dedicatedOrganisation;
     unsigned rank = 0;
     // The newest version that the operator wants, and since when this host knows; 0 if none was named.
     std::uint64_t targetVersion = 0;
     TimePoint targetSince {};
 };
 
+// The stores of cached parts with their known contents.
+using CacheStores = std::vector<std::shared_ptr<CacheContents>>;
+
+// Returns the scope in which a request shares cached parts on weights of this version.
+CacheScope cacheScope(const EngineRequest&, std::uint64_t version);
+
+// Returns the scope's number in the beliefs about runners, which forget their parts with their weights.
+std::uint64_t memoryScope(const std::string& dedicatedOrganisation);
+
 // Chooses a model runner by the earliest predicted first token and the least prompt to be read.
 //
 // A model of the engine: prompts are read one after another, more urgent ones first, at a speed learned from answers; less
@@ -30,13 +40,13 @@
 class EnginePlacement {
 public:
     // `versionGrace` is the time after the naming of a version in which older weights may still be used.
-    EnginePlacement(std::chrono::milliseconds versionGrace, unsigned slots);
+    EnginePlacement(std::chrono::milliseconds versionGrace, const EngineLimits&);
 
     // `random` is uniform in 0 to 1 and spreads the returns of refused callers.
-    PlacementResult choose(const EngineRequest&, const PlacementContext&, const BackendBoard::RunnerList&, double random) const;
+    PlacementResult choose(const EngineRequest&, const PlacementContext&, const BackendBoard::RunnerList&, const CacheStores&, double random) const;
 
-    // Records that a placement was made, here or on another host, so that later prompts find the parts.
-    static void recordParts(BackendState&, const std::vector<PromptPart>&, std::uint64_t scope);
+    // Records that a request was sent as placed, so that later prompts find its parts.
+    static void recordSend(const EngineRequest&, const Placement&, const CacheStores&, TimePoint now);
 
     // Learns the runner's speed from the measured first token of a placement that is a sample of it.
     static void learnSpeed(BackendState&, const Placement&, std::chrono::milliseconds firstToken);
@@ -46,15 +56,26 @@
         double firstMs = 0;
         double waitMs = 0;
         double readMs = 0;
+        double fetchMs = 0;
         std::int64_t uncachedTokens = 0;
+        std::int64_t fetchTokens = 0;
         bool isIdle = false;
     };
 
-    Prediction predict(const EngineRequest&, const BackendState&, TimePoint now, double fallbackSpeed) const;
+    // Where a prompt's parts are, found once for all candidates.
+    struct PartHolders;
+    struct Source;
+
+    Prediction predict(const EngineRequest&, const BackendState&, const PartHolders&, TimePoint now, double fallbackSpeed) const;
+    void planTransfers(const EngineRequest&, const PlacementContext&, const PartHolders&, const CacheStores&, Placement&) const;
+    static const CacheContents* chooseStore(const CacheStores&, const CacheScope&, const PromptPart&, const std::string& dataCentre,
+        const PlacementContext&);
     bool isCandidate(const EngineRequest&, const PlacementContext&, const BackendState&) const;
 
     std::chrono::milliseconds m_versionGrace;
-    unsigned m_slots;
+    EngineLimits m_limits;
+    // Time to fetch a token over a runner's link.
+    double m_fetchMsPerToken;
 };
 
 }
--- a/packages/placement/chiveshelf/placement/OutstandingWork.h
+++ b/packages/placement/chiveshelf/placement/OutstandingWork.h
@@ -21,6 +21,8 @@
     std::int32_t requests = 0;
     // Prompt tokens to be read for requests without a first token yet, by rank class.
     std::array<std::int64_t, rankClassCount> prefillTokens {};
+    // Tokens that are fetched from another runner or a store.
+    std::int64_t fetchTokens = 0;
     // Memory that the requests need in full, in tokens.
     std::int64_t memoryTokens = 0;
 
@@ -31,6 +33,7 @@
         requests += other.requests;
         for (std::size_t i = 0; i < rankClassCount; ++i)
             prefillTokens[i] += other.prefillTokens[i];
+        fetchTokens += other.fetchTokens;
         memoryTokens += other.memoryTokens;
         return *this;
     }
@@ -40,6 +43,7 @@
         requests -= other.requests;
         for (std::size_t i = 0; i < rankClassCount; ++i)
             prefillTokens[i] -= other.prefillTokens[i];
+        fetchTokens -= other.fetchTokens;
         memoryTokens -= other.memoryTokens;
         return *this;
     }
--- a/packages/placement/chiveshelf/placement/PartMemory.cpp
+++ b/packages/placement/chiveshelf/placement/PartMemory.cpp
@@ -25,6 +25,11 @@
     return tokens;
 }
 
+bool PartMemory::contains(const PromptPart& part, std::uint64_t scope) const
+{
+    return m_index.contains(entryKey(part.id, scope));
+}
+
 void PartMemory::touch(const PromptPart& part, std::uint64_t scope)
 {
     const auto key = entryKey(part.id, scope);
--- a/packages/placement/chiveshelf/placement/PartMemory.h
+++ b/packages/placement/chiveshelf/placement/PartMemory.h
@@ -21,6 +21,9 @@
     // Returns the tokens of the leading parts of `parts` that are cached under `scope`.
     std::int64_t cachedTokens(const std::vector<PromptPart>& parts, std::uint64_t scope) const;
 
+    // Whether a part is cached under `scope`, whatever stands before it.
+    bool contains(const PromptPart&, std::uint64_t scope) const;
+
     // Records that a part was read under `scope`, or used again.
     void touch(const PromptPart&, std::uint64_t scope);
 
--- a/packages/placement/chiveshelf/placement/Placement.h
+++ b/packages/placement/chiveshelf/placement/Placement.h
@@ -5,6 +5,7 @@
 #include "chiveshelf/placement/OutstandingWork.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,8 @@
 // What every choice of a runner depends on, whatever the pool does.
 struct PlacementContext {
     TimePoint now;
+    // The same moment by bootTime().
+    std::chrono::nanoseconds bootNow { 0 };
     // Data centre of this host. Bytes between data centres are dear.
     std::string dataCentre;
     // Runners that this request must not try again.
@@ -41,6 +44,9 @@
     std::chrono::milliseconds wait { 0 };
     // What the request adds to the runner's work.
     OutstandingWork work;
+    // For each part of the prompt, where it is fetched from and saved to.
+    std::vector<std::optional<Address>> fetchFrom;
+    std::vector<std::optional<Address>> saveTo;
     // Whether a measured first token tells the runner's speed: nothing cached, nothing waiting.
     bool isSpeedSample = false;
 };
--- a/packages/placement/chiveshelf/placement/ServicePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/ServicePlacement.cpp
@@ -54,7 +54,10 @@
     const std::chrono::milliseconds predicted(static_cast<std::int64_t>(bestWaitMs + m_workMs));
     if (bestWaitMs > toMilliseconds(context.timeLeft) * longestWaitShare)
         return tl::unexpected(PlacementRefusal { RefusalReason::Overloaded, spreadRetryAfter(wait, context.timeLeft, random), predicted });
-    Placement out { best, predicted, wait, {}, false };
+    Placement out;
+    out.runner = best;
+    out.predicted = predicted;
+    out.wait = wait;
     out.work.requests = 1;
     return out;
 }
--- a/packages/routing/chiveshelf/routing/RoutingTables.h
+++ b/packages/routing/chiveshelf/routing/RoutingTables.h
@@ -58,16 +58,30 @@
     unsigned slots = 0;
     // Tokens that running requests and cached parts share.
     std::int64_t memoryTokens = 0;
+    // Size of a token in memory, and the speed of a runner's link for such memory.
+    std::int64_t bytesPerToken = 0;
+    double linkMbps = 0;
 
     auto operator<=>(const EngineLimits&) const = default;
 };
 
+// A store of cached prompt parts. It keeps what it was given until it is told to free it.
+struct CacheStore {
+    Address address;
+    std::string dataCentre;
+    std::int64_t memoryTokens = 0;
+
+    auto operator<=>(const CacheStore&) const = default;
+};
+
 // One row of the pools table. Its runners register themselves.
 struct RegisteredPool {
     std::string name;
     // Connections that a runner accepts from all hosts together; 0 means that no limit is known.
     unsigned maxConnections = 0;
     std::optional<EngineLimits> engine;
+    // Set if the row is a store of cached parts; it has no runners then.
+    std::optional<CacheStore> store;
 
     auto operator<=>(const RegisteredPool&) const = default;
 };
