Load new weights while runs go on, a fifth of a pool at once

Cause: waiting for runs to end took a runner out for 2 to 3 s, so that rounds of three left runners on old weights past the time for the version and requests were refused (log: rollout_step 1.6 s to 3.6 s after order_sent).

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -525,6 +525,13 @@
         return;
     m_patience.cancel();
     const auto elapsed = use.firstByte(std::chrono::steady_clock::now());
+    if (isLogged(LogLevel::Debug)) {
+        const auto& made = use.placement();
+        logEvent(LogLevel::Debug, "request_first_byte", { { "request", m_headers.requestId }, { "route", m_route->name }, { "rank", m_rank },
+            { "runner", use.runner().record().id }, { "predicted_ms", made.predicted.count() }, { "wait_ms", made.wait.count() },
+            { "fetch_tokens", made.work.fetchTokens }, { "prompt_tokens", m_headers.prompt ? m_headers.prompt->promptTokens : 0 },
+            { "measured_ms", elapsed.count() } });
+    }
     auto& metrics = m_context.metrics;
     const auto& placement = use.placement();
     ++metrics.predictions;
--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
@@ -17,17 +17,17 @@
 namespace {
 
     // A holder that is gone is replaced within this time; renewals may fail twice meanwhile.
-    constexpr std::chrono::milliseconds leaseTime { 2'000 };
-    constexpr std::chrono::milliseconds renewInterval { 600 };
+    constexpr std::chrono::milliseconds leaseTime { 1'500 };
+    constexpr std::chrono::milliseconds renewInterval { 400 };
     // Part of the lease that must be left when an order is sent: the order's way, and the limit of the call.
-    constexpr std::chrono::milliseconds orderMargin { 700 };
+    constexpr std::chrono::milliseconds orderMargin { 500 };
     // Hosts try to take the lease one after another, so that one call is made and not one per host.
     constexpr std::chrono::milliseconds campaignSpread { 300 };
     constexpr std::chrono::milliseconds checkInterval { 100 };
-    // Time in which the notice of an order reaches the other hosts, which then send the runner nothing more.
-    constexpr std::chrono::milliseconds noticeTime { 20 };
+    // Time between the notice to the other hosts, which then send the runner nothing more, and its order: short requests end.
+    constexpr std::chrono::milliseconds noticeTime { 120 };
     // How often a runner that loads weights is asked, and for how long before it counts as stuck.
-    constexpr std::chrono::milliseconds reportInterval { 120 };
+    constexpr std::chrono::milliseconds reportInterval { 80 };
     constexpr std::chrono::milliseconds loadLimit { 3'500 };
     // An order without an answer is given again if the runner shows no sign of it for this long.
     constexpr std::chrono::milliseconds repeatAfter { 700 };
@@ -139,6 +139,8 @@
     platform::VersionOrder command;
     command.model = model;
     command.version = version;
+    // Waiting for long streams to end takes a runner out for seconds, and the last runners past the time for the version.
+    command.running = platform::RunningRequests::GoOn;
     command.holder = m_settings.hostName;
     command.expectedOrderCount = report->orderCount;
     for (int i = 0; i < mostOrders; ++i) {
--- a/packages/placement/chiveshelf/placement/RolloutSchedule.cpp
+++ b/packages/placement/chiveshelf/placement/RolloutSchedule.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-    // Part of a pool that may be out of service at once: three rounds of loads fit into the time in which a version has to be
-    // in place, and two thirds of the pool go on serving.
-    constexpr std::size_t poolPart = 3;
+    // Part of a pool that may load at once, as one in so many. Loads of more slow each other down.
+    constexpr std::size_t poolPart = 5;
+    // Loads at once in a small pool.
+    constexpr std::size_t fewestLoads = 2;
 
 }
 
@@ -18,7 +19,7 @@
         const auto it = std::find_if(runners.begin(), runners.end(), [&](const auto& runner) { return runner.id == entry.first; });
         return it == runners.end() || it->version >= target || now - entry.second > orderLifetime;
     });
-    const auto most = std::max<std::size_t>(runners.size() / poolPart, 1);
+    const auto most = std::max(runners.size() / poolPart, fewestLoads);
     std::erase_if(runners, [&](const auto& runner) { return runner.version >= target || m_inProgress.contains(runner.id); });
     std::sort(runners.begin(), runners.end(), [](const auto& a, const auto& b) {
         return a.requests != b.requests ? a.requests < b.requests : a.id < b.id;
