Rank requests by organisation and route, and bound the time of fetches

Cause: organisations' priorities made nearly all requests equal, so that drafts went before questions; while a store's link was slow, fetches delayed first tokens by seconds (predicted 45 ms, measured 247 ms for questions between 15 s and 20 s).

--- a/packages/gateway/chiveshelf/gateway/CacheFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/CacheFollower.cpp
@@ -105,6 +105,8 @@
         co_return co_await list(contents, position);
     }
     contents->confirm(before);
+    if (changes->clockMs)
+        m_state.runnerClock().set(*changes->clockMs, bootTime());
     position = changes->position;
     co_return true;
 }
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -98,7 +98,7 @@
     auto refusal = authorize();
     if (refusal)
         return refusal;
-    m_rank = m_organisation && m_organisation->priority ? *m_organisation->priority : m_route->priority;
+    m_rank = requestRank(*m_route, m_organisation);
     const auto limit = m_headers.timeLeft ? std::min(m_route->timeLimit, *m_headers.timeLeft) : m_route->timeLimit;
     m_deadline = m_request.arrivedAt + limit;
     m_pool = RouteIndex::choosePool(*m_route, hash64(m_headers.requestId));
@@ -284,6 +284,8 @@
         // Without a known version nothing may be shared.
         order.cacheScope = order.version ? cacheScope(engineRequest(), *order.version).text() : "request/" + m_headers.requestId;
         order.fetchFrom = placement.fetchFrom;
+        if (placement.fetchTime)
+            order.fetchUntilMs = m_context.state.runnerClock().after(*placement.fetchTime, bootTime());
         order.saveTo = placement.saveTo;
     }
     order.lastEventId = m_cursor.lastId();
@@ -527,10 +529,7 @@
     const auto elapsed = use.firstByte(std::chrono::steady_clock::now());
     if (isLogged(LogLevel::Debug)) {
         const auto& made = use.placement();
-        logEvent(LogLevel::Debug, "request_first_byte", { { "request", m_headers.requestId }, { "route", m_route->name }, { "rank", m_rank },
-            { "runner", use.runner().record().id }, { "predicted_ms", made.predicted.count() }, { "wait_ms", made.wait.count() },
-            { "fetch_tokens", made.work.fetchTokens }, { "prompt_tokens", m_headers.prompt ? m_headers.prompt->promptTokens : 0 },
-            { "measured_ms", elapsed.count() } });
+        logEvent(LogLevel::Debug, "request_first_byte", { { "request", m_headers.requestId }, { "route", m_route->name }, { "rank", m_rank }, { "runner", use.runner().record().id }, { "predicted_ms", made.predicted.count() }, { "wait_ms", made.wait.count() }, { "fetch_tokens", made.work.fetchTokens }, { "prompt_tokens", m_headers.prompt ? m_headers.prompt->promptTokens : 0 }, { "measured_ms", elapsed.count() } });
     }
     auto& metrics = m_context.metrics;
     const auto& placement = use.placement();
@@ -540,8 +539,8 @@
     metrics.predictionErrorMs += std::abs(static_cast<double>((placement.predicted - elapsed).count()));
     if (!m_headers.prompt)
         m_context.state.policies(m_pool).service.learnWork(elapsed);
-    else if (placement.isSpeedSample)
-        EnginePlacement::learnSpeed(use.runner(), placement, elapsed);
+    else
+        EnginePlacement::learn(placement, m_context.state.cacheStores(), elapsed, std::chrono::steady_clock::now());
 }
 
 asio::awaitable<ForwardTask::RelayEnd> ForwardTask::relay(Parser& parser, RunnerUse& use)
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -3,6 +3,7 @@
 #include "chiveshelf/gateway/GatewaySettings.h"
 #include "chiveshelf/placement/EnginePlacement.h"
 #include "chiveshelf/placement/FleetRetryBudget.h"
+#include "chiveshelf/placement/RunnerClock.h"
 #include "chiveshelf/placement/RunnerRegistry.h"
 #include "chiveshelf/placement/ServicePlacement.h"
 #include "chiveshelf/routing/RouteIndex.h"
@@ -59,6 +60,8 @@
     // The stores of cached parts that the tables name.
     const CacheStores& cacheStores() const { return m_cacheStores; }
 
+    RunnerClock& runnerClock() { return m_runnerClock; }
+
     // Whether no runner that serves uses the weights of a scope any more, and none will.
     bool isObsolete(const CacheScope&) const;
     CrashRegistry& crashes() { return m_crashes; }
@@ -81,6 +84,7 @@
     std::map<std::string, NamedVersion> m_targets;
     std::map<std::string, PoolPolicies> m_policies;
     CacheStores m_cacheStores;
+    RunnerClock m_runnerClock;
     CrashRegistry m_crashes;
     std::map<std::string, std::chrono::milliseconds> m_longestTimes;
     std::mt19937_64 m_engine;
--- a/packages/placement/chiveshelf/placement/BackendState.h
+++ b/packages/placement/chiveshelf/placement/BackendState.h
@@ -4,6 +4,7 @@
 #include "chiveshelf/placement/OutstandingWork.h"
 #include "chiveshelf/placement/PartMemory.h"
 #include "chiveshelf/placement/RunnerRecord.h"
+#include "chiveshelf/placement/TransferSpeed.h"
 
 #include <optional>
 
@@ -72,6 +73,9 @@
 
     BackendHealth& health() { return m_health; }
     const BackendHealth& health() const { return m_health; }
+    // Of transfers to the runner.
+    TransferSpeed& transfers() { return m_transfers; }
+    const TransferSpeed& transfers() const { return m_transfers; }
     PartMemory& parts() { return m_parts; }
     const PartMemory& parts() const { return m_parts; }
 
@@ -90,6 +94,7 @@
     TimePoint m_loadingUntil {};
     double m_tokensPerMs = 0;
     BackendHealth m_health;
+    TransferSpeed m_transfers;
     PartMemory m_parts;
 };
 
--- a/packages/placement/chiveshelf/placement/CacheContents.h
+++ b/packages/placement/chiveshelf/placement/CacheContents.h
@@ -2,6 +2,7 @@
 
 #include "chiveshelf/core/Time.h"
 #include "chiveshelf/placement/CacheScope.h"
+#include "chiveshelf/placement/TransferSpeed.h"
 #include "chiveshelf/routing/RoutingTables.h"
 
 #include <map>
@@ -91,6 +92,9 @@
     // Forgets a part that is about to be freed.
     void forget(const CachedPartName&);
 
+    TransferSpeed& speed() { return m_speed; }
+    const TransferSpeed& speed() const { return m_speed; }
+
     std::uint64_t epoch() const { return m_epoch; }
     // Tokens of whole parts and of saves in progress.
     std::int64_t usedTokens(TimePoint now) const;
@@ -113,6 +117,7 @@
     void remove(std::uint64_t key);
 
     CacheStore m_store;
+    TransferSpeed m_speed;
     std::uint64_t m_epoch = 0;
     TimePoint m_listedAt {};
     std::chrono::nanoseconds m_confirmedAt { 0 };
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -11,6 +11,8 @@
     Address address;
     bool isNear = false;
     bool isStore = false;
+    // Factor on the nominal time of transfers from there.
+    double slowness = 1;
 };
 
 namespace {
@@ -19,8 +21,8 @@
     constexpr double initialTokensPerMs = 80;
     // Tokens that an engine reads between two decode steps; an urgent prompt waits for half of such a chunk on average.
     constexpr double chunkTokens = 4'096;
-    // Set-up of a request and the network, in ms.
-    constexpr double fixedMs = 8;
+    // Set-up of a request, the network, and half of a step of the engine, in ms.
+    constexpr double fixedMs = 25;
     // Extra ms of a runner in another data centre: the way, and the price of the bytes.
     constexpr double otherDataCentreMs = 12;
     // How much a token to be read counts against the first token's time, so that work for the whole pool is saved.
@@ -33,6 +35,10 @@
     // How much the time to fetch counts beside the first token's time: moving memory has a price, but reading it again a far
     // higher one.
     constexpr double fetchWeight = 0.5;
+    // Share of the goal up to which fetching may take the first token, and the multiple of its predicted time for which a fetch
+    // is waited for.
+    constexpr double fetchGoalShare = 0.8;
+    constexpr double fetchPatience = 2;
     // Transfers between data centres take twice as long.
     constexpr double farFetchFactor = 2;
     constexpr double bitsPerByte = 8;
@@ -118,13 +124,13 @@
         const auto cacheScopeOfReader = cacheScope(request, *version);
         for (const auto& store : stores) {
             if (store->isConfirmed(context.bootNow) && store->contains(cacheScopeOfReader, request.prompt->parts[i].id))
-                consider(best, Source { store->store().address, store->store().dataCentre == reader.record().dataCentre, true });
+                consider(best, Source { store->store().address, store->store().dataCentre == reader.record().dataCentre, true, store->speed().slowness(context.now) });
         }
         if (best)
             return best;
         for (const auto* holder : byPart[i]) {
             if (holder != &reader && holder->version(request.prompt->model) == version)
-                consider(best, Source { holder->record().address, holder->record().dataCentre == reader.record().dataCentre, false });
+                consider(best, Source { holder->record().address, holder->record().dataCentre == reader.record().dataCentre, false, 1 });
         }
         return best;
     }
@@ -170,14 +176,14 @@
 }
 
 EnginePlacement::Prediction EnginePlacement::predict(const EngineRequest& request, const BackendState& runner, const PartHolders& holders,
-    TimePoint now, double fallbackSpeed) const
+    TimePoint now, std::chrono::milliseconds goal, double fallbackSpeed) const
 {
     const auto& prompt = *request.prompt;
     const auto work = runner.total(now);
     const auto speed = runner.tokensPerMs(fallbackSpeed);
     Prediction out;
     const auto cached = runner.parts().cachedTokens(prompt.parts, holders.scope);
-    double fetchMs = 0;
+    const auto ownSlowness = runner.transfers().slowness(now);
     std::int64_t covered = 0;
     for (std::size_t i = 0; i < prompt.parts.size(); ++i) {
         const auto tokens = prompt.parts[i].tokens;
@@ -186,20 +192,18 @@
             if (!source)
                 break;
             out.fetchTokens += tokens;
-            fetchMs += static_cast<double>(tokens) * m_fetchMsPerToken * (source->isNear ? 1 : farFetchFactor);
+            const auto nominal = static_cast<double>(tokens) * m_fetchMsPerToken * (source->isNear ? 1 : farFetchFactor);
+            out.nominalFetchMs += nominal;
+            out.fetchMs += nominal * std::max(source->slowness, ownSlowness);
         }
         covered += tokens;
     }
-    out.fetchMs = fetchMs;
     out.uncachedTokens = std::max<std::int64_t>(prompt.promptTokens - covered, 1);
     double aheadTokens = 0;
     double lessUrgentTokens = 0;
     for (std::size_t i = 0; i < rankClassCount; ++i)
         (i <= rankClass(request.rank) ? aheadTokens : lessUrgentTokens) += static_cast<double>(work.prefillTokens[i]);
     out.waitMs = (aheadTokens + std::min(lessUrgentTokens, chunkTokens) / 2) / speed;
-    // Transfers run beside the reading of other prompts, one after another.
-    if (out.fetchTokens > 0)
-        out.waitMs = std::max(out.waitMs, static_cast<double>(work.fetchTokens) * m_fetchMsPerToken);
     const auto requests = runner.requests(now);
     const auto slots = static_cast<std::int32_t>(std::max(m_limits.slots, 1U));
     if (requests >= slots)
@@ -210,7 +214,24 @@
     if (memory > 0 && excess > 0 && request.rank > 0)
         out.waitMs += residenceMs * excess / memory;
     out.readMs = static_cast<double>(out.uncachedTokens) / speed;
-    out.firstMs = fixedMs + out.waitMs + out.fetchMs + out.readMs;
+    // Transfers run beside the reading of other prompts, one after another.
+    const auto linkMs = static_cast<double>(work.fetchTokens) * m_fetchMsPerToken * ownSlowness;
+    const auto fetchingMs = fixedMs + std::max(out.waitMs, linkMs + out.fetchMs) + out.readMs;
+    const auto readAllMs = static_cast<double>(prompt.promptTokens - std::min(cached, prompt.promptTokens)) / speed;
+    const auto readingMs = fixedMs + out.waitMs + readAllMs;
+    // Reading again has the higher price, so it is chosen only where it is in time and fetching is not.
+    const auto goalMs = toMilliseconds(goal);
+    if (out.fetchTokens > 0 && fetchingMs > goalMs * fetchGoalShare && readingMs < fetchingMs) {
+        out.isReadingInstead = true;
+        out.fetchTokens = 0;
+        out.fetchMs = 0;
+        out.nominalFetchMs = 0;
+        out.uncachedTokens = std::max<std::int64_t>(prompt.promptTokens - cached, 1);
+        out.readMs = readAllMs;
+    }
+    out.firstMs = out.fetchTokens > 0 ? fetchingMs : readingMs;
+    // Fetching that takes longer than what the goal leaves is given up.
+    out.fetchTimeMs = std::max(goalMs * fetchGoalShare - readAllMs, out.fetchMs * fetchPatience);
     out.isIdle = aheadTokens + lessUrgentTokens == 0 && requests < slots / 4 && out.uncachedTokens >= prompt.promptTokens;
     return out;
 }
@@ -239,7 +260,7 @@
     for (const auto& runner : runners) {
         if (!isCandidate(request, context, *runner))
             continue;
-        const auto prediction = predict(request, *runner, holders, context.now, fallbackSpeed);
+        const auto prediction = predict(request, *runner, holders, context.now, context.goal, fallbackSpeed);
         double cost = prediction.firstMs + readWeight * prediction.readMs + fetchWeight * prediction.fetchMs;
         if (runner == home)
             cost -= std::min(prediction.readMs * homeShare, homeMostMs);
@@ -274,7 +295,13 @@
     out.work.prefillTokens[rankClass(request.rank)] = bestPrediction.uncachedTokens;
     out.work.fetchTokens = bestPrediction.fetchTokens;
     out.work.memoryTokens = prompt.promptTokens + prompt.outputTokens;
+    out.predictedFetch = roundedMs(bestPrediction.fetchMs);
+    out.nominalFetchMs = bestPrediction.nominalFetchMs;
     planTransfers(request, context, holders, stores, out);
+    if (bestPrediction.isReadingInstead)
+        out.fetchFrom.clear();
+    else
+        out.fetchTime = roundedMs(bestPrediction.fetchTimeMs);
     return out;
 }
 
@@ -295,8 +322,8 @@
     // The last part is the request's own.
     for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
         covered += parts[i].tokens;
-        // A store's copy is named even where the runner is believed to have the part: it is not fetched then.
         const auto source = isContinuous ? holders.find(i, runner) : std::nullopt;
+        // A store's copy is named even where the runner is believed to have the part: it is not fetched then.
         if (source && (source->isStore || covered > cached))
             placement.fetchFrom[i] = source->address;
         isContinuous = isContinuous && (source || covered <= cached);
@@ -327,14 +354,33 @@
     return best;
 }
 
-void EnginePlacement::learnSpeed(BackendState& runner, const Placement& placement, std::chrono::milliseconds firstToken)
+void EnginePlacement::learn(const Placement& placement, const CacheStores& stores, std::chrono::milliseconds firstToken, TimePoint now)
 {
-    std::int64_t tokens = 0;
-    for (const auto n : placement.work.prefillTokens)
-        tokens += n;
-    const auto readMs = static_cast<double>(firstToken.count()) - fixedMs;
-    if (tokens >= fewestSampleTokens && readMs > 0)
-        runner.learnSpeed(static_cast<double>(tokens) / readMs);
+    auto& runner = *placement.runner;
+    const auto measuredMs = toMilliseconds(firstToken);
+    if (placement.isSpeedSample) {
+        std::int64_t tokens = 0;
+        for (const auto n : placement.work.prefillTokens)
+            tokens += n;
+        if (tokens >= fewestSampleTokens && measuredMs > fixedMs)
+            runner.learnSpeed(static_cast<double>(tokens) / (measuredMs - fixedMs));
+        return;
+    }
+    const auto fetchMs = toMilliseconds(placement.predictedFetch);
+    if (placement.work.fetchTokens < fewestSampleTokens || fetchMs <= 0)
+        return;
+    const auto otherMs = toMilliseconds(placement.predicted) - fetchMs;
+    const auto ratio = std::max(measuredMs - otherMs, 0.0) / placement.nominalFetchMs;
+    const CacheContents* source = nullptr;
+    for (const auto& store : stores) {
+        const bool isSource = std::find(placement.fetchFrom.begin(), placement.fetchFrom.end(), std::optional(store->store().address)) != placement.fetchFrom.end();
+        if (!isSource)
+            continue;
+        source = store.get();
+        // What the runner's own slowness explains is not the store's.
+        store->speed().learn(ratio / runner.transfers().slowness(now), now);
+    }
+    runner.transfers().learn(source ? ratio / source->speed().slowness(now) : ratio, now);
 }
 
 void EnginePlacement::recordSend(const EngineRequest& request, const Placement& placement, const CacheStores& stores, TimePoint now)
--- a/packages/placement/chiveshelf/placement/EnginePlacement.h
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.h
@@ -48,8 +48,8 @@
     // Records that a request was sent as placed, so that later prompts find its parts.
     static void recordSend(const EngineRequest&, const Placement&, const CacheStores&, TimePoint now);
 
-    // Learns the runner's speed from the measured first token of a placement that is a sample of it.
-    static void learnSpeed(BackendState&, const Placement&, std::chrono::milliseconds firstToken);
+    // Learns from the measured first token: the runner's speed where nothing else took time, and that of transfers.
+    static void learn(const Placement&, const CacheStores&, std::chrono::milliseconds firstToken, TimePoint now);
 
 private:
     struct Prediction {
@@ -57,16 +57,22 @@
         double waitMs = 0;
         double readMs = 0;
         double fetchMs = 0;
+        double nominalFetchMs = 0;
+        // How long fetching may take.
+        double fetchTimeMs = 0;
         std::int64_t uncachedTokens = 0;
         std::int64_t fetchTokens = 0;
         bool isIdle = false;
+        // Whether parts that could be fetched are read.
+        bool isReadingInstead = false;
     };
 
     // Where a prompt's parts are, found once for all candidates.
     struct PartHolders;
     struct Source;
 
-    Prediction predict(const EngineRequest&, const BackendState&, const PartHolders&, TimePoint now, double fallbackSpeed) const;
+    Prediction predict(const EngineRequest&, const BackendState&, const PartHolders&, TimePoint now, std::chrono::milliseconds goal,
+        double fallbackSpeed) const;
     void planTransfers(const EngineRequest&, const PlacementContext&, const PartHolders&, const CacheStores&, Placement&) const;
     static const CacheContents* chooseStore(const CacheStores&, const CacheScope&, const PromptPart&, const std::string& dataCentre,
         const PlacementContext&);
--- a/packages/placement/chiveshelf/placement/OutstandingWork.h
+++ b/packages/placement/chiveshelf/placement/OutstandingWork.h
@@ -8,8 +8,8 @@
 
 namespace chiveshelf {
 
-// Ranks of priority that are told apart when waits are predicted: 0, 1, and all that are less urgent.
-constexpr std::size_t rankClassCount = 3;
+// Ranks of priority that are told apart when waits are predicted: all that engines know but the least urgent ones.
+constexpr std::size_t rankClassCount = 6;
 
 constexpr std::size_t rankClass(unsigned rank)
 {
--- a/packages/placement/chiveshelf/placement/Placement.h
+++ b/packages/placement/chiveshelf/placement/Placement.h
@@ -47,6 +47,11 @@
     // For each part of the prompt, where it is fetched from and saved to.
     std::vector<std::optional<Address>> fetchFrom;
     std::vector<std::optional<Address>> saveTo;
+    // How long fetching may take before the prompt is read instead.
+    std::optional<std::chrono::milliseconds> fetchTime;
+    // Part of the prediction that is fetching, for learning.
+    std::chrono::milliseconds predictedFetch { 0 };
+    double nominalFetchMs = 0;
     // Whether a measured first token tells the runner's speed: nothing cached, nothing waiting.
     bool isSpeedSample = false;
 };
--- /dev/null
+++ b/packages/placement/chiveshelf/placement/TransferSpeed.cpp
@@ -0,0 +1,32 @@
+#include "chiveshelf/placement/TransferSpeed.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chiveshelf {
+
+namespace {
+
+    // Weight of the newest transfer.
+    constexpr double weight = 0.3;
+    // Time in which the excess over the nominal time halves.
+    constexpr double halfLifeMs = 2'500;
+    // A single wait, which may have other causes, counts as this slow at most.
+    constexpr double mostSlowness = 20;
+
+}
+
+double TransferSpeed::slowness(TimePoint now) const
+{
+    if (m_slowness <= 1)
+        return 1;
+    return 1 + (m_slowness - 1) * std::exp2(-toMilliseconds(now - m_learnedAt) / halfLifeMs);
+}
+
+void TransferSpeed::learn(double ratio, TimePoint now)
+{
+    m_slowness = slowness(now) * (1 - weight) + std::clamp(ratio, 1.0, mostSlowness) * weight;
+    m_learnedAt = now;
+}
+
+}
