Read the store anew after a cut watch, and date late news early

Ruled out: late answers of the store, since the log shows the reset at 28.10 s and the lost history at 32.16 s.

--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -61,13 +61,14 @@
     });
 }
 
-void ServingState::acceptTarget(const ModelTarget& target, TimePoint now)
+void ServingState::acceptTarget(const ModelTarget& target, std::chrono::nanoseconds bootNow)
 {
     auto& known = m_targets[target.model];
     if (target.version <= known.version)
         return;
-    known = { target.version, now };
-    logEvent(LogLevel::Info, "version_named", { { "model", target.model }, { "version", target.version } });
+    known = { target.version, m_contact.newsSince(bootNow) };
+    logEvent(LogLevel::Info, "version_named", { { "model", target.model }, { "version", target.version },
+        { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(bootNow - known.since).count() } });
 }
 
 void ServingState::refreshRunners()
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chiveshelf/gateway/GatewaySettings.h"
+#include "chiveshelf/placement/ContactHistory.h"
 #include "chiveshelf/placement/EnginePlacement.h"
 #include "chiveshelf/placement/FleetRetryBudget.h"
 #include "chiveshelf/placement/RunnerClock.h"
@@ -14,10 +15,10 @@
 
 namespace chiveshelf {
 
-// A version that the operator named, with the moment at which this host learned of it.
+// A version that the operator named, with the earliest bootTime() at which that can have been.
 struct NamedVersion {
     std::uint64_t version = 0;
-    TimePoint since;
+    std::chrono::nanoseconds since { 0 };
 };
 
 // The decisions of one pool.
@@ -37,7 +38,10 @@
     bool acceptTables(RoutingTables, std::string text, std::string_view source);
 
     // Takes a named version if it is higher than the known one.
-    void acceptTarget(const ModelTarget&, TimePoint now);
+    void acceptTarget(const ModelTarget&, std::chrono::nanoseconds bootNow);
+
+    // What is known of gaps in the contact to the store.
+    ContactHistory& contact() { return m_contact; }
 
     // Changes to the registry take effect with refreshRunners().
     RunnerRegistry& registry() { return m_registry; }
@@ -79,6 +83,7 @@
     const GatewaySettings& m_settings;
     std::shared_ptr<const RouteIndex> m_routes;
     std::string m_tablesText;
+    ContactHistory m_contact;
     RunnerRegistry m_registry;
     BackendBoard m_board;
     std::map<std::string, NamedVersion> m_targets;
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -65,6 +65,7 @@
         boost::system::error_code ec;
         timer.expires_after(expireInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        m_state.contact().tick(bootTime());
         if (m_state.registry().expire(now()))
             m_state.refreshRunners();
     }
@@ -120,14 +121,17 @@
             logEvent(LogLevel::Info, "store_history_lost", { { "revision", revision } });
             co_return;
         }
+        // A watch that was cut may be about to lose its history: only a read tells at once what it missed.
         onFailure(batch.error(), "watch");
         co_await pause();
+        co_return;
     }
 }
 
 void StoreFollower::onContact()
 {
     m_pause = firstPause;
+    m_state.contact().onAnswer(bootTime());
     m_state.registry().onContactRegained(now());
     if (!m_isInContact)
         logEvent(LogLevel::Info, "store_reached", {});
@@ -137,6 +141,7 @@
 void StoreFollower::onFailure(const Error& error, std::string_view call)
 {
     m_state.registry().onContactLost(now());
+    m_state.contact().onFailure();
     if (m_isInContact || !m_hasRead)
         logEvent(LogLevel::Warning, "store_failed", { { "call", call }, { "error", error.message } });
     m_isInContact = false;
@@ -181,7 +186,7 @@
     else
         m_relayTexts[key] = change.item.value;
     if (const auto* target = std::get_if<ModelTarget>(&decoded)) {
-        m_state.acceptTarget(*target, now());
+        m_state.acceptTarget(*target, bootTime());
     } else if (auto* runner = std::get_if<platform::RunnerItem>(&decoded)) {
         if (runner->record && runners)
             runners->push_back(std::move(*runner->record));
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -169,7 +169,7 @@
 {
     if (context.isExcluded(runner.record().id) || runner.isLoading(context.now) || !runner.health().isUsable(context.now))
         return false;
-    if (request.targetVersion == 0 || context.now - request.targetSince < m_versionGrace)
+    if (request.targetVersion == 0 || context.bootNow - request.targetSince < m_versionGrace)
         return true;
     const auto version = runner.version(request.prompt->model);
     return version && *version >= request.targetVersion;
--- a/packages/placement/chiveshelf/placement/EnginePlacement.h
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.h
@@ -15,9 +15,9 @@
     // Set for an organisation that shares no cached parts with others.
     std::string dedicatedOrganisation;
     unsigned rank = 0;
-    // The newest version that the operator wants, and since when this host knows; 0 if none was named.
+    // The newest version that the operator wants, 0 if none was named, and the bootTime() of its naming.
     std::uint64_t targetVersion = 0;
-    TimePoint targetSince {};
+    std::chrono::nanoseconds targetSince { 0 };
 };
 
 // The stores of cached parts with their known contents.
