Date versions right on a host that has just started, and test the decisions

Hosts now tell each other the ages, and a fresh process assumes little time. Ruled out: slow rollout alone, since other hosts refused the old weights in time.

--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -22,7 +22,10 @@
     constexpr std::chrono::milliseconds longestInterval { 1'000 };
     // Entries per datagram, so that it fits into a frame.
     constexpr std::size_t loadsPerNotice = 20;
-    constexpr std::size_t partsPerNotice = 16;
+    constexpr std::size_t partsPerNotice = 14;
+    constexpr std::size_t versionsPerNotice = 3;
+    // Older versions are in place everywhere, or past the time for them.
+    constexpr std::chrono::milliseconds toldVersionAge { 20'000 };
     // Parts that wait for the next notice; more are not told.
     constexpr std::size_t mostWaitingParts = 160;
     // Time that a host's own watch has to bring tables of which a peer tells.
@@ -146,6 +149,8 @@
         if (const auto runner = m_state.board().findByHash(part.runner))
             runner->parts().touch(PromptPart { part.part, part.tokens }, part.scope);
     }
+    for (const auto& version : notice.versions)
+        m_state.acceptTargetAge(version.model, version.version, std::chrono::milliseconds(version.ageMs), bootTime());
     if (notice.tablesVersion > m_state.tablesVersion() && notice.tablesVersion > m_pulledVersion) {
         m_pulledVersion = notice.tablesVersion;
         asio::co_spawn(m_context, pullSoon(from), asio::detached);
@@ -228,6 +233,12 @@
     const auto n = std::min(m_parts.size(), partsPerNotice);
     notice.parts.assign(m_parts.begin(), m_parts.begin() + static_cast<std::ptrdiff_t>(n));
     m_parts.erase(m_parts.begin(), m_parts.begin() + static_cast<std::ptrdiff_t>(n));
+    const auto bootNow = bootTime();
+    for (const auto& [model, target] : m_state.targets()) {
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(bootNow - target.since);
+        if (!target.isGuess && age < toldVersionAge && notice.versions.size() < versionsPerNotice)
+            notice.versions.push_back({ hash64(model), target.version, static_cast<std::uint32_t>(age.count()) });
+    }
     sendToAll(notice);
 }
 
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -41,6 +41,19 @@
     }
 };
 
+// How long ago a version of a model was named, in ms.
+struct VersionAge {
+    std::uint64_t model = 0;
+    std::uint64_t version = 0;
+    std::uint32_t ageMs = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(model, version, ageMs);
+    }
+};
+
 // What a host tells all others several times a second. A runner that is not listed has no work of this host.
 struct LoadNotice {
     static constexpr peer::DatagramType datagramType = peer::DatagramType::LoadNotice;
@@ -49,11 +62,13 @@
     std::uint64_t tablesVersion = 0;
     std::vector<RunnerLoadEntry> loads;
     std::vector<PlacedPart> parts;
+    // Versions that were named lately.
+    std::vector<VersionAge> versions;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(host, tablesVersion, loads, parts);
+        archive(host, tablesVersion, loads, parts, versions);
     }
 };
 
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -15,6 +15,8 @@
     // Share of the time for a version in which older weights are still used. The rest covers the time between the naming and
     // this host's learning of it.
     constexpr double versionGraceShare = 0.85;
+    // Rest of that time that a process assumes when it starts: other hosts tell it the age within a second.
+    constexpr std::chrono::milliseconds guessedRest { 2'500 };
 
 }
 
@@ -66,9 +68,26 @@
     auto& known = m_targets[target.model];
     if (target.version <= known.version)
         return;
-    known = { target.version, m_contact.newsSince(bootNow) };
-    logEvent(LogLevel::Info, "version_named", { { "model", target.model }, { "version", target.version },
-        { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(bootNow - known.since).count() } });
+    // A process that has just started can not know the age. It goes on using older weights for a while, in which it hears of it.
+    const bool isGuess = !m_contact.hasAnswered();
+    known = { target.version, isGuess ? bootNow - versionGrace() + guessedRest : m_contact.newsSince(bootNow), isGuess };
+    logEvent(LogLevel::Info, "version_named", { { "model", target.model }, { "version", target.version }, { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(bootNow - known.since).count() } });
+}
+
+void ServingState::acceptTargetAge(std::uint64_t modelHash, std::uint64_t version, std::chrono::milliseconds age, std::chrono::nanoseconds bootNow)
+{
+    for (auto& [model, known] : m_targets) {
+        if (hash64(model) != modelHash || known.version != version)
+            continue;
+        const auto since = bootNow - age;
+        if (known.isGuess || since < known.since)
+            known = { version, since, false };
+    }
+}
+
+std::chrono::milliseconds ServingState::versionGrace() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.versionLimit * versionGraceShare);
 }
 
 void ServingState::refreshRunners()
@@ -102,8 +121,7 @@
     const auto* row = m_routes ? m_routes->findPool(pool) : nullptr;
     PoolPolicies policies { std::nullopt, {}, FleetRetryBudget(m_settings.retryShare, m_settings.retryReserve, m_settings.retryWindow) };
     if (row && row->engine) {
-        const auto grace = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.versionLimit * versionGraceShare);
-        policies.engine.emplace(grace, *row->engine);
+        policies.engine.emplace(versionGrace(), *row->engine);
     }
     return m_policies.emplace(pool, std::move(policies)).first->second;
 }
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -19,6 +19,8 @@
 struct NamedVersion {
     std::uint64_t version = 0;
     std::chrono::nanoseconds since { 0 };
+    // Whether `since` is a guess of a process that has just started; what another host says is better.
+    bool isGuess = false;
 };
 
 // The decisions of one pool.
@@ -40,6 +42,9 @@
     // Takes a named version if it is higher than the known one.
     void acceptTarget(const ModelTarget&, std::chrono::nanoseconds bootNow);
 
+    // Takes what another host knows of the age of a version that this host knows too.
+    void acceptTargetAge(std::uint64_t modelHash, std::uint64_t version, std::chrono::milliseconds age, std::chrono::nanoseconds bootNow);
+
     // What is known of gaps in the contact to the store.
     ContactHistory& contact() { return m_contact; }
 
@@ -79,6 +84,7 @@
 
 private:
     void updateCacheStores();
+    std::chrono::milliseconds versionGrace() const;
 
     const GatewaySettings& m_settings;
     std::shared_ptr<const RouteIndex> m_routes;
--- a/packages/placement/chiveshelf/placement/ContactHistory.cpp
+++ b/packages/placement/chiveshelf/placement/ContactHistory.cpp
@@ -20,6 +20,7 @@
         m_blindTo = now;
     }
     m_hasFailed = false;
+    ++m_answers;
     m_lastAnswer = now;
 }
 
--- a/packages/placement/chiveshelf/placement/ContactHistory.h
+++ b/packages/placement/chiveshelf/placement/ContactHistory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace chiveshelf {
 
@@ -22,6 +23,9 @@
     void onAnswer(std::chrono::nanoseconds now);
     void onFailure();
 
+    // Whether the store has answered before the present news.
+    bool hasAnswered() const { return m_answers > 1; }
+
     // Returns the earliest moment at which news that arrive now may have been made.
     std::chrono::nanoseconds newsSince(std::chrono::nanoseconds now) const;
 
@@ -31,6 +35,7 @@
     // The last time in which news could be missed.
     std::chrono::nanoseconds m_blindFrom { 0 };
     std::chrono::nanoseconds m_blindTo { 0 };
+    std::uint64_t m_answers = 0;
     bool m_hasFailed = false;
 };
 
--- /dev/null
+++ b/tests/unit/placement/AttemptHistoryTest.cpp
@@ -0,0 +1,80 @@
+#include "chiveshelf/placement/AttemptHistory.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace {
+
+using namespace chiveshelf;
+
+const std::vector<Verdict> allVerdicts { Verdict::NotRun, Verdict::MayHaveRun, Verdict::Ran };
+
+class AttemptHistoryTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(AttemptHistoryTest);
+    CPPUNIT_TEST(anyOrderOfOutcomesSingleRunRequestIsNeverSentAfterItMayHaveRun);
+    CPPUNIT_TEST(anyOrderOfOutcomesRunsStayWithinTheLimit);
+    CPPUNIT_TEST(anyOrderOfOutcomesVerdictIsTheStrongest);
+    CPPUNIT_TEST(refusedSendsAreBounded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a booking that is made twice, and against a refusal that is not true.
+    void anyOrderOfOutcomesSingleRunRequestIsNeverSentAfterItMayHaveRun()
+    {
+        const bool holds = rc::check([](const std::vector<std::uint8_t>& outcomes, std::uint8_t limit) {
+            AttemptHistory history(false, limit);
+            for (const auto outcome : outcomes) {
+                if (!history.maySendAgain())
+                    break;
+                RC_ASSERT(history.verdict() == Verdict::NotRun);
+                history.record("runner", allVerdicts[outcome % 3]);
+            }
+            RC_ASSERT(history.runs() <= 1U);
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void anyOrderOfOutcomesRunsStayWithinTheLimit()
+    {
+        const bool holds = rc::check([](const std::vector<std::uint8_t>& outcomes, std::uint8_t limit) {
+            AttemptHistory history(true, limit);
+            for (const auto outcome : outcomes) {
+                if (!history.maySendAgain())
+                    break;
+                history.record("runner", allVerdicts[outcome % 3]);
+            }
+            RC_ASSERT(history.runs() <= std::max<unsigned>(limit, 1));
+            RC_ASSERT(history.sends() <= AttemptHistory::mostSends);
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void anyOrderOfOutcomesVerdictIsTheStrongest()
+    {
+        const bool holds = rc::check([](const std::vector<std::uint8_t>& outcomes) {
+            AttemptHistory history(true, 9);
+            auto strongest = Verdict::NotRun;
+            for (const auto outcome : outcomes) {
+                strongest = std::max(strongest, allVerdicts[outcome % 3]);
+                history.record("runner", allVerdicts[outcome % 3]);
+                RC_ASSERT(history.verdict() == strongest);
+            }
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void refusedSendsAreBounded()
+    {
+        AttemptHistory history(true, 2);
+        unsigned n = 0;
+        while (history.maySendAgain() && n < 100) {
+            history.record("runner", Verdict::NotRun);
+            ++n;
+        }
+        CPPUNIT_ASSERT_EQUAL(AttemptHistory::mostSends, n);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AttemptHistoryTest);
+
+}
--- /dev/null
+++ b/tests/unit/placement/EnginePlacementTest.cpp
@@ -0,0 +1,301 @@
+#include "chiveshelf/placement/EnginePlacement.h"
+#include "chiveshelf/placement/ServicePlacement.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace chiveshelf;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint start = TimePoint() + seconds(100);
+const EngineLimits limits { 64, 138'000, 327'680, 310'000 };
+
+class EnginePlacementTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(EnginePlacementTest);
+    CPPUNIT_TEST(returningPromptGoesWhereItsPartsAre);
+    CPPUNIT_TEST(returningPromptLeavesAnOverloadedHolderAndFetchesItsParts);
+    CPPUNIT_TEST(partOfAStoreIsFetchedFromThereAndNotSavedAgain);
+    CPPUNIT_TEST(partThatNoStoreHasIsSavedOnce);
+    CPPUNIT_TEST(storeThatHasNotAnsweredLatelyIsNotFetchedFrom);
+    CPPUNIT_TEST(storeThatHasJustRestartedIsNotSavedTo);
+    CPPUNIT_TEST(slowStoreInTimeCriticalRequestIsReplacedByReading);
+    CPPUNIT_TEST(draftsInABurstAreRefusedOnceTheyWouldBeLate);
+    CPPUNIT_TEST(questionInABurstOfDraftsWaitsOnlyForItsLike);
+    CPPUNIT_TEST(refusedCallerComesBackLateAndIsAdmittedOnlyWithLittleWaiting);
+    CPPUNIT_TEST(oldWeightsAreNotUsedPastTheTimeForAVersion);
+    CPPUNIT_TEST(runnersThatLoadWeightsGetNoWork);
+    CPPUNIT_TEST(dedicatedOrganisationSharesNoParts);
+    CPPUNIT_TEST(plainRequestGoesToTheLeastLoadedRunner);
+    CPPUNIT_TEST(plainRequestBeyondItsTimeIsRefused);
+    CPPUNIT_TEST(scopeOfAnObsoleteVersionIsRecognised);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_prompt.model = "m";
+        m_prompt.promptTokens = 10'000;
+        m_prompt.outputTokens = 50;
+        m_prompt.parts = { { 1, 500 }, { 2, 8'500 }, { 3, 1'000 } };
+        for (int i = 0; i < 3; ++i) {
+            RunnerRecord record;
+            record.id = "r" + std::to_string(i);
+            record.pool = "pool";
+            record.address = { "10.0.0." + std::to_string(i + 1), 80 };
+            record.dataCentre = "east";
+            record.slots = 6;
+            record.modelVersions["m"] = 1;
+            m_runners.push_back(std::make_shared<BackendState>(record, limits.memoryTokens));
+        }
+        m_store = std::make_shared<CacheContents>(CacheStore { { "10.0.1.1", 90 }, "east", 200'000 });
+        m_store->replaceAll({}, 1, start - seconds(10));
+        m_store->confirm(seconds(50));
+        m_stores = { m_store };
+        m_context.now = start;
+        m_context.bootNow = seconds(50);
+        m_context.dataCentre = "east";
+        m_context.goal = milliseconds(1'200);
+        m_context.timeLeft = milliseconds(12'000);
+    }
+
+    void returningPromptGoesWhereItsPartsAre()
+    {
+        for (const auto& holder : m_runners) {
+            setUpAgain();
+            const auto i = static_cast<std::size_t>(std::distance(m_runners.begin(), std::find(m_runners.begin(), m_runners.end(), holder)));
+            EnginePlacement::recordSend(request(), placed(m_runners[i % 3]), m_stores, start);
+            const auto placement = choose();
+            CPPUNIT_ASSERT(placement && placement->runner == m_runners[i % 3]);
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(0), placement->work.fetchTokens);
+        }
+    }
+
+    void returningPromptLeavesAnOverloadedHolderAndFetchesItsParts()
+    {
+        EnginePlacement::recordSend(request(), placed(m_runners[0]), m_stores, start);
+        m_runners[0]->begin(queued(60'000));
+        const auto placement = choose();
+        CPPUNIT_ASSERT(placement && placement->runner != m_runners[0]);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(9'000), placement->work.fetchTokens);
+        CPPUNIT_ASSERT(placement->fetchFrom.at(1) == m_runners[0]->record().address);
+        CPPUNIT_ASSERT(!placement->fetchFrom.at(2));
+    }
+
+    void partOfAStoreIsFetchedFromThereAndNotSavedAgain()
+    {
+        store("v1/m/", 1, 500);
+        store("v1/m/", 2, 8'500);
+        const auto placement = choose();
+        CPPUNIT_ASSERT(placement && placement->fetchFrom.at(1) == m_store->store().address);
+        CPPUNIT_ASSERT(!placement->saveTo.at(1));
+        CPPUNIT_ASSERT(placement->fetchTime);
+    }
+
+    void partThatNoStoreHasIsSavedOnce()
+    {
+        const auto first = choose();
+        CPPUNIT_ASSERT(first && first->saveTo.at(1) == m_store->store().address);
+        EnginePlacement::recordSend(request(), *first, m_stores, start);
+        const auto second = choose();
+        CPPUNIT_ASSERT(second && !second->saveTo.at(1));
+    }
+
+    // Guards against memory that a restarted store is just being given anew.
+    void storeThatHasNotAnsweredLatelyIsNotFetchedFrom()
+    {
+        store("v1/m/", 1, 500);
+        m_context.bootNow += CacheContents::confirmedTime + milliseconds(1);
+        const auto placement = choose();
+        CPPUNIT_ASSERT(placement && !placement->fetchFrom.at(0));
+    }
+
+    void storeThatHasJustRestartedIsNotSavedTo()
+    {
+        m_store->replaceAll({}, 2, start);
+        m_store->confirm(m_context.bootNow);
+        const auto early = choose();
+        CPPUNIT_ASSERT(early && !early->saveTo.at(1));
+        m_context.now += CacheContents::settleTime;
+        const auto later = choose();
+        CPPUNIT_ASSERT(later && later->saveTo.at(1));
+    }
+
+    void slowStoreInTimeCriticalRequestIsReplacedByReading()
+    {
+        store("v1/m/", 1, 500);
+        store("v1/m/", 2, 8'500);
+        for (int i = 0; i < 20; ++i)
+            m_store->speed().learn(20, start);
+        m_context.goal = milliseconds(400);
+        const auto placement = choose();
+        CPPUNIT_ASSERT(placement);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), placement->work.fetchTokens);
+        CPPUNIT_ASSERT(placement->fetchFrom.empty());
+    }
+
+    void draftsInABurstAreRefusedOnceTheyWouldBeLate()
+    {
+        int admitted = 0;
+        for (int i = 0; i < 200; ++i) {
+            m_prompt.parts[1].id = static_cast<std::uint64_t>(1'000 + i);
+            const auto placement = choose();
+            if (!placement) {
+                CPPUNIT_ASSERT(placement.error().reason == RefusalReason::Overloaded);
+                CPPUNIT_ASSERT(placement.error().retryAfter.count() > 0);
+                CPPUNIT_ASSERT(placement.error().retryAfter <= m_context.timeLeft / 3);
+                continue;
+            }
+            ++admitted;
+            CPPUNIT_ASSERT(placement->predicted <= m_context.goal);
+            placement->runner->begin(placement->work);
+        }
+        CPPUNIT_ASSERT(admitted >= 15);
+        CPPUNIT_ASSERT(admitted <= 40);
+    }
+
+    void questionInABurstOfDraftsWaitsOnlyForItsLike()
+    {
+        for (const auto& runner : m_runners)
+            runner->begin(queued(200'000));
+        m_prompt.promptTokens = 800;
+        m_prompt.parts = { { 1, 100 }, { 9, 500 }, { 10, 200 } };
+        m_context.goal = milliseconds(250);
+        m_rank = 0;
+        const auto placement = choose();
+        CPPUNIT_ASSERT(placement);
+        CPPUNIT_ASSERT(placement->predicted <= milliseconds(120));
+    }
+
+    void refusedCallerComesBackLateAndIsAdmittedOnlyWithLittleWaiting()
+    {
+        for (const auto& runner : m_runners)
+            runner->begin(queued(60'000));
+        m_context.isLate = true;
+        CPPUNIT_ASSERT(!choose());
+        for (const auto& runner : m_runners)
+            runner->end(queued(30'000));
+        CPPUNIT_ASSERT(choose());
+    }
+
+    void oldWeightsAreNotUsedPastTheTimeForAVersion()
+    {
+        m_targetVersion = 2;
+        m_targetSince = m_context.bootNow - milliseconds(4'900);
+        CPPUNIT_ASSERT(choose());
+        m_targetSince = m_context.bootNow - milliseconds(5'100);
+        CPPUNIT_ASSERT(!choose());
+        m_runners[2]->setVersion("m", 2);
+        const auto placement = choose();
+        CPPUNIT_ASSERT(placement && placement->runner == m_runners[2]);
+    }
+
+    void runnersThatLoadWeightsGetNoWork()
+    {
+        m_runners[0]->setLoadingUntil(start + seconds(1));
+        m_runners[1]->setLoadingUntil(start + seconds(1));
+        const auto placement = choose();
+        CPPUNIT_ASSERT(placement && placement->runner == m_runners[2]);
+        m_runners[2]->setLoadingUntil(start + seconds(1));
+        CPPUNIT_ASSERT(!choose());
+        m_runners[1]->setVersion("m", 2);
+        CPPUNIT_ASSERT(choose());
+    }
+
+    void dedicatedOrganisationSharesNoParts()
+    {
+        store("v1/m/", 1, 500);
+        EnginePlacement::recordSend(request(), placed(m_runners[0]), m_stores, start);
+        m_dedicated = "museum";
+        const auto placement = choose();
+        CPPUNIT_ASSERT(placement);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(10'000), placement->work.prefillTokens[rankClass(m_rank)]);
+        CPPUNIT_ASSERT(!placement->fetchFrom.at(0));
+        CPPUNIT_ASSERT_EQUAL(std::string("v1/m/museum"), cacheScope(request(), 1).text());
+    }
+
+    void plainRequestGoesToTheLeastLoadedRunner()
+    {
+        OutstandingWork work;
+        work.requests = 4;
+        m_runners[0]->begin(work);
+        m_runners[2]->begin(work);
+        const auto placement = ServicePlacement().choose(m_context, m_runners, 0.5);
+        CPPUNIT_ASSERT(placement && placement->runner == m_runners[1]);
+    }
+
+    void plainRequestBeyondItsTimeIsRefused()
+    {
+        OutstandingWork work;
+        work.requests = 200;
+        for (const auto& runner : m_runners)
+            runner->begin(work);
+        m_context.timeLeft = milliseconds(1'500);
+        const auto placement = ServicePlacement().choose(m_context, m_runners, 0.5);
+        CPPUNIT_ASSERT(!placement && placement.error().reason == RefusalReason::Overloaded);
+    }
+
+    void scopeOfAnObsoleteVersionIsRecognised()
+    {
+        store("v1/m/", 1, 500);
+        store("v2/m/museum", 2, 500);
+        m_store->apply({ { true, { "someone else's", "3" }, 3, 10 } }, 1);
+        const auto parts = m_store->obsoleteParts([](const CacheScope& scope) { return scope.version < 2; }, 10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), parts.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("v1/m/"), parts[0].scope);
+    }
+
+private:
+    void setUpAgain()
+    {
+        for (auto& runner : m_runners)
+            runner->parts().clear();
+    }
+
+    EngineRequest request() const
+    {
+        EngineRequest out;
+        out.prompt = &m_prompt;
+        out.rank = m_rank;
+        out.dedicatedOrganisation = m_dedicated;
+        out.targetVersion = m_targetVersion;
+        out.targetSince = m_targetSince;
+        return out;
+    }
+
+    PlacementResult choose() const { return EnginePlacement(milliseconds(5'000), limits).choose(request(), m_context, m_runners, m_stores, 0.5); }
+
+    static Placement placed(const std::shared_ptr<BackendState>& runner)
+    {
+        Placement out;
+        out.runner = runner;
+        return out;
+    }
+
+    OutstandingWork queued(std::int64_t tokens) const
+    {
+        OutstandingWork out;
+        out.prefillTokens[rankClass(m_rank)] = tokens;
+        return out;
+    }
+
+    void store(const std::string& scope, std::uint64_t part, std::int64_t tokens)
+    {
+        m_store->apply({ { true, { scope, std::to_string(part) }, part, tokens } }, 1);
+    }
+
+    Prompt m_prompt;
+    unsigned m_rank = 5;
+    std::string m_dedicated;
+    std::uint64_t m_targetVersion = 0;
+    std::chrono::nanoseconds m_targetSince { 0 };
+    PlacementContext m_context;
+    BackendBoard::RunnerList m_runners;
+    std::shared_ptr<CacheContents> m_store;
+    CacheStores m_stores;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EnginePlacementTest);
+
+}
