--- a/packages/gateway/chiveshelf/gateway/CacheFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/CacheFollower.cpp
@@ -24,15 +24,26 @@
     constexpr std::chrono::milliseconds checkInterval { 500 };
     // Parts freed by one call.
     constexpr std::size_t mostFreed = 100;
+    // Hosts that ask a store by themselves. A store takes a dozen callers at once, others may be about to leave.
+    constexpr std::size_t askingHosts = 7;
+    // Fleets up to this size need no notices.
+    constexpr std::size_t smallFleet = askingHosts + 1;
+    // Entries of one notice, so that it fits into a frame.
+    constexpr std::size_t entriesPerNotice = 14;
+    // Pause before a host that depends on notices lists a store again.
+    constexpr std::chrono::milliseconds relistPause { 3'000 };
 
 }
 
-CacheFollower::CacheFollower(asio::io_context& context, http::Client& client, ServingState& state, std::function<bool()> mayFree)
+CacheFollower::CacheFollower(asio::io_context& context, http::Client& client, ServingState& state, HostExchange& exchange,
+    std::function<bool()> mayFree)
     : m_context(context)
     , m_client(client)
     , m_state(state)
+    , m_exchange(exchange)
     , m_mayFree(std::move(mayFree))
 {
+    m_exchange.setCacheHandler([this](const CacheNotice& notice) { onNotice(notice); });
 }
 
 void CacheFollower::start()
@@ -66,18 +77,26 @@
 
 asio::awaitable<void> CacheFollower::follow(std::shared_ptr<CacheContents> contents)
 {
-    std::uint64_t position = 0;
+    const auto name = toString(contents->store().address);
     while (!m_isStopped && isNamed(contents)) {
-        const bool isDone = contents->isKnown() ? co_await poll(contents, position) : co_await list(contents, position);
+        const bool isAsking = m_exchange.rankFor(name) < askingHosts;
+        if (!isAsking && contents->isConfirmed(bootTime())) {
+            co_await sleep(checkInterval);
+            continue;
+        }
+        const bool isDone = isAsking && contents->isKnown() ? co_await poll(contents) : co_await list(contents);
         if (isDone && m_mayFree())
             co_await freeObsolete(contents);
-        co_await sleep(isDone ? gatherTime : failurePause);
+        if (!isAsking)
+            co_await sleep(relistPause);
+        else
+            co_await sleep(isDone ? gatherTime : failurePause);
     }
     contents->clear();
     m_followed.erase(contents);
 }
 
-asio::awaitable<bool> CacheFollower::list(std::shared_ptr<CacheContents> contents, std::uint64_t& position)
+asio::awaitable<bool> CacheFollower::list(std::shared_ptr<CacheContents> contents)
 {
     const auto before = bootTime();
     const auto listing = co_await platform::listCache(m_client, contents->store().address);
@@ -85,16 +104,17 @@
         co_return false;
     contents->replaceAll(listing->parts, listing->epoch, std::chrono::steady_clock::now());
     contents->confirm(before);
-    position = listing->position;
+    contents->setPosition(listing->position);
     logEvent(LogLevel::Info, "cache_listed", { { "store", toString(contents->store().address) }, { "parts", contents->partCount() } });
     co_return true;
 }
 
-asio::awaitable<bool> CacheFollower::poll(std::shared_ptr<CacheContents> contents, std::uint64_t& position)
+asio::awaitable<bool> CacheFollower::poll(std::shared_ptr<CacheContents> contents)
 {
     // The answer may have been on its way for long.
     const auto before = bootTime();
-    const auto changes = co_await platform::readCacheChanges(m_client, contents->store().address, position, pollTime);
+    const auto fromPosition = contents->position();
+    const auto changes = co_await platform::readCacheChanges(m_client, contents->store().address, fromPosition, pollTime);
     if (!changes) {
         logEvent(LogLevel::Warning, "cache_lost", { { "store", toString(contents->store().address) }, { "error", changes.error().message } });
         contents->clear();
@@ -102,15 +122,63 @@
     }
     if (changes->isIncomplete || !contents->apply(changes->changes, changes->epoch)) {
         contents->clear();
-        co_return co_await list(contents, position);
+        co_return co_await list(contents);
     }
     contents->confirm(before);
     if (changes->clockMs)
         m_state.runnerClock().set(*changes->clockMs, bootTime());
-    position = changes->position;
+    contents->setPosition(changes->position);
+    announce(*contents, fromPosition, before, changes->changes);
     co_return true;
 }
 
+void CacheFollower::announce(const CacheContents& contents, std::uint64_t fromPosition, std::chrono::nanoseconds askedAt,
+    const std::vector<CacheChange>& changes)
+{
+    if (m_exchange.hostCount() <= smallFleet)
+        return;
+    CacheNotice notice;
+    notice.store = toString(contents.store().address);
+    if (m_exchange.rankFor(notice.store) != 0)
+        return;
+    const auto now = bootTime();
+    notice.epoch = contents.epoch();
+    notice.ageMs = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - askedAt).count());
+    notice.clockMs = m_state.runnerClock().read(now).value_or(0);
+    std::size_t i = 0;
+    do {
+        notice.entries.clear();
+        for (; i < changes.size() && notice.entries.size() < entriesPerNotice; ++i)
+            notice.entries.push_back({ changes[i].name.scope, changes[i].name.part, changes[i].partId, static_cast<std::uint32_t>(changes[i].tokens), changes[i].isStored });
+        const auto end = fromPosition + (contents.position() - fromPosition) * i / std::max<std::size_t>(changes.size(), 1);
+        notice.fromPosition = fromPosition;
+        notice.position = i >= changes.size() ? contents.position() : end;
+        fromPosition = notice.position;
+        m_exchange.announceCache(notice);
+    } while (i < changes.size());
+}
+
+void CacheFollower::onNotice(const CacheNotice& notice)
+{
+    for (const auto& contents : m_state.cacheStores()) {
+        if (toString(contents->store().address) != notice.store || m_exchange.rankFor(notice.store) < askingHosts)
+            continue;
+        if (notice.clockMs != 0)
+            m_state.runnerClock().set(notice.clockMs, bootTime());
+        std::vector<CacheChange> changes;
+        for (const auto& entry : notice.entries)
+            changes.push_back({ entry.isStored, { entry.scope, entry.part }, entry.partId, entry.tokens });
+        // What was listed after the notice's start is known already; a gap hides parts that may have gone.
+        const bool isContinuous = notice.fromPosition <= contents->position();
+        if (!isContinuous || !contents->apply(changes, notice.epoch)) {
+            contents->clear();
+            continue;
+        }
+        contents->setPosition(std::max(contents->position(), notice.position));
+        contents->confirm(bootTime() - std::chrono::milliseconds(notice.ageMs));
+    }
+}
+
 asio::awaitable<void> CacheFollower::freeObsolete(std::shared_ptr<CacheContents> contents)
 {
     const auto parts = contents->obsoleteParts([this](const CacheScope& scope) { return m_state.isObsolete(scope); }, mostFreed);
--- a/packages/gateway/chiveshelf/gateway/CacheFollower.h
+++ b/packages/gateway/chiveshelf/gateway/CacheFollower.h
@@ -7,13 +7,15 @@
 namespace chiveshelf {
 
 // Follows the contents of the stores of cached parts, one task per store, and frees parts of weights that nobody uses any more.
+// A store takes few callers at once, so that in a large fleet the first hosts of an order ask it and the first of all tells the
+// others.
 //
 // Failures: a store that does not answer counts as empty until it was listed again, so that nothing is fetched from it on old
 // knowledge.
 class CacheFollower {
 public:
     // `mayFree` tells whether this host is the one that frees parts.
-    CacheFollower(boost::asio::io_context&, http::Client&, ServingState&, std::function<bool()> mayFree);
+    CacheFollower(boost::asio::io_context&, http::Client&, ServingState&, HostExchange&, std::function<bool()> mayFree);
     CacheFollower(const CacheFollower&) = delete;
     CacheFollower& operator=(const CacheFollower&) = delete;
 
@@ -23,8 +25,10 @@
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> follow(std::shared_ptr<CacheContents>);
-    boost::asio::awaitable<bool> list(std::shared_ptr<CacheContents>, std::uint64_t& position);
-    boost::asio::awaitable<bool> poll(std::shared_ptr<CacheContents>, std::uint64_t& position);
+    boost::asio::awaitable<bool> list(std::shared_ptr<CacheContents>);
+    boost::asio::awaitable<bool> poll(std::shared_ptr<CacheContents>);
+    void announce(const CacheContents&, std::uint64_t fromPosition, std::chrono::nanoseconds askedAt, const std::vector<CacheChange>&);
+    void onNotice(const CacheNotice&);
     boost::asio::awaitable<void> freeObsolete(std::shared_ptr<CacheContents>);
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds);
     bool isNamed(const std::shared_ptr<CacheContents>&) const;
@@ -32,6 +36,7 @@
     boost::asio::io_context& m_context;
     http::Client& m_client;
     ServingState& m_state;
+    HostExchange& m_exchange;
     std::function<bool()> m_mayFree;
     std::set<std::shared_ptr<CacheContents>> m_followed;
     bool m_isStopped = false;
--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -64,7 +64,7 @@
           StoreLease::Options { std::string(hostPrefix) + m_settings.hostName, toString(m_settings.peerAddress), registrationTime, registrationRenewal, false },
           [this] { return m_follower.isInContact(); })
     , m_leader(context, m_settings, m_client, m_store, m_state, m_follower, m_exchange)
-    , m_caches(context, m_client, m_state, [this] { return m_leader.isLeading(); })
+    , m_caches(context, m_client, m_state, m_exchange, [this] { return m_leader.isLeading(); })
     , m_forward { context, m_settings, m_state, m_backends, m_exchange, m_metrics }
     , m_server(
           context, (m_settings.mostDescriptors - std::min(reservedDescriptors, m_settings.mostDescriptors / 2)) / 2,
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -66,6 +66,10 @@
         m_state.crashes().record(notice.fingerprint, notice.runner, std::chrono::steady_clock::now());
     });
     m_datagrams.handle<RolloutNotice>([this](const Address&, RolloutNotice notice) { onRollout(notice); });
+    m_datagrams.handle<CacheNotice>([this](const Address&, CacheNotice notice) {
+        if (m_cacheHandler)
+            m_cacheHandler(notice);
+    });
     m_server.handle<PullRoutingTables>([this](PullRoutingTables request) -> asio::awaitable<Result<RoutingTablesReply>> {
         RoutingTablesReply reply;
         reply.version = m_state.tablesVersion();
@@ -103,6 +107,14 @@
         m_parts.push_back({ shortHash(runner), scope, parts[i].id, static_cast<std::uint32_t>(parts[i].tokens) });
 }
 
+std::size_t HostExchange::rankFor(std::string_view subject) const
+{
+    const auto seed = hash64(subject);
+    const auto own = hash64(m_settings.hostName, seed);
+    return static_cast<std::size_t>(
+        std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto& host) { return hash64(host.first, seed) > own; }));
+}
+
 void HostExchange::announceCrash(const std::string& fingerprint, const std::string& runner)
 {
     sendToAll(CrashNotice { fingerprint, runner });
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -41,6 +41,15 @@
     void announceCrash(const std::string& fingerprint, const std::string& runner);
     void announceRollout(const RunnerRecord&, const std::string& model, std::uint64_t version, bool isDone);
 
+    // Tells the others what a store holds.
+    void announceCache(const CacheNotice& notice) { sendToAll(notice); }
+
+    // Sets who takes such notices. Call before start().
+    void setCacheHandler(std::function<void(const CacheNotice&)> handler) { m_cacheHandler = std::move(handler); }
+
+    // Returns this host's place among all hosts in an order that depends on `subject`, 0 for the first.
+    std::size_t rankFor(std::string_view subject) const;
+
     // Asks a host, or a contact, for newer tables and, if asked for, for items.
     boost::asio::awaitable<bool> pull(Address, bool wantsItems);
 
@@ -58,8 +67,7 @@
     template <typename Message>
     void sendToAll(const Message& message)
     {
-        for (const auto& [name, address] : m_hosts)
-            m_datagrams.send(address, message);
+        m_datagrams.sendToAll(m_hosts, message);
     }
 
     boost::asio::io_context& m_context;
@@ -71,6 +79,7 @@
     ItemSource m_itemSource;
     ItemHandler m_itemHandler;
     TablesHandler m_tablesHandler;
+    std::function<void(const CacheNotice&)> m_cacheHandler;
     std::map<std::string, Address> m_hosts;
     std::vector<PlacedPart> m_parts;
     std::uint64_t m_hostHash;
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -86,6 +86,43 @@
     }
 };
 
+// A part that a store has whole since now, or no longer has.
+struct CacheNoticeEntry {
+    std::string scope;
+    std::string part;
+    std::uint64_t partId = 0;
+    std::uint32_t tokens = 0;
+    bool isStored = true;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(scope, part, partId, tokens, isStored);
+    }
+};
+
+// What a host that follows a store tells the others, also when nothing has changed. Whoever misses a notice sees that the next
+// one does not go on where the last one ended.
+struct CacheNotice {
+    static constexpr peer::DatagramType datagramType = peer::DatagramType::CacheNotice;
+
+    std::string store;
+    std::uint64_t epoch = 0;
+    std::uint64_t fromPosition = 0;
+    std::uint64_t position = 0;
+    // How long ago the store was asked, in ms.
+    std::uint32_t ageMs = 0;
+    // The clock of runners and stores at the sending, 0 if it is not known.
+    std::int64_t clockMs = 0;
+    std::vector<CacheNoticeEntry> entries;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(store, epoch, fromPosition, position, ageMs, clockMs, entries);
+    }
+};
+
 // A runner is about to load weights, or has loaded them.
 struct RolloutNotice {
     static constexpr peer::DatagramType datagramType = peer::DatagramType::RolloutNotice;
--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
@@ -22,7 +22,8 @@
     // Part of the lease that must be left when an order is sent: the order's way, and the limit of the call.
     constexpr std::chrono::milliseconds orderMargin { 500 };
     // Hosts try to take the lease one after another, so that one call is made and not one per host.
-    constexpr std::chrono::milliseconds campaignSpread { 300 };
+    constexpr std::chrono::milliseconds campaignSpread { 100 };
+    constexpr std::size_t longestTurn = 6;
     constexpr std::chrono::milliseconds checkInterval { 100 };
     // Time between the notice to the other hosts, which then send the runner nothing more, and its order: short requests end.
     constexpr std::chrono::milliseconds noticeTime { 120 };
@@ -45,7 +46,6 @@
     , m_exchange(exchange)
     , m_lease(context, store, StoreLease::Options { std::string(leaderKey), settings.hostName, leaseTime, renewInterval, true },
           [this] { return mayCampaign(); })
-    , m_startedAt(std::chrono::steady_clock::now())
 {
 }
 
@@ -65,9 +65,9 @@
 {
     if (m_isStopped || !m_follower.isInContact() || m_follower.ownItems().contains(std::string(leaderKey)))
         return false;
-    // Hosts wait for a time of their own after the start.
-    const auto turn = hash64(m_settings.hostName) % 8;
-    return std::chrono::steady_clock::now() - m_startedAt > campaignSpread * static_cast<int>(turn);
+    // The first host of the order tries at once, the others only if nobody else has.
+    const auto turn = static_cast<int>(std::min(m_exchange.rankFor(leaderKey), longestTurn));
+    return std::chrono::steady_clock::now() - m_follower.leaderGoneSince() > campaignSpread * turn;
 }
 
 bool RolloutLeader::isLeading() const
--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.h
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.h
@@ -39,7 +39,6 @@
     StoreLease m_lease;
     // By model and pool.
     std::map<std::pair<std::string, std::string>, RolloutSchedule> m_schedules;
-    TimePoint m_startedAt;
     bool m_isStopped = false;
 };
 
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -16,6 +16,8 @@
 
     // A watch that waits longer saves calls; one on a connection that fell silent is found at its end at the latest.
     constexpr std::chrono::milliseconds watchTime { 4'000 };
+    // Pause after changes, in which others gather: every call has a price, and bounds on news are of seconds.
+    constexpr std::chrono::milliseconds gatherTime { 250 };
     // Pauses after failed calls. Every call is counted by the store, and hosts must be in step within seconds of its return.
     constexpr std::chrono::milliseconds firstPause { 50 };
     constexpr std::chrono::milliseconds longestPause { 800 };
@@ -71,6 +73,13 @@
     }
 }
 
+asio::awaitable<void> StoreFollower::gather()
+{
+    asio::steady_timer timer(m_context, m_state.tablesVersion() == 0 ? firstPause : gatherTime);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
 asio::awaitable<void> StoreFollower::pause()
 {
     asio::steady_timer timer(m_context, m_pause);
@@ -112,9 +121,11 @@
             onContact();
             for (const auto& change : batch->changes)
                 apply(change);
-            if (!batch->changes.empty())
-                finishChanges();
             revision = batch->revision;
+            if (batch->changes.empty())
+                continue;
+            finishChanges();
+            co_await gather();
             continue;
         }
         if (batch.error().code == ErrorCode::NotFound) {
@@ -151,6 +162,7 @@
 {
     std::vector<RunnerRecord> runners;
     m_ownItems.clear();
+    m_leaderGoneSince = now();
     m_relayTexts.clear();
     for (const auto& item : items)
         applyDecoded(ItemChange { item, false }, &runners);
@@ -170,6 +182,8 @@
     const bool isOwn = key.starts_with(hostPrefix) || key == leaderKey;
     if (isOwn) {
         m_haveHostsChanged = true;
+        if (key == leaderKey && change.isRemoval)
+            m_leaderGoneSince = now();
         if (change.isRemoval)
             m_ownItems.erase(key);
         else
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.h
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.h
@@ -23,6 +23,9 @@
     // Registrations of hosts and the leader's key, as last seen. Values by key.
     const std::map<std::string, StoredItem>& ownItems() const { return m_ownItems; }
 
+    // Since when nobody is seen to hold the leader's key.
+    TimePoint leaderGoneSince() const { return m_leaderGoneSince; }
+
     // Registered runners and named versions as key and text, for hosts that the store refuses.
     std::vector<std::pair<std::string, std::string>> relayItems() const;
 
@@ -41,6 +44,7 @@
     boost::asio::awaitable<std::optional<Revision>> readAll();
     boost::asio::awaitable<void> follow(Revision);
     boost::asio::awaitable<void> pause();
+    boost::asio::awaitable<void> gather();
     void apply(const ItemChange&);
     void applyAll(const std::vector<StoredItem>&);
     void applyDecoded(const ItemChange&, std::vector<RunnerRecord>* runners);
@@ -55,6 +59,7 @@
     std::map<std::string, StoredItem> m_ownItems;
     std::map<std::string, std::string> m_relayTexts;
     std::chrono::milliseconds m_pause;
+    TimePoint m_leaderGoneSince {};
     bool m_isInContact = false;
     bool m_hasRead = false;
     bool m_haveHostsChanged = false;
--- a/packages/gateway/chiveshelf/gateway/StoreLease.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreLease.cpp
@@ -15,8 +15,9 @@
 
 namespace {
 
-    // Pause after a call that failed, or while another host holds the key.
+    // Pause after a call that failed, and between looks at whether the key may be taken, which cost no call.
     constexpr std::chrono::milliseconds retryPause { 400 };
+    constexpr std::chrono::milliseconds checkPause { 60 };
 
 }
 
@@ -64,9 +65,9 @@
 {
     while (!m_isStopped) {
         if (!m_hasKey) {
-            const bool hasAcquired = m_mayAcquire() && co_await acquire();
-            if (!hasAcquired)
-                co_await sleep(retryPause);
+            const bool mayAcquire = m_mayAcquire();
+            if (!mayAcquire || !co_await acquire())
+                co_await sleep(mayAcquire ? retryPause : checkPause);
             continue;
         }
         co_await sleep(m_options.renewInterval);
--- a/packages/peer/chiveshelf/peer/DatagramChannel.h
+++ b/packages/peer/chiveshelf/peer/DatagramChannel.h
@@ -23,6 +23,7 @@
     LoadNotice = 4,
     CrashNotice = 5,
     RolloutNotice = 6,
+    CacheNotice = 7,
 };
 
 // A message that is sent as one datagram, without a reply.
@@ -64,6 +65,15 @@
         sendBytes(to, Message::datagramType, encode(message));
     }
 
+    // Sends one message to several receivers, encoded once.
+    template <Datagram Message, typename Addresses>
+    void sendToAll(const Addresses& receivers, const Message& message)
+    {
+        const auto payload = encode(message);
+        for (const auto& [name, address] : receivers)
+            sendBytes(address, Message::datagramType, payload);
+    }
+
     std::uint64_t sentBytes() const { return m_sentBytes; }
     std::uint64_t receivedBytes() const { return m_receivedBytes; }
 
--- a/packages/placement/chiveshelf/placement/CacheContents.h
+++ b/packages/placement/chiveshelf/placement/CacheContents.h
@@ -95,6 +95,10 @@
     TransferSpeed& speed() { return m_speed; }
     const TransferSpeed& speed() const { return m_speed; }
 
+    // The position in the store's changes up to which the contents are known.
+    std::uint64_t position() const { return m_position; }
+    void setPosition(std::uint64_t position) { m_position = position; }
+
     std::uint64_t epoch() const { return m_epoch; }
     // Tokens of whole parts and of saves in progress.
     std::int64_t usedTokens(TimePoint now) const;
@@ -119,6 +123,7 @@
     CacheStore m_store;
     TransferSpeed m_speed;
     std::uint64_t m_epoch = 0;
+    std::uint64_t m_position = 0;
     TimePoint m_listedAt {};
     std::chrono::nanoseconds m_confirmedAt { 0 };
     bool m_isKnown = false;
--- a/packages/placement/chiveshelf/placement/RunnerClock.h
+++ b/packages/placement/chiveshelf/placement/RunnerClock.h
@@ -15,6 +15,9 @@
         m_offset = std::chrono::milliseconds(clockMs) - std::chrono::duration_cast<std::chrono::milliseconds>(at);
     }
 
+    // Returns the time on that clock, or nothing if it was never read.
+    std::optional<std::int64_t> read(std::chrono::nanoseconds now) const { return after(std::chrono::milliseconds(0), now); }
+
     // Returns the time on that clock `delay` after `now`, or nothing if it was never read.
     std::optional<std::int64_t> after(std::chrono::milliseconds delay, std::chrono::nanoseconds now) const
     {
--- a/tests/unit/placement/EnginePlacementTest.cpp
+++ b/tests/unit/placement/EnginePlacementTest.cpp
@@ -138,8 +138,8 @@
     void draftsInABurstAreRefusedOnceTheyWouldBeLate()
     {
         int admitted = 0;
-        for (int i = 0; i < 200; ++i) {
-            m_prompt.parts[1].id = static_cast<std::uint64_t>(1'000 + i);
+        for (std::uint64_t i = 0; i < 200; ++i) {
+            m_prompt.parts[1].id = 1'000 + i;
             const auto placement = choose();
             if (!placement) {
                 CPPUNIT_ASSERT(placement.error().reason == RefusalReason::Overloaded);
