--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
@@ -16,9 +16,10 @@
 
 namespace {
 
-    // A holder that is gone is replaced within this time; renewals may fail twice meanwhile.
-    constexpr std::chrono::milliseconds leaseTime { 1'500 };
-    constexpr std::chrono::milliseconds renewInterval { 400 };
+    // A holder that is gone is replaced after this time. One that is only cut off from the store can end a rollout of a small
+    // pool within it.
+    constexpr std::chrono::milliseconds leaseTime { 2'500 };
+    constexpr std::chrono::milliseconds renewInterval { 500 };
     // Part of the lease that must be left when an order is sent: the order's way, and the limit of the call.
     constexpr std::chrono::milliseconds orderMargin { 500 };
     // Hosts try to take the lease one after another, so that one call is made and not one per host.
@@ -26,9 +27,9 @@
     constexpr std::size_t longestTurn = 6;
     constexpr std::chrono::milliseconds checkInterval { 100 };
     // Time between the notice to the other hosts, which then send the runner nothing more, and its order: short requests end.
-    constexpr std::chrono::milliseconds noticeTime { 120 };
+    constexpr std::chrono::milliseconds noticeTime { 60 };
     // How often a runner that loads weights is asked, and for how long before it counts as stuck.
-    constexpr std::chrono::milliseconds reportInterval { 80 };
+    constexpr std::chrono::milliseconds reportInterval { 50 };
     constexpr std::chrono::milliseconds loadLimit { 3'500 };
     // An order without an answer is given again if the runner shows no sign of it for this long.
     constexpr std::chrono::milliseconds repeatAfter { 700 };
