--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -68,9 +68,12 @@
     auto& known = m_targets[target.model];
     if (target.version <= known.version)
         return;
+    const auto newsSince = m_contact.newsSince(bootNow);
     // A process that has just started can not know the age. It goes on using older weights for a while, in which it hears of it.
-    const bool isGuess = !m_contact.hasAnswered();
-    known = { target.version, isGuess ? bootNow - versionGrace() + guessedRest : m_contact.newsSince(bootNow), isGuess };
+    if (!m_contact.hasAnswered())
+        known = { target.version, bootNow - versionGrace() + guessedRest, true };
+    else
+        known = { target.version, newsSince, newsSince != bootNow };
     logEvent(LogLevel::Info, "version_named", { { "model", target.model }, { "version", target.version }, { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(bootNow - known.since).count() } });
 }
 
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -19,7 +19,8 @@
 struct NamedVersion {
     std::uint64_t version = 0;
     std::chrono::nanoseconds since { 0 };
-    // Whether `since` is a guess of a process that has just started; what another host says is better.
+    // Whether `since` is only a bound, for a host that has just started or missed news. What a host says that did not is better,
+    // and other hosts are not told.
     bool isGuess = false;
 };
 
