--- a/packages/gateway/chiveshelf/gateway/CacheFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/CacheFollower.cpp
@@ -30,6 +30,8 @@
     constexpr std::size_t smallFleet = askingHosts + 1;
     // Entries of one notice, so that it fits into a frame.
     constexpr std::size_t entriesPerNotice = 14;
+    // Least time between two listings in a large fleet, whose hosts can have narrow links: a listing is some 100 KB.
+    constexpr std::chrono::milliseconds listSpacing { 700 };
     // Pause before a host that depends on notices lists a store again.
     constexpr std::chrono::milliseconds relistPause { 3'000 };
 
@@ -84,7 +86,12 @@
             co_await sleep(checkInterval);
             continue;
         }
-        const bool isDone = isAsking && contents->isKnown() ? co_await poll(contents) : co_await list(contents);
+        const bool isPoll = isAsking && contents->isKnown();
+        if (!isPoll && !takeListTurn()) {
+            co_await sleep(gatherTime);
+            continue;
+        }
+        const bool isDone = isPoll ? co_await poll(contents) : co_await list(contents);
         if (isDone && m_mayFree())
             co_await freeObsolete(contents);
         if (!isAsking)
@@ -96,6 +103,16 @@
     m_followed.erase(contents);
 }
 
+bool CacheFollower::takeListTurn()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (now < m_nextListAt)
+        return false;
+    if (m_exchange.hostCount() > smallFleet)
+        m_nextListAt = now + listSpacing;
+    return true;
+}
+
 asio::awaitable<bool> CacheFollower::list(std::shared_ptr<CacheContents> contents)
 {
     const auto before = bootTime();
@@ -113,8 +130,7 @@
 {
     // The answer may have been on its way for long.
     const auto before = bootTime();
-    const auto fromPosition = contents->position();
-    const auto changes = co_await platform::readCacheChanges(m_client, contents->store().address, fromPosition, pollTime);
+    const auto changes = co_await platform::readCacheChanges(m_client, contents->store().address, contents->position(), pollTime);
     if (!changes) {
         logEvent(LogLevel::Warning, "cache_lost", { { "store", toString(contents->store().address) }, { "error", changes.error().message } });
         contents->clear();
@@ -122,18 +138,17 @@
     }
     if (changes->isIncomplete || !contents->apply(changes->changes, changes->epoch)) {
         contents->clear();
-        co_return co_await list(contents);
+        co_return true;
     }
     contents->confirm(before);
     if (changes->clockMs)
         m_state.runnerClock().set(*changes->clockMs, bootTime());
     contents->setPosition(changes->position);
-    announce(*contents, fromPosition, before, changes->changes);
+    announce(*contents, before, changes->changes);
     co_return true;
 }
 
-void CacheFollower::announce(const CacheContents& contents, std::uint64_t fromPosition, std::chrono::nanoseconds askedAt,
-    const std::vector<CacheChange>& changes)
+void CacheFollower::announce(const CacheContents& contents, std::chrono::nanoseconds askedAt, const std::vector<CacheChange>& changes)
 {
     if (m_exchange.hostCount() <= smallFleet)
         return;
@@ -150,10 +165,6 @@
         notice.entries.clear();
         for (; i < changes.size() && notice.entries.size() < entriesPerNotice; ++i)
             notice.entries.push_back({ changes[i].name.scope, changes[i].name.part, changes[i].partId, static_cast<std::uint32_t>(changes[i].tokens), changes[i].isStored });
-        const auto end = fromPosition + (contents.position() - fromPosition) * i / std::max<std::size_t>(changes.size(), 1);
-        notice.fromPosition = fromPosition;
-        notice.position = i >= changes.size() ? contents.position() : end;
-        fromPosition = notice.position;
         m_exchange.announceCache(notice);
     } while (i < changes.size());
 }
@@ -168,13 +179,9 @@
         std::vector<CacheChange> changes;
         for (const auto& entry : notice.entries)
             changes.push_back({ entry.isStored, { entry.scope, entry.part }, entry.partId, entry.tokens });
-        // What was listed after the notice's start is known already; a gap hides parts that may have gone.
-        const bool isContinuous = notice.fromPosition <= contents->position();
-        if (!isContinuous || !contents->apply(changes, notice.epoch)) {
-            contents->clear();
+        // A notice that was lost hides new parts, which are only fetched later, and freed ones, which nobody wants any more.
+        if (!contents->apply(changes, notice.epoch))
             continue;
-        }
-        contents->setPosition(std::max(contents->position(), notice.position));
         contents->confirm(bootTime() - std::chrono::milliseconds(notice.ageMs));
     }
 }
--- a/packages/gateway/chiveshelf/gateway/CacheFollower.h
+++ b/packages/gateway/chiveshelf/gateway/CacheFollower.h
@@ -27,7 +27,9 @@
     boost::asio::awaitable<void> follow(std::shared_ptr<CacheContents>);
     boost::asio::awaitable<bool> list(std::shared_ptr<CacheContents>);
     boost::asio::awaitable<bool> poll(std::shared_ptr<CacheContents>);
-    void announce(const CacheContents&, std::uint64_t fromPosition, std::chrono::nanoseconds askedAt, const std::vector<CacheChange>&);
+    // Whether a store may be listed now.
+    bool takeListTurn();
+    void announce(const CacheContents&, std::chrono::nanoseconds askedAt, const std::vector<CacheChange>&);
     void onNotice(const CacheNotice&);
     boost::asio::awaitable<void> freeObsolete(std::shared_ptr<CacheContents>);
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds);
@@ -39,6 +41,7 @@
     HostExchange& m_exchange;
     std::function<bool()> m_mayFree;
     std::set<std::shared_ptr<CacheContents>> m_followed;
+    TimePoint m_nextListAt {};
     bool m_isStopped = false;
 };
 
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -41,6 +41,10 @@
     constexpr std::chrono::milliseconds noTablesPause { 500 };
     // Pause of callers whose request crashes runners.
     constexpr std::chrono::milliseconds quarantinePause { 2'000 };
+    // Random cost of runners in ms for each host that chooses with the same figures, and its bound: about what a host places
+    // on a runner between two notices.
+    constexpr double spreadMsPerHost = 0.6;
+    constexpr double mostSpreadMs = 40;
     // Answers of other requests that may stand before the one that is waited for.
     constexpr int mostStrays = 4;
 
@@ -225,6 +229,7 @@
     context.excluded = m_excluded;
     context.goal = m_route->goal;
     context.timeLeft = timeLeft(now);
+    context.spreadMs = std::min(spreadMsPerHost * static_cast<double>(m_context.exchange.hostCount()), mostSpreadMs);
     context.isLate = state.isReturning(m_route->name, m_headers.timeLeft, m_route->goal);
     const auto& runners = state.board().runnersOf(m_pool);
     if (!policies.engine || !m_headers.prompt)
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -17,12 +17,13 @@
 
     // Interval of notices in a small fleet: several within the time in which a prompt is read.
     constexpr std::chrono::milliseconds shortestInterval { 150 };
-    // In a large fleet the interval grows with the number of hosts, so that each receives some 70 notices a second at most.
-    constexpr std::chrono::milliseconds intervalPerHost { 14 };
+    // In a large fleet the interval grows with the number of hosts, so that each receives some 125 notices a second at most.
+    constexpr std::chrono::milliseconds intervalPerHost { 8 };
     constexpr std::chrono::milliseconds longestInterval { 1'000 };
     // Entries per datagram, so that it fits into a frame.
     constexpr std::size_t loadsPerNotice = 20;
     constexpr std::size_t partsPerNotice = 14;
+    constexpr std::size_t mostPartsPerNotice = 50;
     constexpr std::size_t versionsPerNotice = 3;
     // Older versions are in place everywhere, or past the time for them.
     constexpr std::chrono::milliseconds toldVersionAge { 20'000 };
@@ -62,6 +63,7 @@
 Result<void> HostExchange::start()
 {
     m_datagrams.handle<LoadNotice>([this](const Address& from, LoadNotice notice) { onLoad(from, notice); });
+    m_datagrams.handle<PartsNotice>([this](const Address&, PartsNotice notice) { onParts(notice.parts); });
     m_datagrams.handle<CrashNotice>([this](const Address&, CrashNotice notice) {
         m_state.crashes().record(notice.fingerprint, notice.runner, std::chrono::steady_clock::now());
     });
@@ -157,10 +159,7 @@
         else
             runner->clearPeerWork(notice.host);
     }
-    for (const auto& part : notice.parts) {
-        if (const auto runner = m_state.board().findByHash(part.runner))
-            runner->parts().touch(PromptPart { part.part, part.tokens }, part.scope);
-    }
+    onParts(notice.parts);
     for (const auto& version : notice.versions)
         m_state.acceptTargetAge(version.model, version.version, std::chrono::milliseconds(version.ageMs), bootTime());
     if (notice.tablesVersion > m_state.tablesVersion() && notice.tablesVersion > m_pulledVersion) {
@@ -169,6 +168,14 @@
     }
 }
 
+void HostExchange::onParts(const std::vector<PlacedPart>& parts)
+{
+    for (const auto& part : parts) {
+        if (const auto runner = m_state.board().findByHash(part.runner))
+            runner->parts().touch(PromptPart { part.part, part.tokens }, part.scope);
+    }
+}
+
 asio::awaitable<void> HostExchange::pullSoon(Address from)
 {
     asio::steady_timer timer(m_context, ownWatchTime);
@@ -252,6 +259,18 @@
             notice.versions.push_back({ hash64(model), target.version, static_cast<std::uint32_t>(age.count()) });
     }
     sendToAll(notice);
+    sendParts();
+}
+
+void HostExchange::sendParts()
+{
+    for (std::size_t i = 0; i < m_parts.size(); i += mostPartsPerNotice) {
+        PartsNotice notice;
+        const auto end = std::min(i + mostPartsPerNotice, m_parts.size());
+        notice.parts.assign(m_parts.begin() + static_cast<std::ptrdiff_t>(i), m_parts.begin() + static_cast<std::ptrdiff_t>(end));
+        sendToAll(notice);
+    }
+    m_parts.clear();
 }
 
 }
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -60,7 +60,9 @@
     boost::asio::awaitable<void> noticeLoop();
     boost::asio::awaitable<void> pullSoon(Address);
     void sendNotice();
+    void sendParts();
     void onLoad(const Address& from, const LoadNotice&);
+    void onParts(const std::vector<PlacedPart>&);
     void onRollout(const RolloutNotice&);
     std::chrono::milliseconds noticeInterval() const;
 
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -41,6 +41,19 @@
     }
 };
 
+// More parts than a load notice has room for.
+struct PartsNotice {
+    static constexpr peer::DatagramType datagramType = peer::DatagramType::PartsNotice;
+
+    std::vector<PlacedPart> parts;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(parts);
+    }
+};
+
 // How long ago a version of a model was named, in ms.
 struct VersionAge {
     std::uint64_t model = 0;
@@ -101,15 +114,12 @@
     }
 };
 
-// What a host that follows a store tells the others, also when nothing has changed. Whoever misses a notice sees that the next
-// one does not go on where the last one ended.
+// What a host that follows a store tells the others, also when nothing has changed.
 struct CacheNotice {
     static constexpr peer::DatagramType datagramType = peer::DatagramType::CacheNotice;
 
     std::string store;
     std::uint64_t epoch = 0;
-    std::uint64_t fromPosition = 0;
-    std::uint64_t position = 0;
     // How long ago the store was asked, in ms.
     std::uint32_t ageMs = 0;
     // The clock of runners and stores at the sending, 0 if it is not known.
@@ -119,7 +129,7 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(store, epoch, fromPosition, position, ageMs, clockMs, entries);
+        archive(store, epoch, ageMs, clockMs, entries);
     }
 };
 
--- a/packages/peer/chiveshelf/peer/DatagramChannel.h
+++ b/packages/peer/chiveshelf/peer/DatagramChannel.h
@@ -24,6 +24,7 @@
     CrashNotice = 5,
     RolloutNotice = 6,
     CacheNotice = 7,
+    PartsNotice = 8,
 };
 
 // A message that is sent as one datagram, without a reply.
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -257,6 +257,7 @@
     }
     Prediction bestPrediction;
     double bestCost = 0;
+    double draw = random;
     for (const auto& runner : runners) {
         if (!isCandidate(request, context, *runner))
             continue;
@@ -269,6 +270,8 @@
         cost += failureMs * std::max(runner->health().failureShare(context.now) - toleratedFailureShare, 0.0);
         if (request.targetVersion > 0 && runner->version(prompt.model).value_or(0) < request.targetVersion)
             cost += oldVersionMs;
+        draw = nextDraw(draw);
+        cost += context.spreadMs * draw;
         if (!best || cost < bestCost) {
             best = runner;
             bestCost = cost;
--- a/packages/placement/chiveshelf/placement/Placement.cpp
+++ b/packages/placement/chiveshelf/placement/Placement.cpp
@@ -1,5 +1,7 @@
 #include "chiveshelf/placement/Placement.h"
 
+#include <cmath>
+
 namespace chiveshelf {
 
 namespace {
@@ -13,6 +15,12 @@
 
 }
 
+double nextDraw(double draw)
+{
+    // Any irrational-looking factor spreads well enough over a few hundred runners.
+    return std::fmod(draw * 7.31 + 0.137, 1.0);
+}
+
 std::chrono::milliseconds spreadRetryAfter(std::chrono::milliseconds wait, std::chrono::milliseconds timeLeft, double random)
 {
     const auto base = static_cast<double>(std::max(wait, shortestRetryAfter).count());
--- a/packages/placement/chiveshelf/placement/Placement.h
+++ b/packages/placement/chiveshelf/placement/Placement.h
@@ -26,6 +26,8 @@
     std::chrono::milliseconds goal { 0 };
     // Time after which the caller is not served any more.
     std::chrono::milliseconds timeLeft { 0 };
+    // Bound of a random cost, in ms, that keeps hosts with the same figures from choosing the same runner at once.
+    double spreadMs = 0;
     // Whether the caller has been refused before, so that the goal can not be met any more.
     bool isLate = false;
 
@@ -79,6 +81,9 @@
 
 using PlacementResult = tl::expected<Placement, PlacementRefusal>;
 
+// Returns the next number of a sequence in 0 to 1 that one random number begins, for choices among many.
+double nextDraw(double draw);
+
 // Returns when a refused caller should come back: after `wait`, spread over half as long again by `random` (0 to 1) so that
 // callers do not return together, and within the third of its time that callers are ready to wait.
 std::chrono::milliseconds spreadRetryAfter(std::chrono::milliseconds wait, std::chrono::milliseconds timeLeft, double random);
--- a/packages/placement/chiveshelf/placement/ServicePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/ServicePlacement.cpp
@@ -1,7 +1,5 @@
 #include "chiveshelf/placement/ServicePlacement.h"
 
-#include <cmath>
-
 namespace chiveshelf {
 
 namespace {
@@ -40,7 +38,7 @@
         if (runner->record().dataCentre != context.dataCentre)
             cost += otherDataCentreShare;
         cost += failureCost * std::max(runner->health().failureShare(context.now) - toleratedFailureShare, 0.0);
-        draw = std::fmod(draw * 7.31 + 0.137, 1.0);
+        draw = nextDraw(draw);
         cost += noiseShare * draw;
         if (!best || cost < bestCost) {
             best = runner;
