--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -18,7 +18,7 @@
     constexpr std::chrono::milliseconds watchTime { 4'000 };
     // Pause after changes, in which others gather, in fleets whose calls together would come near the store's rate, and the first
     // watch after it.
-    constexpr std::chrono::milliseconds gatherTime { 250 };
+    constexpr std::chrono::milliseconds gatherTime { 600 };
     constexpr std::chrono::milliseconds shortWatchTime { 400 };
     constexpr std::size_t largeFleet = 20;
     // Pauses after failed calls. Every call is counted by the store, and hosts must be in step within seconds of its return.
