--- a/packages/ctl/chiveshelf/ctl/ExitCode.h
+++ b/packages/ctl/chiveshelf/ctl/ExitCode.h
@@ -2,7 +2,7 @@
 
 namespace chiveshelf {
 
-// Exit codes of chivesctl, documented in docs/operations.md.
+// Exit codes of chivesctl, documented in docs/OPERATIONS.md.
 enum class ExitCode : int {
     Success = 0,
     Failed = 1,
--- a/packages/daemon/chiveshelf/daemon/main.cpp
+++ b/packages/daemon/chiveshelf/daemon/main.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-// Exit codes, documented in docs/operations.md.
+// Exit codes, documented in docs/OPERATIONS.md.
 constexpr int exitSettings = 2;
 constexpr int exitListen = 3;
 
--- a/packages/gateway/chiveshelf/gateway/CacheFollower.h
+++ b/packages/gateway/chiveshelf/gateway/CacheFollower.h
@@ -4,6 +4,8 @@
 #include "chiveshelf/gateway/StoreLease.h"
 #include "chiveshelf/http/Client.h"
 
+#include <set>
+
 namespace chiveshelf {
 
 // Follows the contents of the stores of cached parts, one task per store, and frees parts of weights that nobody uses any more.
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -5,8 +5,6 @@
 #include "chiveshelf/peer/PeerClient.h"
 #include "chiveshelf/peer/PeerServer.h"
 
-#include <set>
-
 namespace chiveshelf {
 
 // What hosts tell each other: their outstanding work, requests that crash runners, weights being loaded, and tables for hosts
--- a/tests/integration/CtlHostsTest.cpp
+++ b/tests/integration/CtlHostsTest.cpp
@@ -9,7 +9,7 @@
 
 using nlohmann::json;
 
-// Exit codes of chivesctl, as docs/operations.md lists them.
+// Exit codes of chivesctl, as docs/OPERATIONS.md lists them.
 constexpr int exitUsage = 2;
 constexpr int exitInvalidTables = 3;
 constexpr int exitUnavailable = 5;
--- a/tests/integration/TableEditsTest.cpp
+++ b/tests/integration/TableEditsTest.cpp
@@ -13,7 +13,7 @@
 
 using nlohmann::json;
 
-// Exit codes of chivesctl, as docs/operations.md lists them.
+// Exit codes of chivesctl, as docs/OPERATIONS.md lists them.
 constexpr int exitConflict = 4;
 constexpr int exitUnavailable = 5;
 constexpr int exitDiffers = 6;
