--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -245,10 +245,8 @@
     if (m_organisation && m_organisation->isDedicated)
         request.dedicatedOrganisation = m_organisation->name;
     request.rank = m_rank;
-    if (const auto* target = m_context.state.target(m_headers.prompt->model)) {
-        request.targetVersion = target->version;
-        request.targetSince = target->since;
-    }
+    request.newestVersion = m_context.state.newestVersion(m_headers.prompt->model);
+    request.requiredVersion = m_context.state.requiredVersion(m_headers.prompt->model, bootTime());
     return request;
 }
 
@@ -424,8 +422,8 @@
     } else if (status == statusMisdirected && m_headers.prompt) {
         if (headers.weightVersion)
             runner.setVersion(m_headers.prompt->model, *headers.weightVersion);
-        else if (const auto* target = m_context.state.target(m_headers.prompt->model))
-            runner.setVersion(m_headers.prompt->model, target->version);
+        else if (const auto newest = m_context.state.newestVersion(m_headers.prompt->model); newest > 0)
+            runner.setVersion(m_headers.prompt->model, newest);
     }
     logOutcome("runner_refused", std::to_string(status));
     return SendEnd::Failed;
--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -172,8 +172,8 @@
     nlohmann::json out { { "host", m_settings.hostName }, { "ready", isReady() }, { "tables_version", m_state.tablesVersion() },
         { "store_reached", m_follower.isInContact() }, { "leading", m_leader.isLeading() }, { "hosts", m_exchange.hostCount() },
         { "active", m_server.activeRequests() }, { "connections", m_server.connectionCount() } };
-    for (const auto& [model, target] : m_state.targets())
-        out["versions"][model] = target.version;
+    for (const auto& [model, history] : m_state.versions())
+        out["versions"][model] = history.newest();
     for (const auto& [id, runner] : m_state.board().all()) {
         const auto total = runner->total(now);
         out["runners"][id] = { { "pool", runner->record().pool }, { "address", toString(runner->record().address) },
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -253,10 +253,12 @@
     notice.parts.assign(m_parts.begin(), m_parts.begin() + static_cast<std::ptrdiff_t>(n));
     m_parts.erase(m_parts.begin(), m_parts.begin() + static_cast<std::ptrdiff_t>(n));
     const auto bootNow = bootTime();
-    for (const auto& [model, target] : m_state.targets()) {
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(bootNow - target.since);
-        if (!target.isGuess && age < toldVersionAge && notice.versions.size() < versionsPerNotice)
-            notice.versions.push_back({ hash64(model), target.version, static_cast<std::uint32_t>(age.count()) });
+    for (const auto& [model, history] : m_state.versions()) {
+        for (const auto& [version, named] : history.versions()) {
+            const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(bootNow - named.since);
+            if (!named.isGuess && age < toldVersionAge && notice.versions.size() < versionsPerNotice)
+                notice.versions.push_back({ hash64(model), version, static_cast<std::uint32_t>(age.count()) });
+        }
     }
     sendToAll(notice);
     sendParts();
--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
@@ -87,7 +87,7 @@
 {
     while (!m_isStopped) {
         co_await sleep(checkInterval);
-        if (isLeading() && !m_state.targets().empty())
+        if (isLeading() && !m_state.versions().empty())
             startUpdates();
     }
 }
@@ -95,7 +95,8 @@
 void RolloutLeader::startUpdates()
 {
     const auto now = std::chrono::steady_clock::now();
-    for (const auto& [model, target] : m_state.targets()) {
+    for (const auto& [model, history] : m_state.versions()) {
+        const auto newest = history.newest();
         std::map<std::string, std::vector<RolloutRunner>> pools;
         for (const auto& [id, runner] : m_state.board().all()) {
             const auto version = runner->version(model);
@@ -103,9 +104,9 @@
                 pools[runner->record().pool].push_back({ id, *version, runner->requests(now) });
         }
         for (auto& [pool, runners] : pools) {
-            for (const auto& id : m_schedules[{ model, pool }].next(std::move(runners), target.version, now)) {
+            for (const auto& id : m_schedules[{ model, pool }].next(std::move(runners), newest, now)) {
                 if (auto runner = m_state.board().find(id))
-                    asio::co_spawn(m_context, update(std::move(runner), model, target.version), asio::detached);
+                    asio::co_spawn(m_context, update(std::move(runner), model, newest), asio::detached);
             }
         }
     }
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -54,8 +54,7 @@
 
 bool ServingState::isObsolete(const CacheScope& scope) const
 {
-    const auto* wanted = target(scope.model);
-    if (!wanted || scope.version >= wanted->version)
+    if (scope.version >= newestVersion(scope.model))
         return false;
     return std::all_of(m_board.all().begin(), m_board.all().end(), [&](const auto& entry) {
         const auto version = entry.second->version(scope.model);
@@ -65,26 +64,20 @@
 
 void ServingState::acceptTarget(const ModelTarget& target, std::chrono::nanoseconds bootNow)
 {
-    auto& known = m_targets[target.model];
-    if (target.version <= known.version)
-        return;
     const auto newsSince = m_contact.newsSince(bootNow);
     // A process that has just started can not know the age. It goes on using older weights for a while, in which it hears of it.
-    if (!m_contact.hasAnswered())
-        known = { target.version, bootNow - versionGrace() + guessedRest, true };
-    else
-        known = { target.version, newsSince, newsSince != bootNow };
-    logEvent(LogLevel::Info, "version_named", { { "model", target.model }, { "version", target.version }, { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(bootNow - known.since).count() } });
+    const auto named = m_contact.hasAnswered() ? NamedVersion { newsSince, newsSince != bootNow }
+                                               : NamedVersion { bootNow - versionGrace() + guessedRest, true };
+    if (!m_versions[target.model].add(target.version, named))
+        return;
+    logEvent(LogLevel::Info, "version_named", { { "model", target.model }, { "version", target.version }, { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(bootNow - named.since).count() } });
 }
 
 void ServingState::acceptTargetAge(std::uint64_t modelHash, std::uint64_t version, std::chrono::milliseconds age, std::chrono::nanoseconds bootNow)
 {
-    for (auto& [model, known] : m_targets) {
-        if (hash64(model) != modelHash || known.version != version)
-            continue;
-        const auto since = bootNow - age;
-        if (known.isGuess || since < known.since)
-            known = { version, since, false };
+    for (auto& [model, history] : m_versions) {
+        if (hash64(model) == modelHash)
+            history.acceptSince(version, bootNow - age);
     }
 }
 
@@ -101,10 +94,16 @@
     });
 }
 
-const NamedVersion* ServingState::target(const std::string& model) const
+std::uint64_t ServingState::newestVersion(const std::string& model) const
+{
+    const auto it = m_versions.find(model);
+    return it == m_versions.end() ? 0 : it->second.newest();
+}
+
+std::uint64_t ServingState::requiredVersion(const std::string& model, std::chrono::nanoseconds bootNow) const
 {
-    const auto it = m_targets.find(model);
-    return it == m_targets.end() ? nullptr : &it->second;
+    const auto it = m_versions.find(model);
+    return it == m_versions.end() ? 0 : it->second.required(bootNow, versionGrace());
 }
 
 bool ServingState::isReturning(const std::string& route, std::optional<std::chrono::milliseconds> timeLeft, std::chrono::milliseconds goal)
@@ -124,7 +123,7 @@
     const auto* row = m_routes ? m_routes->findPool(pool) : nullptr;
     PoolPolicies policies { std::nullopt, {}, FleetRetryBudget(m_settings.retryShare, m_settings.retryReserve, m_settings.retryWindow) };
     if (row && row->engine) {
-        policies.engine.emplace(versionGrace(), *row->engine);
+        policies.engine.emplace(*row->engine);
     }
     return m_policies.emplace(pool, std::move(policies)).first->second;
 }
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -7,6 +7,7 @@
 #include "chiveshelf/placement/RunnerClock.h"
 #include "chiveshelf/placement/RunnerRegistry.h"
 #include "chiveshelf/placement/ServicePlacement.h"
+#include "chiveshelf/placement/VersionHistory.h"
 #include "chiveshelf/routing/RouteIndex.h"
 #include "chiveshelf/scheduling/CrashRegistry.h"
 
@@ -15,15 +16,6 @@
 
 namespace chiveshelf {
 
-// A version that the operator named, with the earliest bootTime() at which that can have been.
-struct NamedVersion {
-    std::uint64_t version = 0;
-    std::chrono::nanoseconds since { 0 };
-    // Whether `since` is only a bound, for a host that has just started or missed news. What a host says that did not is better,
-    // and other hosts are not told.
-    bool isGuess = false;
-};
-
 // The decisions of one pool.
 struct PoolPolicies {
     std::optional<EnginePlacement> engine;
@@ -60,10 +52,12 @@
 
     BackendBoard& board() { return m_board; }
     const BackendBoard& board() const { return m_board; }
-    const std::map<std::string, NamedVersion>& targets() const { return m_targets; }
+    // The named versions by model.
+    const std::map<std::string, VersionHistory>& versions() const { return m_versions; }
 
-    // Returns the version that is wanted of a model, or nullptr.
-    const NamedVersion* target(const std::string& model) const;
+    // Returns the newest version that was named of a model, 0 if there is none, and the oldest that may be used now.
+    std::uint64_t newestVersion(const std::string& model) const;
+    std::uint64_t requiredVersion(const std::string& model, std::chrono::nanoseconds bootNow) const;
 
     PoolPolicies& policies(const std::string& pool);
 
@@ -93,7 +87,7 @@
     ContactHistory m_contact;
     RunnerRegistry m_registry;
     BackendBoard m_board;
-    std::map<std::string, NamedVersion> m_targets;
+    std::map<std::string, VersionHistory> m_versions;
     std::map<std::string, PoolPolicies> m_policies;
     CacheStores m_cacheStores;
     RunnerClock m_runnerClock;
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -158,9 +158,8 @@
     return dedicatedOrganisation.empty() ? 0 : hash64(dedicatedOrganisation);
 }
 
-EnginePlacement::EnginePlacement(std::chrono::milliseconds versionGrace, const EngineLimits& limits)
-    : m_versionGrace(versionGrace)
-    , m_limits(limits)
+EnginePlacement::EnginePlacement(const EngineLimits& limits)
+    : m_limits(limits)
     , m_fetchMsPerToken(limits.linkMbps > 0 ? static_cast<double>(limits.bytesPerToken) * bitsPerByte / (limits.linkMbps * bitsPerMsAndMbps) : 0)
 {
 }
@@ -169,10 +168,7 @@
 {
     if (context.isExcluded(runner.record().id) || runner.isLoading(context.now) || !runner.health().isUsable(context.now))
         return false;
-    if (request.targetVersion == 0 || context.bootNow - request.targetSince < m_versionGrace)
-        return true;
-    const auto version = runner.version(request.prompt->model);
-    return version && *version >= request.targetVersion;
+    return request.requiredVersion == 0 || runner.version(request.prompt->model).value_or(0) >= request.requiredVersion;
 }
 
 EnginePlacement::Prediction EnginePlacement::predict(const EngineRequest& request, const BackendState& runner, const PartHolders& holders,
@@ -268,7 +264,7 @@
         if (runner->record().dataCentre != context.dataCentre)
             cost += otherDataCentreMs;
         cost += failureMs * std::max(runner->health().failureShare(context.now) - toleratedFailureShare, 0.0);
-        if (request.targetVersion > 0 && runner->version(prompt.model).value_or(0) < request.targetVersion)
+        if (runner->version(prompt.model).value_or(0) < request.newestVersion)
             cost += oldVersionMs;
         draw = nextDraw(draw);
         cost += context.spreadMs * draw;
--- a/packages/placement/chiveshelf/placement/EnginePlacement.h
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.h
@@ -15,9 +15,9 @@
     // Set for an organisation that shares no cached parts with others.
     std::string dedicatedOrganisation;
     unsigned rank = 0;
-    // The newest version that the operator wants, 0 if none was named, and the bootTime() of its naming.
-    std::uint64_t targetVersion = 0;
-    std::chrono::nanoseconds targetSince { 0 };
+    // The newest version that the operator named and the oldest that may still be used; 0 if none was named.
+    std::uint64_t newestVersion = 0;
+    std::uint64_t requiredVersion = 0;
 };
 
 // The stores of cached parts with their known contents.
@@ -39,8 +39,7 @@
 // their like), and "a quarter of the runners vanish" (the same rule over fewer runners).
 class EnginePlacement {
 public:
-    // `versionGrace` is the time after the naming of a version in which older weights may still be used.
-    EnginePlacement(std::chrono::milliseconds versionGrace, const EngineLimits&);
+    explicit EnginePlacement(const EngineLimits&);
 
     // `random` is uniform in 0 to 1 and spreads the returns of refused callers.
     PlacementResult choose(const EngineRequest&, const PlacementContext&, const BackendBoard::RunnerList&, const CacheStores&, double random) const;
@@ -78,7 +77,6 @@
         const PlacementContext&);
     bool isCandidate(const EngineRequest&, const PlacementContext&, const BackendState&) const;
 
-    std::chrono::milliseconds m_versionGrace;
     EngineLimits m_limits;
     // Time to fetch a token over a runner's link.
     double m_fetchMsPerToken;
--- /dev/null
+++ b/packages/placement/chiveshelf/placement/VersionHistory.cpp
@@ -0,0 +1,42 @@
+#include "chiveshelf/placement/VersionHistory.h"
+
+namespace chiveshelf {
+
+namespace {
+
+    // Versions that are remembered; older ones are past their time.
+    constexpr std::size_t mostVersions = 8;
+
+}
+
+bool VersionHistory::add(std::uint64_t version, NamedVersion named)
+{
+    if (version <= newest())
+        return false;
+    m_versions.emplace(version, named);
+    if (m_versions.size() > mostVersions)
+        m_versions.erase(m_versions.begin());
+    return true;
+}
+
+void VersionHistory::acceptSince(std::uint64_t version, std::chrono::nanoseconds since)
+{
+    const auto it = m_versions.find(version);
+    // The store keeps the newest version only, so that a host that has just started hears of the ones before from others.
+    if (it == m_versions.end() && version < newest())
+        m_versions.emplace(version, NamedVersion { since, false });
+    else if (it != m_versions.end() && (it->second.isGuess || since < it->second.since))
+        it->second = { since, false };
+}
+
+std::uint64_t VersionHistory::required(std::chrono::nanoseconds now, std::chrono::nanoseconds grace) const
+{
+    std::uint64_t out = 0;
+    for (const auto& [version, named] : m_versions) {
+        if (now - named.since >= grace)
+            out = version;
+    }
+    return out;
+}
+
+}
--- a/tests/unit/gateway/ServingStateTest.cpp
+++ b/tests/unit/gateway/ServingStateTest.cpp
@@ -26,11 +26,13 @@
     {
         m_state.contact().onAnswer(seconds(100));
         m_state.acceptTarget({ "m", 2 }, seconds(100));
-        CPPUNIT_ASSERT(m_state.target("m")->isGuess);
-        CPPUNIT_ASSERT(seconds(100) - m_state.target("m")->since >= seconds(2));
+        CPPUNIT_ASSERT(named(2).isGuess);
+        CPPUNIT_ASSERT(seconds(100) - named(2).since >= seconds(2));
         m_state.acceptTargetAge(hash64("m"), 2, milliseconds(1'600), seconds(101));
-        CPPUNIT_ASSERT(m_state.target("m")->since == milliseconds(99'400));
-        CPPUNIT_ASSERT(!m_state.target("m")->isGuess);
+        CPPUNIT_ASSERT(named(2).since == milliseconds(99'400));
+        CPPUNIT_ASSERT(!named(2).isGuess);
+        m_state.acceptTargetAge(hash64("m"), 1, milliseconds(9'000), seconds(101));
+        CPPUNIT_ASSERT(named(1).since == seconds(92));
     }
 
     // Guards against a woken host that makes all others believe a version to be older than it is.
@@ -40,10 +42,10 @@
         m_state.contact().onAnswer(milliseconds(96'500));
         m_state.contact().onAnswer(seconds(100));
         m_state.acceptTarget({ "m", 2 }, seconds(100));
-        CPPUNIT_ASSERT(m_state.target("m")->isGuess);
-        CPPUNIT_ASSERT(m_state.target("m")->since == milliseconds(96'500));
+        CPPUNIT_ASSERT(named(2).isGuess);
+        CPPUNIT_ASSERT(named(2).since == milliseconds(96'500));
         m_state.acceptTargetAge(hash64("m"), 2, milliseconds(50), seconds(100));
-        CPPUNIT_ASSERT(m_state.target("m")->since == milliseconds(99'950));
+        CPPUNIT_ASSERT(named(2).since == milliseconds(99'950));
     }
 
     void hostInContactTakesOnlyAnEarlierAge()
@@ -51,13 +53,13 @@
         for (int i = 0; i < 20; ++i)
             m_state.contact().onAnswer(seconds(99) + milliseconds(50) * i);
         m_state.acceptTarget({ "m", 2 }, seconds(100));
-        CPPUNIT_ASSERT(!m_state.target("m")->isGuess);
+        CPPUNIT_ASSERT(!named(2).isGuess);
         m_state.acceptTargetAge(hash64("m"), 2, milliseconds(0), seconds(103));
-        CPPUNIT_ASSERT(m_state.target("m")->since == seconds(100));
+        CPPUNIT_ASSERT(named(2).since == seconds(100));
         m_state.acceptTargetAge(hash64("m"), 2, milliseconds(4'000), seconds(103));
-        CPPUNIT_ASSERT(m_state.target("m")->since == seconds(99));
+        CPPUNIT_ASSERT(named(2).since == seconds(99));
         m_state.acceptTargetAge(hash64("m"), 3, milliseconds(9'000), seconds(103));
-        CPPUNIT_ASSERT(m_state.target("m")->since == seconds(99));
+        CPPUNIT_ASSERT(named(2).since == seconds(99));
     }
 
     void tablesOnlyMoveForward()
@@ -92,6 +94,8 @@
     }
 
 private:
+    const NamedVersion& named(std::uint64_t version) const { return m_state.versions().at("m").versions().at(version); }
+
     GatewaySettings m_settings;
     ServingState m_state { m_settings };
 };
--- a/tests/unit/placement/EnginePlacementTest.cpp
+++ b/tests/unit/placement/EnginePlacementTest.cpp
@@ -1,5 +1,6 @@
 #include "chiveshelf/placement/EnginePlacement.h"
 #include "chiveshelf/placement/ServicePlacement.h"
+#include "chiveshelf/placement/VersionHistory.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -25,6 +26,7 @@
     CPPUNIT_TEST(questionInABurstOfDraftsWaitsOnlyForItsLike);
     CPPUNIT_TEST(refusedCallerComesBackLateAndIsAdmittedOnlyWithLittleWaiting);
     CPPUNIT_TEST(oldWeightsAreNotUsedPastTheTimeForAVersion);
+    CPPUNIT_TEST(versionThatFollowsDoesNotProlongTheUseOfOlderOnes);
     CPPUNIT_TEST(runnersThatLoadWeightsGetNoWork);
     CPPUNIT_TEST(dedicatedOrganisationSharesNoParts);
     CPPUNIT_TEST(plainRequestGoesToTheLeastLoadedRunner);
@@ -181,16 +183,33 @@
 
     void oldWeightsAreNotUsedPastTheTimeForAVersion()
     {
-        m_targetVersion = 2;
-        m_targetSince = m_context.bootNow - milliseconds(4'900);
+        VersionHistory history;
+        history.add(2, { seconds(50), false });
+        m_newestVersion = 2;
+        m_requiredVersion = history.required(milliseconds(54'900), milliseconds(5'000));
         CPPUNIT_ASSERT(choose());
-        m_targetSince = m_context.bootNow - milliseconds(5'100);
+        m_requiredVersion = history.required(milliseconds(55'100), milliseconds(5'000));
         CPPUNIT_ASSERT(!choose());
         m_runners[2]->setVersion("m", 2);
         const auto placement = choose();
         CPPUNIT_ASSERT(placement && placement->runner == m_runners[2]);
     }
 
+    // Guards against weights that stay in use since a newer version begins a new time for all older ones.
+    void versionThatFollowsDoesNotProlongTheUseOfOlderOnes()
+    {
+        VersionHistory history;
+        history.add(2, { seconds(50), false });
+        history.add(3, { seconds(54), false });
+        m_newestVersion = 3;
+        m_requiredVersion = history.required(milliseconds(55'100), milliseconds(5'000));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), m_requiredVersion);
+        CPPUNIT_ASSERT(!choose());
+        m_runners[1]->setVersion("m", 2);
+        CPPUNIT_ASSERT(choose());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), history.required(milliseconds(59'100), milliseconds(5'000)));
+    }
+
     void runnersThatLoadWeightsGetNoWork()
     {
         m_runners[0]->setLoadingUntil(start + seconds(1));
@@ -259,12 +278,12 @@
         out.prompt = &m_prompt;
         out.rank = m_rank;
         out.dedicatedOrganisation = m_dedicated;
-        out.targetVersion = m_targetVersion;
-        out.targetSince = m_targetSince;
+        out.newestVersion = m_newestVersion;
+        out.requiredVersion = m_requiredVersion;
         return out;
     }
 
-    PlacementResult choose() const { return EnginePlacement(milliseconds(5'000), limits).choose(request(), m_context, m_runners, m_stores, 0.5); }
+    PlacementResult choose() const { return EnginePlacement(limits).choose(request(), m_context, m_runners, m_stores, 0.5); }
 
     static Placement placed(const std::shared_ptr<BackendState>& runner)
     {
@@ -288,8 +307,8 @@
     Prompt m_prompt;
     unsigned m_rank = 5;
     std::string m_dedicated;
-    std::uint64_t m_targetVersion = 0;
-    std::chrono::nanoseconds m_targetSince { 0 };
+    std::uint64_t m_newestVersion = 0;
+    std::uint64_t m_requiredVersion = 0;
     PlacementContext m_context;
     BackendBoard::RunnerList m_runners;
     std::shared_ptr<CacheContents> m_store;
