--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -13,8 +13,8 @@
     constexpr std::chrono::minutes crashLifetime { 2 };
     constexpr std::size_t crashCapacity = 4'096;
     // Share of the time for a version in which older weights are still used. The rest covers the time between the naming and
-    // this host's learning of it.
-    constexpr double versionGraceShare = 0.85;
+    // this host's learning of it, and a request's wait in its runner's queue: it counts from its begin there.
+    constexpr double versionGraceShare = 0.7;
     // Rest of that time that a process assumes when it starts: other hosts tell it the age within a second.
     constexpr std::chrono::milliseconds guessedRest { 2'500 };
 
--- a/tests/unit/gateway/ServingStateTest.cpp
+++ b/tests/unit/gateway/ServingStateTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(processThatHasJustStartedTakesTheAgeOfAVersionFromOthers);
     CPPUNIT_TEST(hostThatWasFrozenTakesTheAgeOfAVersionFromOthers);
     CPPUNIT_TEST(hostInContactTakesOnlyAnEarlierAge);
+    CPPUNIT_TEST(oldWeightsAreLeftEarlyEnoughForARunnersQueue);
     CPPUNIT_TEST(tablesOnlyMoveForward);
     CPPUNIT_TEST(callerWithLessTimeThanOthersIsReturning);
     CPPUNIT_TEST(eventCursorHoldsBackPartOfAnEvent);
@@ -62,6 +63,16 @@
         CPPUNIT_ASSERT(named(2).since == seconds(99));
     }
 
+    // A request that waited 1.6 s in its runner's queue began on old weights after the 6 s that a version has.
+    void oldWeightsAreLeftEarlyEnoughForARunnersQueue()
+    {
+        for (int i = 0; i < 20; ++i)
+            m_state.contact().onAnswer(seconds(99) + milliseconds(50) * i);
+        m_state.acceptTarget({ "m", 2 }, seconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), m_state.requiredVersion("m", milliseconds(104'000)));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), m_state.requiredVersion("m", milliseconds(104'400)));
+    }
+
     void tablesOnlyMoveForward()
     {
         RoutingTables tables;
