Use a runner again as soon as its new weights are seen

Cause: a notice before an order keeps a runner out of use for 2.5 s, and the notice after it ended that only where the version had not been seen yet.

Now a load names its model and version and is over when the runner is known to have them, whatever the source.

--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -137,7 +137,7 @@
     if (notice.isDone)
         runner->setVersion(notice.model, notice.version);
     else
-        runner->setLoadingUntil(std::chrono::steady_clock::now() + loadingTime);
+        runner->setLoading(notice.model, notice.version, std::chrono::steady_clock::now() + loadingTime);
 }
 
 void HostExchange::onLoad(const Address& from, const LoadNotice& notice)
--- a/packages/placement/chiveshelf/placement/BackendState.cpp
+++ b/packages/placement/chiveshelf/placement/BackendState.cpp
@@ -78,7 +78,6 @@
         return;
     known = version;
     m_parts.clear();
-    m_loadingUntil = {};
 }
 
 void BackendState::learnSpeed(double tokensPerMs)
--- a/packages/placement/chiveshelf/placement/BackendState.h
+++ b/packages/placement/chiveshelf/placement/BackendState.h
@@ -61,9 +61,9 @@
     // Records a version that an answer or an order showed. Cached parts of the former weights are forgotten.
     void setVersion(const std::string& model, std::uint64_t version);
 
-    // Tells that new weights are being loaded until about `end`.
-    void setLoadingUntil(TimePoint end) { m_loadingUntil = end; }
-    bool isLoading(TimePoint now) const { return now < m_loadingUntil; }
+    // Tells that weights are being loaded, until this version of the model is seen, from whatever source, or `end` is past.
+    void setLoading(std::string model, std::uint64_t version, TimePoint end) { m_load = { std::move(model), version, end }; }
+    bool isLoading(TimePoint now) const { return now < m_load.end && version(m_load.model).value_or(0) < m_load.version; }
 
     // Learns the speed from a prompt of which nothing was cached and before which nothing waited.
     void learnSpeed(double tokensPerMs);
@@ -85,13 +85,19 @@
         TimePoint at;
     };
 
+    struct WeightLoad {
+        std::string model;
+        std::uint64_t version = 0;
+        TimePoint end {};
+    };
+
     RunnerRecord m_record;
     std::int64_t m_memoryTokens;
     OutstandingWork m_own;
     std::map<std::uint64_t, PeerWork> m_peers;
     LoadReport m_report;
     TimePoint m_reportAt {};
-    TimePoint m_loadingUntil {};
+    WeightLoad m_load;
     double m_tokensPerMs = 0;
     BackendHealth m_health;
     TransferSpeed m_transfers;
--- a/tests/unit/placement/EnginePlacementTest.cpp
+++ b/tests/unit/placement/EnginePlacementTest.cpp
@@ -212,11 +212,11 @@
 
     void runnersThatLoadWeightsGetNoWork()
     {
-        m_runners[0]->setLoadingUntil(start + seconds(1));
-        m_runners[1]->setLoadingUntil(start + seconds(1));
+        m_runners[0]->setLoading("m", 2, start + seconds(1));
+        m_runners[1]->setLoading("m", 2, start + seconds(1));
         const auto placement = choose();
         CPPUNIT_ASSERT(placement && placement->runner == m_runners[2]);
-        m_runners[2]->setLoadingUntil(start + seconds(1));
+        m_runners[2]->setLoading("m", 2, start + seconds(1));
         CPPUNIT_ASSERT(!choose());
         m_runners[1]->setVersion("m", 2);
         CPPUNIT_ASSERT(choose());
