Tell close hosts of each prompt at once, and all work in as many notices as it takes

Now each prompt is told at once to the hosts of the data centre, in fleets of up to 16 hosts to all. Receivers keep a queue that drains by the predicted times, since nobody tells when a prompt has been read. Budget: 1,000 such notices a second and receiver. In the same files: a load notice held 20 runners and made receivers forget the rest; now a notice names the range of runners it is about.

Tests: HostExchangeTest::workAtMoreRunnersThanFitIntoANoticeIsKnownToOthers failed on the code before (20 of 45). The four about prompts told at once failed with the sending, the queue and the exclusion from load notices left out, in turn for the lines that they guard. The log of an answered request now says the longest pause in it.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -45,6 +45,8 @@
     // on a runner between two notices.
     constexpr double spreadMsPerHost = 0.6;
     constexpr double mostSpreadMs = 40;
+    // The same where hosts tell each other of each prompt at once: what is placed while such a notice is on its way.
+    constexpr double mostNearSpreadMs = 5;
     // Answers of other requests that may stand before the one that is waited for.
     constexpr int mostStrays = 4;
 
@@ -229,7 +231,9 @@
     context.excluded = m_excluded;
     context.goal = m_route->goal;
     context.timeLeft = timeLeft(now);
-    context.spreadMs = std::min(spreadMsPerHost * static_cast<double>(m_context.exchange.hostCount()), mostSpreadMs);
+    const auto hosts = static_cast<double>(m_context.exchange.hostCount());
+    context.nearSpreadMs = std::min(spreadMsPerHost * hosts, mostNearSpreadMs);
+    context.spreadMs = m_context.exchange.areAllHostsClose() ? context.nearSpreadMs : std::min(spreadMsPerHost * hosts, mostSpreadMs);
     context.isLate = state.isReturning(m_route->name, m_headers.timeLeft, m_route->goal);
     const auto& runners = state.board().runnersOf(m_pool);
     if (!policies.engine || !m_headers.prompt)
@@ -326,7 +330,7 @@
     if (m_headers.prompt) {
         const auto request = engineRequest();
         EnginePlacement::recordSend(request, placement, m_context.state.cacheStores(), std::chrono::steady_clock::now());
-        m_context.exchange.notePlacement(runner->record(), m_headers.prompt->parts, memoryScope(request.dedicatedOrganisation));
+        m_context.exchange.notePlacement(placement, m_rank, m_headers.prompt->parts, memoryScope(request.dedicatedOrganisation));
     }
     armPatience(placement);
     if (!co_await writeRequest(placement))
@@ -546,6 +550,16 @@
         EnginePlacement::learn(placement, m_context.state.cacheStores(), elapsed, std::chrono::steady_clock::now());
 }
 
+void ForwardTask::observePiece(RunnerUse& use)
+{
+    const auto now = std::chrono::steady_clock::now();
+    use.runner().health().onHeard(now);
+    if (use.hasFirstByte())
+        m_longestPause = std::max(m_longestPause, std::chrono::duration_cast<std::chrono::milliseconds>(now - m_pieceAt));
+    m_pieceAt = now;
+    observeFirstByte(use);
+}
+
 asio::awaitable<ForwardTask::RelayEnd> ForwardTask::relay(Parser& parser, RunnerUse& use)
 {
     const auto connection = m_connection;
@@ -563,8 +577,7 @@
             co_return RelayEnd::CallerGone;
         const auto n = piece.size() - parser.get().body().size;
         if (n > 0) {
-            use.runner().health().onHeard(std::chrono::steady_clock::now());
-            observeFirstByte(use);
+            observePiece(use);
             const std::string_view bytes(piece.data(), n);
             auto whole = mayResume() && isStream ? m_cursor.take(bytes) : std::string(bytes);
             pending += frame(std::move(whole), framing);
@@ -666,7 +679,8 @@
     logEvent(isQuiet ? LogLevel::Debug : LogLevel::Info, "request_" + std::string(outcome),
         { { "request", m_headers.requestId }, { "reason", reason }, { "route", m_route ? m_route->name : "" }, { "pool", m_pool },
             { "rank", m_rank }, { "tables", m_index ? m_index->tables().version : 0 }, { "sends", m_history ? m_history->sends() : 0 },
-            { "runner", m_excluded.empty() ? "" : m_excluded.back() }, { "elapsed_ms", elapsed.count() } });
+            { "runner", m_excluded.empty() ? "" : m_excluded.back() }, { "elapsed_ms", elapsed.count() },
+            { "longest_pause_ms", m_longestPause.count() } });
 }
 
 }
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -87,6 +87,8 @@
     SendEnd recordFailure(RunnerUse&, Verdict, bool isBroken, std::string_view reason);
     SendEnd recordRefusal(RunnerUse&, const platform::RunnerHeaders&, unsigned status);
     void observeFirstByte(RunnerUse&);
+    // Learns from a piece of an answer's body that has just arrived.
+    void observePiece(RunnerUse&);
     void keepConnection(const Parser&, const platform::RunnerHeaders&, const RunnerUse&);
     void startTimers();
     void interrupt();
@@ -123,6 +125,9 @@
     bool m_hasArrived = false;
     // Why no answer could be read, for the log.
     std::string m_problem;
+    // When the last piece of an answer's body arrived, and the longest time between two of one answer.
+    TimePoint m_pieceAt {};
+    std::chrono::milliseconds m_longestPause { 0 };
     // Whether part of an answer was sent to the caller.
     bool m_hasStarted = false;
 };
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -20,6 +20,15 @@
     // In a large fleet the interval grows with the number of hosts, so that each receives some 125 notices a second at most.
     constexpr std::chrono::milliseconds intervalPerHost { 8 };
     constexpr std::chrono::milliseconds longestInterval { 1'000 };
+    // Fleets up to this size tell every host of each prompt at once; in larger ones only hosts of the same data centre, which mostly
+    // choose among the same runners.
+    constexpr std::size_t smallFleet = 16;
+    // Placement notices that a host should receive in a second at most: some 15 us of processor time each.
+    constexpr double placementNoticesPerSecond = 1'000;
+    // Prompts that take this long to read, half a chunk, may use the whole budget, others its second half.
+    constexpr std::chrono::milliseconds longRead { 24 };
+    // Longest times that placement notices tell; a prompt that takes longer keeps its runner busy for any other's goal.
+    constexpr std::chrono::milliseconds longestTold { 10'000 };
     // Entries per datagram, so that it fits into a frame.
     constexpr std::size_t loadsPerNotice = 20;
     constexpr std::size_t partsPerNotice = 14;
@@ -64,6 +73,7 @@
 {
     m_datagrams.handle<LoadNotice>([this](const Address& from, LoadNotice notice) { onLoad(from, notice); });
     m_datagrams.handle<PartsNotice>([this](const Address&, PartsNotice notice) { onParts(notice.parts); });
+    m_datagrams.handle<PlacementNotice>([this](const Address&, PlacementNotice notice) { onPlacement(notice); });
     m_datagrams.handle<CrashNotice>([this](const Address&, CrashNotice notice) {
         m_state.crashes().record(notice.fingerprint, notice.runner, std::chrono::steady_clock::now());
     });
@@ -100,13 +110,71 @@
 {
     hosts.erase(m_settings.hostName);
     m_hosts = std::move(hosts);
+    updateCloseHosts();
 }
 
-void HostExchange::notePlacement(const RunnerRecord& runner, const std::vector<PromptPart>& parts, std::uint64_t scope)
+bool HostExchange::areAllHostsClose() const
 {
+    return m_hosts.size() < smallFleet;
+}
+
+bool HostExchange::isClose(std::uint64_t host) const
+{
+    return areAllHostsClose() || m_nearHosts.contains(host);
+}
+
+void HostExchange::updateCloseHosts()
+{
+    m_closeHosts.clear();
+    for (const auto& [name, address] : m_hosts) {
+        if (isClose(hash64(name)))
+            m_closeHosts.emplace(name, address);
+    }
+}
+
+bool HostExchange::takeNotice(std::chrono::milliseconds read)
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto perSecond = placementNoticesPerSecond / static_cast<double>(std::max<std::size_t>(m_closeHosts.size(), 1));
+    m_noticeBudget = std::min(m_noticeBudget + perSecond * toMilliseconds(now - m_noticeBudgetAt) / 1'000, perSecond);
+    m_noticeBudgetAt = now;
+    if (m_noticeBudget < 1 || (read < longRead && m_noticeBudget < perSecond / 2))
+        return false;
+    m_noticeBudget -= 1;
+    return true;
+}
+
+void HostExchange::notePlacement(const Placement& placement, unsigned rank, const std::vector<PromptPart>& parts, std::uint64_t scope)
+{
+    const auto runner = shortHash(placement.runner->record());
+    std::vector<PlacedPart> placed;
     // The last part is the request's own and never comes again on another host.
-    for (std::size_t i = 0; i + 1 < parts.size() && m_parts.size() < mostWaitingParts; ++i)
-        m_parts.push_back({ shortHash(runner), scope, parts[i].id, static_cast<std::uint32_t>(parts[i].tokens) });
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i)
+        placed.push_back({ runner, scope, parts[i].id, static_cast<std::uint32_t>(parts[i].tokens) });
+    const bool isTold = !m_closeHosts.empty() && takeNotice(placement.read);
+    if (isTold) {
+        PlacementNotice notice { m_hostHash, runner, static_cast<std::uint8_t>(rank), 0, 0, 0, placed };
+        notice.readMs = static_cast<std::uint16_t>(std::clamp<std::int64_t>(placement.read.count(), 0, longestTold.count()));
+        notice.fetchMs = static_cast<std::uint16_t>(std::clamp<std::int64_t>(placement.predictedFetch.count(), 0, longestTold.count()));
+        notice.memoryTokens = static_cast<std::uint32_t>(placement.work.memoryTokens);
+        m_datagrams.sendToAll(m_closeHosts, notice);
+    }
+    if (isTold && areAllHostsClose())
+        return;
+    const auto room = mostWaitingParts - std::min(m_parts.size(), mostWaitingParts);
+    m_parts.insert(m_parts.end(), placed.begin(), placed.begin() + static_cast<std::ptrdiff_t>(std::min(placed.size(), room)));
+}
+
+void HostExchange::onPlacement(const PlacementNotice& notice)
+{
+    onParts(notice.parts);
+    if (!isClose(notice.host))
+        return;
+    const auto runner = m_state.board().findByHash(notice.runner);
+    if (!runner)
+        return;
+    const PlacedPrompt prompt { notice.rank, std::chrono::milliseconds(notice.readMs), std::chrono::milliseconds(notice.fetchMs), notice.memoryTokens };
+    runner->addPeerPrompt(notice.host, prompt, std::chrono::steady_clock::now());
 }
 
 std::size_t HostExchange::rankFor(std::string_view subject) const
@@ -143,17 +211,26 @@
 void HostExchange::onLoad(const Address& from, const LoadNotice& notice)
 {
     const auto now = std::chrono::steady_clock::now();
+    if (notice.dataCentre == hash64(m_settings.dataCentre) && m_nearHosts.insert(notice.host).second)
+        updateCloseHosts();
+    const bool isToldAtOnce = isClose(notice.host);
     std::map<std::uint32_t, OutstandingWork> loads;
     for (const auto& entry : notice.loads) {
         auto& work = loads[entry.runner];
         work.requests = entry.requests;
-        work.fetchTokens = entry.fetchTokens;
         work.memoryTokens = entry.memoryTokens;
+        // Placement notices have told of these before.
+        if (isToldAtOnce)
+            continue;
+        work.fetchTokens = entry.fetchTokens;
         for (std::size_t i = 0; i < std::min(entry.prefillTokens.size(), rankClassCount); ++i)
             work.prefillTokens[i] = entry.prefillTokens[i];
     }
     for (const auto& [id, runner] : m_state.board().all()) {
-        const auto it = loads.find(shortHash(runner->record()));
+        const auto number = shortHash(runner->record());
+        if (number < notice.firstRunner || number > notice.lastRunner)
+            continue;
+        const auto it = loads.find(number);
         if (it != loads.end())
             runner->setPeerWork(notice.host, it->second, now);
         else
@@ -233,34 +310,63 @@
     }
 }
 
-void HostExchange::sendNotice()
+std::vector<RunnerLoadEntry> HostExchange::ownLoads() const
 {
-    LoadNotice notice;
-    notice.host = m_hostHash;
-    notice.tablesVersion = m_state.tablesVersion();
+    std::vector<RunnerLoadEntry> out;
     for (const auto& [id, runner] : m_state.board().all()) {
         const auto& own = runner->own();
-        if (own.requests <= 0 || notice.loads.size() >= loadsPerNotice)
+        if (own.requests <= 0)
             continue;
         RunnerLoadEntry entry { shortHash(runner->record()), static_cast<std::uint16_t>(own.requests), {}, 0, 0 };
         for (const auto tokens : own.prefillTokens)
             entry.prefillTokens.push_back(static_cast<std::uint32_t>(std::max<std::int64_t>(tokens, 0)));
         entry.fetchTokens = static_cast<std::uint32_t>(std::max<std::int64_t>(own.fetchTokens, 0));
         entry.memoryTokens = static_cast<std::uint32_t>(std::max<std::int64_t>(own.memoryTokens, 0));
-        notice.loads.push_back(std::move(entry));
+        out.push_back(std::move(entry));
     }
-    const auto n = std::min(m_parts.size(), partsPerNotice);
-    notice.parts.assign(m_parts.begin(), m_parts.begin() + static_cast<std::ptrdiff_t>(n));
-    m_parts.erase(m_parts.begin(), m_parts.begin() + static_cast<std::ptrdiff_t>(n));
+    std::sort(out.begin(), out.end(), [](const auto& a, const auto& b) { return a.runner < b.runner; });
+    return out;
+}
+
+std::vector<VersionAge> HostExchange::versionAges() const
+{
+    std::vector<VersionAge> out;
     const auto bootNow = bootTime();
     for (const auto& [model, history] : m_state.versions()) {
         for (const auto& [version, named] : history.versions()) {
             const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(bootNow - named.since);
-            if (!named.isGuess && age < toldVersionAge && notice.versions.size() < versionsPerNotice)
-                notice.versions.push_back({ hash64(model), version, static_cast<std::uint32_t>(age.count()) });
+            if (!named.isGuess && age < toldVersionAge && out.size() < versionsPerNotice)
+                out.push_back({ hash64(model), version, static_cast<std::uint32_t>(age.count()) });
         }
     }
-    sendToAll(notice);
+    return out;
+}
+
+void HostExchange::sendNotice()
+{
+    const auto loads = ownLoads();
+    LoadNotice notice;
+    notice.host = m_hostHash;
+    notice.dataCentre = hash64(m_settings.dataCentre);
+    notice.tablesVersion = m_state.tablesVersion();
+    notice.versions = versionAges();
+    const auto n = std::min(m_parts.size(), partsPerNotice);
+    notice.parts.assign(m_parts.begin(), m_parts.begin() + static_cast<std::ptrdiff_t>(n));
+    m_parts.erase(m_parts.begin(), m_parts.begin() + static_cast<std::ptrdiff_t>(n));
+    std::size_t begin = 0;
+    do {
+        const auto end = std::min(begin + loadsPerNotice, loads.size());
+        const bool isLast = end == loads.size();
+        notice.loads.assign(loads.begin() + static_cast<std::ptrdiff_t>(begin), loads.begin() + static_cast<std::ptrdiff_t>(end));
+        notice.lastRunner = isLast ? std::numeric_limits<std::uint32_t>::max() : loads[end - 1].runner;
+        sendToAll(notice);
+        if (isLast)
+            break;
+        notice.firstRunner = notice.lastRunner + 1;
+        notice.parts.clear();
+        notice.versions.clear();
+        begin = end;
+    } while (true);
     sendParts();
 }
 
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -5,6 +5,8 @@
 #include "chiveshelf/peer/PeerClient.h"
 #include "chiveshelf/peer/PeerServer.h"
 
+#include <set>
+
 namespace chiveshelf {
 
 // What hosts tell each other: their outstanding work, requests that crash runners, weights being loaded, and tables for hosts
@@ -33,8 +35,11 @@
     // Hosts including this one.
     std::size_t hostCount() const { return m_hosts.size() + 1; }
 
-    // Notes that a prompt's parts were sent to a runner, for the next notice.
-    void notePlacement(const RunnerRecord&, const std::vector<PromptPart>&, std::uint64_t scope);
+    // Tells close hosts at once that a prompt was sent as placed, and the others of its parts with the next notice.
+    void notePlacement(const Placement&, unsigned rank, const std::vector<PromptPart>&, std::uint64_t scope);
+
+    // Whether all hosts are told of each prompt at once.
+    bool areAllHostsClose() const;
 
     void announceCrash(const std::string& fingerprint, const std::string& runner);
     void announceRollout(const RunnerRecord&, const std::string& model, std::uint64_t version, bool isDone);
@@ -58,10 +63,19 @@
     boost::asio::awaitable<void> noticeLoop();
     boost::asio::awaitable<void> pullSoon(Address);
     void sendNotice();
+    // Returns this host's work, in the order of the runners' numbers.
+    std::vector<RunnerLoadEntry> ownLoads() const;
+    std::vector<VersionAge> versionAges() const;
     void sendParts();
     void onLoad(const Address& from, const LoadNotice&);
     void onParts(const std::vector<PlacedPart>&);
     void onRollout(const RolloutNotice&);
+    void onPlacement(const PlacementNotice&);
+    // Whether a host tells this one, and is told, of each prompt at once.
+    bool isClose(std::uint64_t host) const;
+    void updateCloseHosts();
+    // Takes a notice from the budget for them; prompts that take long to read are told sooner than others.
+    bool takeNotice(std::chrono::milliseconds read);
     std::chrono::milliseconds noticeInterval() const;
 
     template <typename Message>
@@ -81,6 +95,12 @@
     TablesHandler m_tablesHandler;
     std::function<void(const CacheNotice&)> m_cacheHandler;
     std::map<std::string, Address> m_hosts;
+    // The hosts in this data centre, by the hash of their names, as far as they have told; and those that are told at once.
+    std::set<std::uint64_t> m_nearHosts;
+    std::map<std::string, Address> m_closeHosts;
+    // Placement notices that may be sent now.
+    double m_noticeBudget = 0;
+    TimePoint m_noticeBudgetAt {};
     std::vector<PlacedPart> m_parts;
     std::uint64_t m_hostHash;
     // Versions that are being fetched already.
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -6,6 +6,7 @@
 #include <cereal/types/utility.hpp>
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <utility>
 #include <vector>
@@ -54,6 +55,26 @@
     }
 };
 
+// A prompt that a host has just sent to a runner, told at once to the hosts that choose among the same runners.
+struct PlacementNotice {
+    static constexpr peer::DatagramType datagramType = peer::DatagramType::PlacementNotice;
+
+    std::uint64_t host = 0;
+    std::uint32_t runner = 0;
+    std::uint8_t rank = 0;
+    // Predicted time to read the prompt and to fetch parts of it.
+    std::uint16_t readMs = 0;
+    std::uint16_t fetchMs = 0;
+    std::uint32_t memoryTokens = 0;
+    std::vector<PlacedPart> parts;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(host, runner, rank, readMs, fetchMs, memoryTokens, parts);
+    }
+};
+
 // How long ago a version of a model was named, in ms.
 struct VersionAge {
     std::uint64_t model = 0;
@@ -67,12 +88,18 @@
     }
 };
 
-// What a host tells all others several times a second. A runner that is not listed has no work of this host.
+// What a host tells all others several times a second, in as many notices as it takes. A runner within the range of a notice
+// that is not listed has no work of this host.
 struct LoadNotice {
     static constexpr peer::DatagramType datagramType = peer::DatagramType::LoadNotice;
 
     std::uint64_t host = 0;
+    // Hash of the name of its data centre.
+    std::uint64_t dataCentre = 0;
     std::uint64_t tablesVersion = 0;
+    // The runners that this notice is about, both ends included.
+    std::uint32_t firstRunner = 0;
+    std::uint32_t lastRunner = std::numeric_limits<std::uint32_t>::max();
     std::vector<RunnerLoadEntry> loads;
     std::vector<PlacedPart> parts;
     // Versions that were named lately.
@@ -81,7 +108,7 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(host, tablesVersion, loads, parts, versions);
+        archive(host, dataCentre, tablesVersion, firstRunner, lastRunner, loads, parts, versions);
     }
 };
 
--- a/packages/peer/chiveshelf/peer/DatagramChannel.h
+++ b/packages/peer/chiveshelf/peer/DatagramChannel.h
@@ -25,6 +25,7 @@
     RolloutNotice = 6,
     CacheNotice = 7,
     PartsNotice = 8,
+    PlacementNotice = 9,
 };
 
 // A message that is sent as one datagram, without a reply.
--- a/packages/placement/chiveshelf/placement/BackendState.cpp
+++ b/packages/placement/chiveshelf/placement/BackendState.cpp
@@ -37,6 +37,16 @@
     m_peers[host] = { work, now };
 }
 
+void BackendState::addPeerPrompt(std::uint64_t host, const PlacedPrompt& prompt, TimePoint now)
+{
+    m_peerQueue.add(prompt, now);
+    auto& peer = m_peers[host];
+    if (now - peer.at > figureLifetime)
+        peer = { {}, now };
+    ++peer.work.requests;
+    peer.work.memoryTokens += prompt.memoryTokens;
+}
+
 OutstandingWork BackendState::total(TimePoint now) const
 {
     auto sum = m_own;
--- a/packages/placement/chiveshelf/placement/BackendState.h
+++ b/packages/placement/chiveshelf/placement/BackendState.h
@@ -3,6 +3,7 @@
 #include "chiveshelf/placement/BackendHealth.h"
 #include "chiveshelf/placement/OutstandingWork.h"
 #include "chiveshelf/placement/PartMemory.h"
+#include "chiveshelf/placement/PeerQueue.h"
 #include "chiveshelf/placement/RunnerRecord.h"
 #include "chiveshelf/placement/TransferSpeed.h"
 
@@ -44,6 +45,10 @@
     // Sets what another host says that it has sent.
     void setPeerWork(std::uint64_t host, const OutstandingWork&, TimePoint now);
 
+    // Takes a prompt that another host has just sent. It counts as a request of that host until its next figures.
+    void addPeerPrompt(std::uint64_t host, const PlacedPrompt&, TimePoint now);
+    const PeerQueue& peerQueue() const { return m_peerQueue; }
+
     // Tells that another host has no work there.
     void clearPeerWork(std::uint64_t host) { m_peers.erase(host); }
 
@@ -95,6 +100,7 @@
     std::int64_t m_memoryTokens;
     OutstandingWork m_own;
     std::map<std::uint64_t, PeerWork> m_peers;
+    PeerQueue m_peerQueue;
     LoadReport m_report;
     TimePoint m_reportAt {};
     WeightLoad m_load;
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -199,7 +199,10 @@
     double lessUrgentTokens = 0;
     for (std::size_t i = 0; i < rankClassCount; ++i)
         (i <= rankClass(request.rank) ? aheadTokens : lessUrgentTokens) += static_cast<double>(work.prefillTokens[i]);
-    out.waitMs = (aheadTokens + std::min(lessUrgentTokens, chunkTokens) / 2) / speed;
+    const auto peersMs = runner.peerQueue().readMs(request.rank, now);
+    const auto allPeersMs = runner.peerQueue().allReadMs(now);
+    lessUrgentTokens += (allPeersMs - peersMs) * speed;
+    out.waitMs = peersMs + (aheadTokens + std::min(lessUrgentTokens, chunkTokens) / 2) / speed;
     const auto requests = runner.requests(now);
     const auto slots = static_cast<std::int32_t>(std::max(m_limits.slots, 1U));
     if (requests >= slots)
@@ -211,7 +214,7 @@
         out.waitMs += residenceMs * excess / memory;
     out.readMs = static_cast<double>(out.uncachedTokens) / speed;
     // Transfers run beside the reading of other prompts, one after another.
-    const auto linkMs = static_cast<double>(work.fetchTokens) * m_fetchMsPerToken * ownSlowness;
+    const auto linkMs = static_cast<double>(work.fetchTokens) * m_fetchMsPerToken * ownSlowness + runner.peerQueue().fetchMs(now);
     const auto fetchingMs = fixedMs + std::max(out.waitMs, linkMs + out.fetchMs) + out.readMs;
     const auto readAllMs = static_cast<double>(prompt.promptTokens - std::min(cached, prompt.promptTokens)) / speed;
     const auto readingMs = fixedMs + out.waitMs + readAllMs;
@@ -228,7 +231,7 @@
     out.firstMs = out.fetchTokens > 0 ? fetchingMs : readingMs;
     // Fetching that takes longer than what the goal leaves is given up.
     out.fetchTimeMs = std::max(goalMs * fetchGoalShare - readAllMs, out.fetchMs * fetchPatience);
-    out.isIdle = aheadTokens + lessUrgentTokens == 0 && requests < slots / 4 && out.uncachedTokens >= prompt.promptTokens;
+    out.isIdle = aheadTokens + lessUrgentTokens == 0 && allPeersMs == 0 && requests < slots / 4 && out.uncachedTokens >= prompt.promptTokens;
     return out;
 }
 
@@ -267,7 +270,7 @@
         if (runner->version(prompt.model).value_or(0) < request.newestVersion)
             cost += oldVersionMs;
         draw = nextDraw(draw);
-        cost += context.spreadMs * draw;
+        cost += (runner->record().dataCentre == context.dataCentre ? context.nearSpreadMs : context.spreadMs) * draw;
         if (!best || cost < bestCost) {
             best = runner;
             bestCost = cost;
@@ -289,6 +292,7 @@
     out.runner = best;
     out.predicted = roundedMs(firstMs);
     out.wait = roundedMs(bestPrediction.waitMs);
+    out.read = roundedMs(bestPrediction.readMs);
     out.isSpeedSample = bestPrediction.isIdle;
     out.work.requests = 1;
     out.work.prefillTokens[rankClass(request.rank)] = bestPrediction.uncachedTokens;
--- a/packages/placement/chiveshelf/placement/Placement.h
+++ b/packages/placement/chiveshelf/placement/Placement.h
@@ -26,8 +26,10 @@
     std::chrono::milliseconds goal { 0 };
     // Time after which the caller is not served any more.
     std::chrono::milliseconds timeLeft { 0 };
-    // Bound of a random cost, in ms, that keeps hosts with the same figures from choosing the same runner at once.
+    // Bounds of a random cost, in ms, that keeps hosts with the same figures from choosing the same runner at once: for runners
+    // in other data centres and in this one, of which the figures are fresher.
     double spreadMs = 0;
+    double nearSpreadMs = 0;
     // Whether the caller has been refused before, so that the goal can not be met any more.
     bool isLate = false;
 
@@ -44,6 +46,8 @@
     std::chrono::milliseconds predicted { 0 };
     // Of which until the runner turns to the request.
     std::chrono::milliseconds wait { 0 };
+    // Of which to read what has to be read.
+    std::chrono::milliseconds read { 0 };
     // What the request adds to the runner's work.
     OutstandingWork work;
     // For each part of the prompt, where it is fetched from and saved to.
--- /dev/null
+++ b/tests/unit/gateway/HostExchangeTest.cpp
@@ -0,0 +1,181 @@
+#include "chiveshelf/gateway/HostExchange.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace chiveshelf;
+using std::chrono::milliseconds;
+
+// Two hosts on loopback addresses, each with its own beliefs about the same runners.
+class HostExchangeTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(HostExchangeTest);
+    CPPUNIT_TEST(workAtMoreRunnersThanFitIntoANoticeIsKnownToOthers);
+    CPPUNIT_TEST(promptIsToldAtOnceInASmallFleet);
+    CPPUNIT_TEST(promptIsToldAtOnceOnlyWithinTheDataCentreOfALargeFleet);
+    CPPUNIT_TEST(workThatWasToldAtOnceIsNotCountedTwice);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        connect(m_first, m_second);
+        connect(m_second, m_first);
+        connect(m_far, m_first);
+    }
+
+    void tearDown() override
+    {
+        for (auto* host : { &m_first, &m_second, &m_far })
+            host->exchange.stop();
+        runFor(milliseconds(50));
+    }
+
+    // Guards against work at the last runners of a large pool that the others forget with every notice.
+    void workAtMoreRunnersThanFitIntoANoticeIsKnownToOthers()
+    {
+        constexpr int n = 45;
+        addRunners(n);
+        OutstandingWork work;
+        work.requests = 1;
+        for (const auto& [id, runner] : m_first.state.board().all())
+            runner->begin(work);
+        runFor(milliseconds(500));
+        int known = 0;
+        for (const auto& [id, runner] : m_second.state.board().all())
+            known += runner->total(std::chrono::steady_clock::now()).requests;
+        CPPUNIT_ASSERT_EQUAL(n, known);
+    }
+
+    void promptIsToldAtOnceInASmallFleet()
+    {
+        addRunners(1);
+        place(m_first);
+        runFor(milliseconds(20));
+        CPPUNIT_ASSERT(peerReadMs(m_second) > 60);
+        CPPUNIT_ASSERT(runner(m_second)->parts().contains({ 7, 5'000 }, 0));
+    }
+
+    void promptIsToldAtOnceOnlyWithinTheDataCentreOfALargeFleet()
+    {
+        addRunners(1);
+        enlargeFleet();
+        // The first notice tells the data centre.
+        runFor(milliseconds(400));
+        place(m_first);
+        runFor(milliseconds(20));
+        CPPUNIT_ASSERT(peerReadMs(m_second) > 60);
+        CPPUNIT_ASSERT_EQUAL(0.0, peerReadMs(m_far));
+        runFor(milliseconds(400));
+        CPPUNIT_ASSERT(runner(m_far)->parts().contains({ 7, 5'000 }, 0));
+    }
+
+    void workThatWasToldAtOnceIsNotCountedTwice()
+    {
+        addRunners(1);
+        const auto placement = place(m_first);
+        runner(m_first)->begin(placement.work);
+        runFor(milliseconds(400));
+        const auto work = runner(m_second)->total(std::chrono::steady_clock::now());
+        CPPUNIT_ASSERT_EQUAL(1, work.requests);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), work.prefillTokens[3]);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(6'000), work.memoryTokens);
+    }
+
+private:
+    struct Host {
+        Host(boost::asio::io_context& context, std::string name, std::string dataCentre, std::string ip)
+            : settings(makeSettings(std::move(name), std::move(dataCentre), std::move(ip)))
+            , state(settings)
+            , exchange(context, settings, state)
+        {
+        }
+
+        static GatewaySettings makeSettings(std::string name, std::string dataCentre, std::string ip)
+        {
+            GatewaySettings out;
+            out.hostName = std::move(name);
+            out.dataCentre = std::move(dataCentre);
+            out.peerAddress = { std::move(ip), 17'700 };
+            return out;
+        }
+
+        GatewaySettings settings;
+        ServingState state;
+        HostExchange exchange;
+    };
+
+    static void connect(Host& host, const Host& other)
+    {
+        host.exchange.setRelay([] { return std::vector<std::pair<std::string, std::string>>(); }, [](const auto&) {}, [](const auto&) {});
+        CPPUNIT_ASSERT(host.exchange.start());
+        host.exchange.setHosts({ { other.settings.hostName, other.settings.peerAddress } });
+    }
+
+    static std::shared_ptr<BackendState> runner(Host& host) { return host.state.board().find("r0"); }
+
+    static double peerReadMs(Host& host)
+    {
+        return runner(host)->peerQueue().allReadMs(std::chrono::steady_clock::now());
+    }
+
+    // Tells of a prompt of rank 3 that takes 100 ms to read.
+    static Placement place(Host& host)
+    {
+        Placement placement;
+        placement.runner = runner(host);
+        placement.read = milliseconds(100);
+        placement.work.requests = 1;
+        placement.work.prefillTokens[3] = 6'000;
+        placement.work.memoryTokens = 6'000;
+        host.exchange.notePlacement(placement, 3, { { 7, 5'000 }, { 8, 1'000 } }, 0);
+        return placement;
+    }
+
+    // Makes a fleet in which not everybody is told of everything, most of it addresses where nobody listens.
+    void enlargeFleet()
+    {
+        std::map<std::string, Address> hosts { { "first", m_first.settings.peerAddress }, { "second", m_second.settings.peerAddress },
+            { "far", m_far.settings.peerAddress } };
+        for (int i = 0; i < 20; ++i)
+            hosts.emplace("silent" + std::to_string(i), Address { "127.70.9.100", 17'700 });
+        for (auto* host : { &m_first, &m_second, &m_far })
+            host->exchange.setHosts(hosts);
+    }
+
+    void addRunners(int n)
+    {
+        RegisteredPool pool;
+        pool.name = "pool";
+        pool.engine.emplace();
+        pool.engine->memoryTokens = 100'000;
+        RoutingTables tables;
+        tables.version = 1;
+        tables.pools = { pool };
+        for (auto* host : { &m_first, &m_second, &m_far }) {
+            host->state.acceptTables(tables, "", "test");
+            for (int i = 0; i < n; ++i) {
+                RunnerRecord record;
+                record.id = "r" + std::to_string(i);
+                record.pool = "pool";
+                host->state.registry().put(std::move(record));
+            }
+            host->state.refreshRunners();
+        }
+    }
+
+    void runFor(milliseconds duration)
+    {
+        m_context.restart();
+        m_context.run_for(duration);
+    }
+
+    boost::asio::io_context m_context { 1 };
+    Host m_first { m_context, "first", "east", "127.70.9.1" };
+    Host m_second { m_context, "second", "east", "127.70.9.2" };
+    Host m_far { m_context, "far", "west", "127.70.9.3" };
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HostExchangeTest);
+
+}
--- a/tests/unit/placement/EnginePlacementTest.cpp
+++ b/tests/unit/placement/EnginePlacementTest.cpp
@@ -17,6 +17,9 @@
     CPPUNIT_TEST_SUITE(EnginePlacementTest);
     CPPUNIT_TEST(returningPromptGoesWhereItsPartsAre);
     CPPUNIT_TEST(returningPromptLeavesAnOverloadedHolderAndFetchesItsParts);
+    CPPUNIT_TEST(runnerThatAnotherHostHasJustGivenAPromptIsAvoidedUntilItIsRead);
+    CPPUNIT_TEST(promptsOfOtherHostsDelayOnlyLessUrgentOnes);
+    CPPUNIT_TEST(requestsOfOtherHostsCountUntilTheirNextFigures);
     CPPUNIT_TEST(partOfAStoreIsFetchedFromThereAndNotSavedAgain);
     CPPUNIT_TEST(partThatNoStoreHasIsSavedOnce);
     CPPUNIT_TEST(storeThatHasNotAnsweredLatelyIsNotFetchedFrom);
@@ -85,6 +88,48 @@
         CPPUNIT_ASSERT(!placement->fetchFrom.at(2));
     }
 
+    // Guards against two hosts that give long prompts to the same runner while others are free.
+    void runnerThatAnotherHostHasJustGivenAPromptIsAvoidedUntilItIsRead()
+    {
+        const PlacedPrompt prompt { 3, milliseconds(150), milliseconds(0), 10'000 };
+        m_runners[0]->addPeerPrompt(1, prompt, start);
+        m_runners[2]->addPeerPrompt(2, prompt, start);
+        m_context.now = start + milliseconds(5);
+        const auto placement = choose();
+        CPPUNIT_ASSERT(placement && placement->runner == m_runners[1]);
+        CPPUNIT_ASSERT_EQUAL(milliseconds(0).count(), placement->wait.count());
+        m_runners[1]->addPeerPrompt(1, { 3, milliseconds(900), milliseconds(0), 10'000 }, m_context.now);
+        m_context.now = start + milliseconds(151);
+        const auto later = choose();
+        CPPUNIT_ASSERT(later && later->runner != m_runners[1]);
+        CPPUNIT_ASSERT_EQUAL(milliseconds(0).count(), later->wait.count());
+    }
+
+    void promptsOfOtherHostsDelayOnlyLessUrgentOnes()
+    {
+        PeerQueue queue;
+        queue.add({ 2, milliseconds(100), milliseconds(30), 0 }, start);
+        queue.add({ 4, milliseconds(50), milliseconds(20), 0 }, start);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, queue.readMs(1, start), 0.001);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(100.0, queue.readMs(2, start), 0.001);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(150.0, queue.readMs(4, start), 0.001);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(110.0, queue.allReadMs(start + milliseconds(40)), 0.001);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(50.0, queue.fetchMs(start), 0.001);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, queue.allReadMs(start + milliseconds(200)), 0.001);
+    }
+
+    void requestsOfOtherHostsCountUntilTheirNextFigures()
+    {
+        m_runners[0]->addPeerPrompt(1, { 3, milliseconds(10), milliseconds(0), 700 }, start);
+        m_runners[0]->addPeerPrompt(1, { 3, milliseconds(10), milliseconds(0), 700 }, start);
+        CPPUNIT_ASSERT_EQUAL(2, m_runners[0]->total(start).requests);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1'400), m_runners[0]->total(start).memoryTokens);
+        OutstandingWork work;
+        work.requests = 1;
+        m_runners[0]->setPeerWork(1, work, start + milliseconds(600));
+        CPPUNIT_ASSERT_EQUAL(1, m_runners[0]->total(start + milliseconds(600)).requests);
+    }
+
     void partOfAStoreIsFetchedFromThereAndNotSavedAgain()
     {
         store("v1/m/", 1, 500);
