Keep long prompts away from streams that they would make pause

Ruled out: preemptions (10 in 9 s), the way through the host (the pauses were measured where pieces arrive from the runner).

Placement now counts the streams that a prompt would make pause beyond their route's longest pause, which the tables give, and a stream keeps away from a runner that is about to read for longer than that.

Tests: the three new cases of EnginePlacementTest failed with the cost left out.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -230,6 +230,7 @@
     context.dataCentre = m_context.settings.dataCentre;
     context.excluded = m_excluded;
     context.goal = m_route->goal;
+    context.longestPause = m_route->longestPause;
     context.timeLeft = timeLeft(now);
     const auto hosts = static_cast<double>(m_context.exchange.hostCount());
     context.nearSpreadMs = std::min(spreadMsPerHost * hosts, mostNearSpreadMs);
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -52,6 +52,14 @@
     // ms that a runner with failures counts as slower, per unit of its failure share above the tolerated one.
     constexpr double failureMs = 2'000;
     constexpr double toleratedFailureShare = 0.15;
+    // Share of the longest pause for which an engine may read prompts without a break: the tokens of an event take time beside it.
+    constexpr double pauseShare = 0.85;
+    // ms that a prompt counts as slower for each stream that it makes pause too long, and the most streams that count. A late
+    // stream loses most of its worth, as a first token does that comes some 300 ms after its goal; the streams here share it.
+    constexpr double pausedStreamMs = 15;
+    constexpr std::int32_t mostPausedStreams = 20;
+    // The same for the prompt's own stream.
+    constexpr double ownPauseMs = 150;
     // ms that older weights count as slower once newer ones were named.
     constexpr double oldVersionMs = 60;
     // Waits up to this share of the goal are no queue: prompts too long for the goal are admitted then.
@@ -201,9 +209,13 @@
         (i <= rankClass(request.rank) ? aheadTokens : lessUrgentTokens) += static_cast<double>(work.prefillTokens[i]);
     const auto peersMs = runner.peerQueue().readMs(request.rank, now);
     const auto allPeersMs = runner.peerQueue().allReadMs(now);
+    const auto ownLessUrgentTokens = lessUrgentTokens;
     lessUrgentTokens += (allPeersMs - peersMs) * speed;
     out.waitMs = peersMs + (aheadTokens + std::min(lessUrgentTokens, chunkTokens) / 2) / speed;
+    out.busyMs = allPeersMs + (aheadTokens + ownLessUrgentTokens) / speed;
+    out.lessUrgentMs = lessUrgentTokens / speed;
     const auto requests = runner.requests(now);
+    out.requests = requests;
     const auto slots = static_cast<std::int32_t>(std::max(m_limits.slots, 1U));
     if (requests >= slots)
         out.waitMs += residenceMs * (requests - slots + 1) / slots;
@@ -235,6 +247,20 @@
     return out;
 }
 
+double EnginePlacement::pauseCost(const Prediction& prediction, std::chrono::milliseconds longestPause)
+{
+    if (longestPause.count() == 0)
+        return 0;
+    const auto limitMs = toMilliseconds(longestPause) * pauseShare;
+    double cost = 0;
+    // Streams that pause too long already lose nothing by more prompts.
+    if (prediction.busyMs <= limitMs && prediction.busyMs + prediction.readMs > limitMs)
+        cost += pausedStreamMs * std::min(prediction.requests, mostPausedStreams);
+    if (prediction.lessUrgentMs > limitMs)
+        cost += ownPauseMs;
+    return cost;
+}
+
 PlacementResult EnginePlacement::choose(const EngineRequest& request, const PlacementContext& context, const BackendBoard::RunnerList& runners, const CacheStores& stores,
     double random) const
 {
@@ -269,6 +295,7 @@
         cost += failureMs * std::max(runner->health().failureShare(context.now) - toleratedFailureShare, 0.0);
         if (runner->version(prompt.model).value_or(0) < request.newestVersion)
             cost += oldVersionMs;
+        cost += pauseCost(prediction, context.longestPause);
         draw = nextDraw(draw);
         cost += (runner->record().dataCentre == context.dataCentre ? context.nearSpreadMs : context.spreadMs) * draw;
         if (!best || cost < bestCost) {
--- a/packages/placement/chiveshelf/placement/EnginePlacement.h
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.h
@@ -34,6 +34,10 @@
 // A model of the engine: prompts are read one after another, more urgent ones first, at a speed learned from answers; less
 // urgent prompts delay by the chunk in progress; requests beyond the slots or the memory wait for others to end.
 //
+// While an engine reads one chunk of prompts after another, its streams come to a pause, since an event holds several tokens and
+// each of them waits for a chunk. So prompts are kept from following each other for as long as streams may pause; where that is
+// not possible, they go where few streams run or where these pause already, and new streams keep away from there.
+//
 // Answers the load patterns "returning prompts with long shared parts", "a burst of long cheap prompts" (refused once their
 // first token would be late, so that those admitted are in time), "a burst of short urgent prompts" (which wait only for
 // their like), and "a quarter of the runners vanish" (the same rule over fewer runners).
@@ -61,6 +65,10 @@
         double fetchTimeMs = 0;
         std::int64_t uncachedTokens = 0;
         std::int64_t fetchTokens = 0;
+        // How long the runner is busy reading the prompts that it has, of all ranks, and those less urgent than this one.
+        double busyMs = 0;
+        double lessUrgentMs = 0;
+        std::int32_t requests = 0;
         bool isIdle = false;
         // Whether parts that could be fetched are read.
         bool isReadingInstead = false;
@@ -72,6 +80,8 @@
 
     Prediction predict(const EngineRequest&, const BackendState&, const PartHolders&, TimePoint now, std::chrono::milliseconds goal,
         double fallbackSpeed) const;
+    // Returns what the pauses cost that the prompt would make other streams take, and that it would take itself.
+    static double pauseCost(const Prediction&, std::chrono::milliseconds longestPause);
     void planTransfers(const EngineRequest&, const PlacementContext&, const PartHolders&, const CacheStores&, Placement&) const;
     static const CacheContents* chooseStore(const CacheStores&, const CacheScope&, const PromptPart&, const std::string& dataCentre,
         const PlacementContext&);
--- a/packages/placement/chiveshelf/placement/Placement.h
+++ b/packages/placement/chiveshelf/placement/Placement.h
@@ -24,6 +24,8 @@
     std::vector<std::string> excluded;
     // Time to the first byte that is worth having.
     std::chrono::milliseconds goal { 0 };
+    // Longest pause between events of a stream that is worth having; 0 for any.
+    std::chrono::milliseconds longestPause { 0 };
     // Time after which the caller is not served any more.
     std::chrono::milliseconds timeLeft { 0 };
     // Bounds of a random cost, in ms, that keeps hosts with the same figures from choosing the same runner at once: for runners
--- a/packages/routing/chiveshelf/routing/RoutingTables.h
+++ b/packages/routing/chiveshelf/routing/RoutingTables.h
@@ -40,6 +40,8 @@
     std::chrono::milliseconds timeLimit { 10'000 };
     // Time to the first byte (streams: to the first event) that the operator aims at.
     std::chrono::milliseconds goal { 1'000 };
+    // Longest pause between two events of a stream that the operator aims at; 0 if there is none.
+    std::chrono::milliseconds longestPause { 0 };
     // Most runners on which one request may run.
     unsigned attempts = 1;
     // 0 is the most urgent.
--- a/tests/unit/placement/EnginePlacementTest.cpp
+++ b/tests/unit/placement/EnginePlacementTest.cpp
@@ -19,6 +19,9 @@
     CPPUNIT_TEST(returningPromptLeavesAnOverloadedHolderAndFetchesItsParts);
     CPPUNIT_TEST(runnerThatAnotherHostHasJustGivenAPromptIsAvoidedUntilItIsRead);
     CPPUNIT_TEST(promptsOfOtherHostsDelayOnlyLessUrgentOnes);
+    CPPUNIT_TEST(longPromptGoesWhereItMakesNoStreamsPause);
+    CPPUNIT_TEST(longPromptThatCannotAvoidPausesGoesWhereStreamsPauseAlready);
+    CPPUNIT_TEST(shortStreamKeepsAwayFromAPauseThatIsComing);
     CPPUNIT_TEST(requestsOfOtherHostsCountUntilTheirNextFigures);
     CPPUNIT_TEST(partOfAStoreIsFetchedFromThereAndNotSavedAgain);
     CPPUNIT_TEST(partThatNoStoreHasIsSavedOnce);
@@ -118,6 +121,51 @@
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, queue.allReadMs(start + milliseconds(200)), 0.001);
     }
 
+    // Guards against streams of several events that wait for one chunk of a prompt per token.
+    void longPromptGoesWhereItMakesNoStreamsPause()
+    {
+        m_context.longestPause = milliseconds(400);
+        m_prompt.promptTokens = 16'000;
+        m_prompt.parts = { { 1, 16'000 } };
+        runStreams(*m_runners[0], 20);
+        m_runners[0]->addPeerPrompt(1, { 5, milliseconds(150), milliseconds(0), 0 }, start);
+        runStreams(*m_runners[1], 2);
+        m_runners[1]->addPeerPrompt(1, { 5, milliseconds(200), milliseconds(0), 0 }, start);
+        runStreams(*m_runners[2], 20);
+        m_runners[2]->addPeerPrompt(1, { 5, milliseconds(150), milliseconds(0), 0 }, start);
+        const auto placement = choose();
+        CPPUNIT_ASSERT(placement && placement->runner == m_runners[1]);
+    }
+
+    void longPromptThatCannotAvoidPausesGoesWhereStreamsPauseAlready()
+    {
+        m_context.longestPause = milliseconds(400);
+        m_prompt.promptTokens = 40'000;
+        m_prompt.parts = { { 1, 40'000 } };
+        runStreams(*m_runners[0], 20);
+        runStreams(*m_runners[1], 20);
+        m_runners[1]->addPeerPrompt(1, { 5, milliseconds(380), milliseconds(0), 0 }, start);
+        runStreams(*m_runners[2], 20);
+        m_context.goal = milliseconds(3'000);
+        m_rank = 3;
+        const auto urgent = choose();
+        CPPUNIT_ASSERT(urgent && urgent->runner == m_runners[1]);
+    }
+
+    void shortStreamKeepsAwayFromAPauseThatIsComing()
+    {
+        m_context.longestPause = milliseconds(400);
+        m_prompt.promptTokens = 800;
+        m_prompt.parts = { { 1, 800 } };
+        for (int i = 0; i < 2; ++i) {
+            m_runners[static_cast<std::size_t>(i)]->addPeerPrompt(1, { 5, milliseconds(500), milliseconds(0), 0 }, start);
+        }
+        m_rank = 1;
+        m_runners[2]->addPeerPrompt(1, { 1, milliseconds(60), milliseconds(0), 0 }, start);
+        const auto placement = choose();
+        CPPUNIT_ASSERT(placement && placement->runner == m_runners[2]);
+    }
+
     void requestsOfOtherHostsCountUntilTheirNextFigures()
     {
         m_runners[0]->addPeerPrompt(1, { 3, milliseconds(10), milliseconds(0), 700 }, start);
@@ -344,6 +392,13 @@
         return out;
     }
 
+    static void runStreams(BackendState& runner, int n)
+    {
+        OutstandingWork work;
+        work.requests = n;
+        runner.begin(work);
+    }
+
     void store(const std::string& scope, std::uint64_t part, std::int64_t tokens)
     {
         m_store->apply({ { true, { scope, std::to_string(part) }, part, tokens } }, 1);
