Tell all hosts at once of prompts that take long to read

Cause: hosts of other data centres learned of a long prompt up to 616 ms later, which is longer than it takes to read, and load notices went on telling of it after its end. Now prompts of 60 ms and more are told to all hosts at once, others within the data centre, and load notices tell of requests and memory only. The random cost of far runners falls from 40 ms to 10 ms, since their queue is known.

Test: HostExchangeTest::longPromptIsToldAtOnceToAllOfALargeFleet failed with close hosts as its only receivers.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -44,7 +44,7 @@
     // Random cost of runners in ms for each host that chooses with the same figures, and its bound: about what a host places
     // on a runner between two notices.
     constexpr double spreadMsPerHost = 0.6;
-    constexpr double mostSpreadMs = 40;
+    constexpr double mostSpreadMs = 10;
     // The same where hosts tell each other of each prompt at once: what is placed while such a notice is on its way.
     constexpr double mostNearSpreadMs = 5;
     // Answers of other requests that may stand before the one that is waited for.
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -23,10 +23,11 @@
     // Fleets up to this size tell every host of each prompt at once; in larger ones only hosts of the same data centre, which mostly
     // choose among the same runners.
     constexpr std::size_t smallFleet = 16;
-    // Placement notices that a host should receive in a second at most: some 15 us of processor time each.
+    // Placement notices that a host sends in a second at most, one for each receiver: some 10 us of processor time each.
     constexpr double placementNoticesPerSecond = 1'000;
-    // Prompts that take this long to read, half a chunk, may use the whole budget, others its second half.
-    constexpr std::chrono::milliseconds longRead { 24 };
+    // Prompts that take this long to read, more than a chunk, are told to all hosts and may use the whole budget; others only its
+    // second half.
+    constexpr std::chrono::milliseconds longRead { 60 };
     // Longest times that placement notices tell; a prompt that takes longer keeps its runner busy for any other's goal.
     constexpr std::chrono::milliseconds longestTold { 10'000 };
     // Entries per datagram, so that it fits into a frame.
@@ -118,29 +119,24 @@
     return m_hosts.size() < smallFleet;
 }
 
-bool HostExchange::isClose(std::uint64_t host) const
-{
-    return areAllHostsClose() || m_nearHosts.contains(host);
-}
-
 void HostExchange::updateCloseHosts()
 {
     m_closeHosts.clear();
     for (const auto& [name, address] : m_hosts) {
-        if (isClose(hash64(name)))
+        if (areAllHostsClose() || m_nearHosts.contains(hash64(name)))
             m_closeHosts.emplace(name, address);
     }
 }
 
-bool HostExchange::takeNotice(std::chrono::milliseconds read)
+bool HostExchange::takeNotices(std::size_t receivers, bool isLong)
 {
     const auto now = std::chrono::steady_clock::now();
-    const auto perSecond = placementNoticesPerSecond / static_cast<double>(std::max<std::size_t>(m_closeHosts.size(), 1));
-    m_noticeBudget = std::min(m_noticeBudget + perSecond * toMilliseconds(now - m_noticeBudgetAt) / 1'000, perSecond);
+    m_noticeBudget = std::min(m_noticeBudget + placementNoticesPerSecond * toMilliseconds(now - m_noticeBudgetAt) / 1'000, placementNoticesPerSecond);
     m_noticeBudgetAt = now;
-    if (m_noticeBudget < 1 || (read < longRead && m_noticeBudget < perSecond / 2))
+    const auto needed = static_cast<double>(receivers);
+    if (m_noticeBudget < needed || (!isLong && m_noticeBudget < placementNoticesPerSecond / 2))
         return false;
-    m_noticeBudget -= 1;
+    m_noticeBudget -= needed;
     return true;
 }
 
@@ -151,15 +147,17 @@
     // The last part is the request's own and never comes again on another host.
     for (std::size_t i = 0; i + 1 < parts.size(); ++i)
         placed.push_back({ runner, scope, parts[i].id, static_cast<std::uint32_t>(parts[i].tokens) });
-    const bool isTold = !m_closeHosts.empty() && takeNotice(placement.read);
+    const bool isLong = placement.read >= longRead;
+    const auto& receivers = isLong ? m_hosts : m_closeHosts;
+    const bool isTold = takeNotices(receivers.size(), isLong);
     if (isTold) {
         PlacementNotice notice { m_hostHash, runner, static_cast<std::uint8_t>(rank), 0, 0, 0, placed };
         notice.readMs = static_cast<std::uint16_t>(std::clamp<std::int64_t>(placement.read.count(), 0, longestTold.count()));
         notice.fetchMs = static_cast<std::uint16_t>(std::clamp<std::int64_t>(placement.predictedFetch.count(), 0, longestTold.count()));
         notice.memoryTokens = static_cast<std::uint32_t>(placement.work.memoryTokens);
-        m_datagrams.sendToAll(m_closeHosts, notice);
+        m_datagrams.sendToAll(receivers, notice);
     }
-    if (isTold && areAllHostsClose())
+    if (isTold && receivers.size() == m_hosts.size())
         return;
     const auto room = mostWaitingParts - std::min(m_parts.size(), mostWaitingParts);
     m_parts.insert(m_parts.end(), placed.begin(), placed.begin() + static_cast<std::ptrdiff_t>(std::min(placed.size(), room)));
@@ -168,8 +166,6 @@
 void HostExchange::onPlacement(const PlacementNotice& notice)
 {
     onParts(notice.parts);
-    if (!isClose(notice.host))
-        return;
     const auto runner = m_state.board().findByHash(notice.runner);
     if (!runner)
         return;
@@ -213,18 +209,11 @@
     const auto now = std::chrono::steady_clock::now();
     if (notice.dataCentre == hash64(m_settings.dataCentre) && m_nearHosts.insert(notice.host).second)
         updateCloseHosts();
-    const bool isToldAtOnce = isClose(notice.host);
     std::map<std::uint32_t, OutstandingWork> loads;
     for (const auto& entry : notice.loads) {
         auto& work = loads[entry.runner];
         work.requests = entry.requests;
         work.memoryTokens = entry.memoryTokens;
-        // Placement notices have told of these before.
-        if (isToldAtOnce)
-            continue;
-        work.fetchTokens = entry.fetchTokens;
-        for (std::size_t i = 0; i < std::min(entry.prefillTokens.size(), rankClassCount); ++i)
-            work.prefillTokens[i] = entry.prefillTokens[i];
     }
     for (const auto& [id, runner] : m_state.board().all()) {
         const auto number = shortHash(runner->record());
@@ -317,12 +306,8 @@
         const auto& own = runner->own();
         if (own.requests <= 0)
             continue;
-        RunnerLoadEntry entry { shortHash(runner->record()), static_cast<std::uint16_t>(own.requests), {}, 0, 0 };
-        for (const auto tokens : own.prefillTokens)
-            entry.prefillTokens.push_back(static_cast<std::uint32_t>(std::max<std::int64_t>(tokens, 0)));
-        entry.fetchTokens = static_cast<std::uint32_t>(std::max<std::int64_t>(own.fetchTokens, 0));
-        entry.memoryTokens = static_cast<std::uint32_t>(std::max<std::int64_t>(own.memoryTokens, 0));
-        out.push_back(std::move(entry));
+        const auto memoryTokens = std::max<std::int64_t>(own.memoryTokens, 0);
+        out.push_back({ shortHash(runner->record()), static_cast<std::uint16_t>(own.requests), static_cast<std::uint32_t>(memoryTokens) });
     }
     std::sort(out.begin(), out.end(), [](const auto& a, const auto& b) { return a.runner < b.runner; });
     return out;
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -35,7 +35,8 @@
     // Hosts including this one.
     std::size_t hostCount() const { return m_hosts.size() + 1; }
 
-    // Tells close hosts at once that a prompt was sent as placed, and the others of its parts with the next notice.
+    // Tells close hosts, or all if it takes long to read, at once that a prompt was sent as placed. Others hear of its parts with
+    // the next notice.
     void notePlacement(const Placement&, unsigned rank, const std::vector<PromptPart>&, std::uint64_t scope);
 
     // Whether all hosts are told of each prompt at once.
@@ -71,11 +72,9 @@
     void onParts(const std::vector<PlacedPart>&);
     void onRollout(const RolloutNotice&);
     void onPlacement(const PlacementNotice&);
-    // Whether a host tells this one, and is told, of each prompt at once.
-    bool isClose(std::uint64_t host) const;
     void updateCloseHosts();
-    // Takes a notice from the budget for them; prompts that take long to read are told sooner than others.
-    bool takeNotice(std::chrono::milliseconds read);
+    // Takes notices to so many hosts from the budget, of which prompts that take long to read may use more.
+    bool takeNotices(std::size_t receivers, bool isLong);
     std::chrono::milliseconds noticeInterval() const;
 
     template <typename Message>
@@ -95,10 +94,10 @@
     TablesHandler m_tablesHandler;
     std::function<void(const CacheNotice&)> m_cacheHandler;
     std::map<std::string, Address> m_hosts;
-    // The hosts in this data centre, by the hash of their names, as far as they have told; and those that are told at once.
+    // The hosts in this data centre, by the hash of their names, as far as they have told; and those that are told of each prompt.
     std::set<std::uint64_t> m_nearHosts;
     std::map<std::string, Address> m_closeHosts;
-    // Placement notices that may be sent now.
+    // Placement notices that may be sent now, one for each receiver.
     double m_noticeBudget = 0;
     TimePoint m_noticeBudgetAt {};
     std::vector<PlacedPart> m_parts;
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -13,18 +13,17 @@
 
 namespace chiveshelf {
 
-// A host's outstanding work at one runner. Runners are named by the low half of runnerHash().
+// A host's requests at one runner. Runners are named by the low half of runnerHash(). What has still to be read or fetched is not
+// told here: it is over before the next notice.
 struct RunnerLoadEntry {
     std::uint32_t runner = 0;
     std::uint16_t requests = 0;
-    std::vector<std::uint32_t> prefillTokens;
-    std::uint32_t fetchTokens = 0;
     std::uint32_t memoryTokens = 0;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(runner, requests, prefillTokens, fetchTokens, memoryTokens);
+        archive(runner, requests, memoryTokens);
     }
 };
 
@@ -55,7 +54,7 @@
     }
 };
 
-// A prompt that a host has just sent to a runner, told at once to the hosts that choose among the same runners.
+// A prompt that a host has just sent to a runner, told at once to the hosts that choose among the same runners, and to all if it takes long.
 struct PlacementNotice {
     static constexpr peer::DatagramType datagramType = peer::DatagramType::PlacementNotice;
 
