Learn the speed of reading beside running streams

A runner counted as free while it still read. Now every prompt that waits and fetches nothing teaches it; a sample far below the known speed tells of parts that the runner no longer had and is left out.

Tests: EnginePlacementTest::speedIsLearnedBesideRunningStreams failed with the old condition, missingPartsAreNotTakenForASlowRunner without the bound.

--- a/packages/placement/chiveshelf/placement/BackendState.cpp
+++ b/packages/placement/chiveshelf/placement/BackendState.cpp
@@ -9,6 +9,8 @@
     // Slowest and fastest engines that a sample can tell of; others are measurements gone wrong.
     constexpr double slowestTokensPerMs = 5;
     constexpr double fastestTokensPerMs = 1'000;
+    // A sample below this share of the known speed tells of parts that the runner no longer had.
+    constexpr double leastSampleShare = 0.4;
 
 }
 
@@ -92,7 +94,7 @@
 
 void BackendState::learnSpeed(double tokensPerMs)
 {
-    if (tokensPerMs < slowestTokensPerMs || tokensPerMs > fastestTokensPerMs)
+    if (tokensPerMs < slowestTokensPerMs || tokensPerMs > fastestTokensPerMs || tokensPerMs < m_tokensPerMs * leastSampleShare)
         return;
     m_tokensPerMs = m_tokensPerMs == 0 ? tokensPerMs : m_tokensPerMs * (1 - speedWeight) + tokensPerMs * speedWeight;
 }
--- a/packages/placement/chiveshelf/placement/BackendState.h
+++ b/packages/placement/chiveshelf/placement/BackendState.h
@@ -70,7 +70,8 @@
     void setLoading(std::string model, std::uint64_t version, TimePoint end) { m_load = { std::move(model), version, end }; }
     bool isLoading(TimePoint now) const { return now < m_load.end && version(m_load.model).value_or(0) < m_load.version; }
 
-    // Learns the speed from a prompt of which nothing was cached and before which nothing waited.
+    // Learns the speed from a prompt before which nothing waited. It is the speed beside the streams that run, for which the engine
+    // takes time too.
     void learnSpeed(double tokensPerMs);
 
     // Prompt tokens read per ms; `fallback` until it was learned.
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -27,6 +27,8 @@
     constexpr double otherDataCentreMs = 12;
     // How much a token to be read counts against the first token's time, so that work for the whole pool is saved.
     constexpr double readWeight = 1;
+    // Wait in ms up to which the time to the first token is taken as the time to read.
+    constexpr double mostSampleWaitMs = 5;
     // Shorter prompts tell more of the fixed time than of the speed.
     constexpr std::int64_t fewestSampleTokens = 1'500;
     // Preference of one runner for parts that no host remembers, as a share of the time to read them, and its bound in ms.
@@ -243,7 +245,7 @@
     out.firstMs = out.fetchTokens > 0 ? fetchingMs : readingMs;
     // Fetching that takes longer than what the goal leaves is given up.
     out.fetchTimeMs = std::max(goalMs * fetchGoalShare - readAllMs, out.fetchMs * fetchPatience);
-    out.isIdle = aheadTokens + lessUrgentTokens == 0 && allPeersMs == 0 && requests < slots / 4 && out.uncachedTokens >= prompt.promptTokens;
+    out.isReadAtOnce = out.waitMs <= mostSampleWaitMs && out.fetchTokens == 0;
     return out;
 }
 
@@ -320,7 +322,7 @@
     out.predicted = roundedMs(firstMs);
     out.wait = roundedMs(bestPrediction.waitMs);
     out.read = roundedMs(bestPrediction.readMs);
-    out.isSpeedSample = bestPrediction.isIdle;
+    out.isSpeedSample = bestPrediction.isReadAtOnce;
     out.work.requests = 1;
     out.work.prefillTokens[rankClass(request.rank)] = bestPrediction.uncachedTokens;
     out.work.fetchTokens = bestPrediction.fetchTokens;
--- a/packages/placement/chiveshelf/placement/EnginePlacement.h
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.h
@@ -51,7 +51,7 @@
     // Records that a request was sent as placed, so that later prompts find its parts.
     static void recordSend(const EngineRequest&, const Placement&, const CacheStores&, TimePoint now);
 
-    // Learns from the measured first token: the runner's speed where nothing else took time, and that of transfers.
+    // Learns from the measured first token: the runner's speed where nothing was waited for or fetched, and that of transfers.
     static void learn(const Placement&, const CacheStores&, std::chrono::milliseconds firstToken, TimePoint now);
 
 private:
@@ -69,7 +69,8 @@
         double busyMs = 0;
         double lessUrgentMs = 0;
         std::int32_t requests = 0;
-        bool isIdle = false;
+        // Whether the time to the first token tells the speed.
+        bool isReadAtOnce = false;
         // Whether parts that could be fetched are read.
         bool isReadingInstead = false;
     };
--- a/packages/placement/chiveshelf/placement/Placement.h
+++ b/packages/placement/chiveshelf/placement/Placement.h
@@ -60,7 +60,7 @@
     // Part of the prediction that is fetching, for learning.
     std::chrono::milliseconds predictedFetch { 0 };
     double nominalFetchMs = 0;
-    // Whether a measured first token tells the runner's speed: nothing cached, nothing waiting.
+    // Whether a measured first token tells the runner's speed: nothing to fetch, nothing waiting.
     bool isSpeedSample = false;
 };
 
--- a/tests/unit/placement/EnginePlacementTest.cpp
+++ b/tests/unit/placement/EnginePlacementTest.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST(longPromptThatCannotAvoidPausesGoesWhereStreamsPauseAlready);
     CPPUNIT_TEST(shortStreamKeepsAwayFromAPauseThatIsComing);
     CPPUNIT_TEST(requestsOfOtherHostsCountUntilTheirNextFigures);
+    CPPUNIT_TEST(speedIsLearnedBesideRunningStreams);
+    CPPUNIT_TEST(missingPartsAreNotTakenForASlowRunner);
     CPPUNIT_TEST(partOfAStoreIsFetchedFromThereAndNotSavedAgain);
     CPPUNIT_TEST(partThatNoStoreHasIsSavedOnce);
     CPPUNIT_TEST(storeThatHasNotAnsweredLatelyIsNotFetchedFrom);
@@ -178,6 +180,25 @@
         CPPUNIT_ASSERT_EQUAL(1, m_runners[0]->total(start + milliseconds(600)).requests);
     }
 
+    // Guards against queues that are believed to be empty while a runner beside its streams still reads them.
+    void speedIsLearnedBesideRunningStreams()
+    {
+        runStreams(*m_runners[0], 30);
+        runStreams(*m_runners[1], 31);
+        runStreams(*m_runners[2], 31);
+        const auto placement = choose();
+        CPPUNIT_ASSERT(placement && placement->work.prefillTokens[5] == 10'000);
+        EnginePlacement::learn(*placement, m_stores, milliseconds(225), start);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(50.0, placement->runner->tokensPerMs(0), 0.01);
+    }
+
+    void missingPartsAreNotTakenForASlowRunner()
+    {
+        m_runners[0]->learnSpeed(80);
+        m_runners[0]->learnSpeed(20);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(80.0, m_runners[0]->tokensPerMs(0), 0.01);
+    }
+
     void partOfAStoreIsFetchedFromThereAndNotSavedAgain()
     {
         store("v1/m/", 1, 500);
