Confirm loads of weights by a second order, and go on at once

Each step took 0.5 s to 0.6 s for a load of 0.2 s to 0.3 s: reports are some 200 ms old, the registry tells with the heartbeat, and the next step waited for a look around each 100 ms. Ruled out: versions dated wrongly (0 ms on all hosts but the frozen one).

Now a runner that accepted an order is asked by the same order, which changes nothing and is answered as of now, from the time on that the last load took; and the next load begins as soon as one has ended.

Test: GatewayTest::rolloutDoesNotWaitForReportsThatAreOld failed with the confirmation left out.

--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
@@ -29,7 +29,9 @@
     // Time between the notice to the other hosts, which then send the runner nothing more, and its order: short requests end.
     constexpr std::chrono::milliseconds noticeTime { 60 };
     // How often a runner that loads weights is asked, and for how long before it counts as stuck.
-    constexpr std::chrono::milliseconds reportInterval { 50 };
+    constexpr std::chrono::milliseconds askInterval { 50 };
+    // Reports are some 100 ms old, a second order is answered as of now. It has a price, so that only so many are sent for a load.
+    constexpr int mostConfirmations = 6;
     constexpr std::chrono::milliseconds loadLimit { 3'500 };
     // An order without an answer is given again if the runner shows no sign of it for this long.
     constexpr std::chrono::milliseconds repeatAfter { 700 };
@@ -121,6 +123,8 @@
     else
         m_schedules[{ model, runner->record().pool }].onFailed(id);
     logEvent(LogLevel::Info, "rollout_step", { { "runner", id }, { "model", model }, { "version", version }, { "done", isDone ? "yes" : "no" } });
+    if (isDone && isLeading())
+        startUpdates();
 }
 
 asio::awaitable<bool> RolloutLeader::order(std::shared_ptr<BackendState> runner, std::string model, std::uint64_t version)
@@ -155,6 +159,8 @@
             co_return true;
         if (outcome == platform::OrderOutcome::Refused)
             co_return false;
+        if (outcome == platform::OrderOutcome::Accepted && co_await confirm(record, command))
+            co_return true;
         if (co_await awaitVersion(runner, model, version, report->orderCount + (outcome == platform::OrderOutcome::Accepted ? 0 : 1)))
             co_return true;
         if (outcome == platform::OrderOutcome::Accepted)
@@ -163,6 +169,24 @@
     co_return false;
 }
 
+// Asks a runner that has accepted an order by the same order, which changes nothing, from the time on that loads took so far.
+asio::awaitable<bool> RolloutLeader::confirm(RunnerRecord runner, platform::VersionOrder command)
+{
+    ++command.expectedOrderCount;
+    const auto start = std::chrono::steady_clock::now();
+    co_await sleep(m_loadTime);
+    for (int i = 0; i < mostConfirmations && isLeading(); ++i) {
+        const auto outcome = co_await platform::orderVersion(m_client, runner, command);
+        if (outcome == platform::OrderOutcome::AlreadyInPlace) {
+            const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start);
+            m_loadTime = std::clamp(elapsed - askInterval / 2, askInterval, m_settings.orderGap);
+            co_return true;
+        }
+        co_await sleep(askInterval);
+    }
+    co_return false;
+}
+
 // Waits until the runner has the version. Ends early if it has taken fewer than `orderCount` orders and is not busy, so that the
 // order in question has not arrived.
 asio::awaitable<bool> RolloutLeader::awaitVersion(std::shared_ptr<BackendState> runner, std::string model, std::uint64_t version,
@@ -171,7 +195,7 @@
     const auto address = runner->record().address;
     const auto start = std::chrono::steady_clock::now();
     while (std::chrono::steady_clock::now() - start < loadLimit && !m_isStopped) {
-        co_await sleep(reportInterval);
+        co_await sleep(askInterval);
         const auto report = co_await platform::readWeightReport(m_client, address);
         if (!report)
             continue;
--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.h
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.h
@@ -4,6 +4,7 @@
 #include "chiveshelf/gateway/StoreLease.h"
 #include "chiveshelf/http/Client.h"
 #include "chiveshelf/placement/RolloutSchedule.h"
+#include "platform/RunnerOrders.h"
 
 namespace chiveshelf {
 
@@ -25,6 +26,7 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> update(std::shared_ptr<BackendState>, std::string model, std::uint64_t version);
     boost::asio::awaitable<bool> order(std::shared_ptr<BackendState>, std::string model, std::uint64_t version);
+    boost::asio::awaitable<bool> confirm(RunnerRecord, platform::VersionOrder);
     boost::asio::awaitable<bool> awaitVersion(std::shared_ptr<BackendState>, std::string model, std::uint64_t version, std::uint64_t orderCount);
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds);
     void startUpdates();
@@ -39,6 +41,8 @@
     StoreLease m_lease;
     // By model and pool.
     std::map<std::pair<std::string, std::string>, RolloutSchedule> m_schedules;
+    // About how long the last load took that was confirmed; at first, a short one.
+    std::chrono::milliseconds m_loadTime { 150 };
     bool m_isStopped = false;
 };
 
--- a/tests/unit/gateway/GatewayTest.cpp
+++ b/tests/unit/gateway/GatewayTest.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
 
 namespace {
 
@@ -57,6 +58,7 @@
     CPPUNIT_TEST(olderTablesFromTheStoreDoNotReplaceNewerOnes);
     CPPUNIT_TEST(removedRunnerGetsNoMoreRequests);
     CPPUNIT_TEST(stoppingHostEndsWhatIsInProgress);
+    CPPUNIT_TEST(rolloutDoesNotWaitForReportsThatAreOld);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -283,20 +285,80 @@
         CPPUNIT_ASSERT(m_context->stopped());
     }
 
+    // Guards against a rollout that takes as long as its runners' reports are old, at each step.
+    void rolloutDoesNotWaitForReportsThatAreOld()
+    {
+        constexpr milliseconds loadTime { 150 };
+        constexpr milliseconds reportAge { 300 };
+        // The time between the notice to other hosts and the order, and between two questions.
+        constexpr milliseconds noticeTime { 60 };
+        constexpr milliseconds askInterval { 50 };
+        std::vector<std::shared_ptr<Weights>> weights;
+        for (int i = 0; i < 4; ++i) {
+            weights.push_back(std::make_shared<Weights>(Weights { loadTime, reportAge }));
+            addRunner([own = weights.back()](const auto& request) { return own->handle(request); }, R"(,"models":[{"name":"m","version":1,"adapters":[]}])");
+        }
+        startGateway(milliseconds(200));
+        runFor(milliseconds(500));
+        m_store->put("op/version/m", R"({"model":"m","version":2})");
+        const auto start = std::chrono::steady_clock::now();
+        runUntil([&] { return std::all_of(weights.begin(), weights.end(), [](const auto& it) { return it->isLoaded(); }); });
+        const auto elapsed = std::chrono::steady_clock::now() - start;
+        for (const auto& it : weights)
+            CPPUNIT_ASSERT(it->isLoaded());
+        // Two runners at once, so one wait for the end of a load: two questions at most, not the age of a report.
+        CPPUNIT_ASSERT(elapsed < 2 * (loadTime + noticeTime) + 2 * askInterval + milliseconds(100));
+        CPPUNIT_ASSERT(elapsed < 2 * (loadTime + noticeTime) + reportAge);
+    }
+
 private:
-    void addRunner(standin::Runner::Handler handler)
+    // A runner's weights: an order takes some time, reports tell of the past, and the answer to an order of the present.
+    struct Weights {
+        milliseconds loadTime;
+        milliseconds reportAge;
+        std::optional<std::chrono::steady_clock::time_point> orderedAt {};
+
+        bool hasBeenLoadedFor(milliseconds time) const
+        {
+            return orderedAt && std::chrono::steady_clock::now() - *orderedAt >= loadTime + time;
+        }
+        bool isLoaded() const { return hasBeenLoadedFor(milliseconds(0)); }
+
+        Script handle(const http::Request& request)
+        {
+            if (request.target() == "/report") {
+                const bool isKnown = hasBeenLoadedFor(reportAge);
+                return answer(200, nlohmann::json { { "busy", orderedAt && !isKnown }, { "sequence", orderedAt ? 1 : 0 }, { "models", { { { "name", "m" }, { "version", isKnown ? 2 : 1 } } } } }.dump());
+            }
+            const bool isExpected = nlohmann::json::parse(request.body()).at("expected") == (orderedAt ? 1 : 0);
+            if (isLoaded() && isExpected)
+                return answer(200, "{}");
+            if (orderedAt || !isExpected)
+                return answer(409, "{}");
+            orderedAt = std::chrono::steady_clock::now();
+            return answer(202, "{}");
+        }
+
+        static Script answer(int status, const std::string& body)
+        {
+            return { "HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body, Script::End::Keep };
+        }
+    };
+
+    void addRunner(standin::Runner::Handler handler, const std::string& moreFields = {})
     {
         const auto i = m_runners.size();
         const Address address { m_network + ".2", static_cast<std::uint16_t>(8'000 + i) };
         m_runners.push_back(std::make_unique<standin::Runner>(*m_context, std::move(handler)));
         CPPUNIT_ASSERT(m_runners.back()->start(address));
         m_store->put("servers/r" + std::to_string(i),
-            R"({"service":"desk","zone":"z","version":"v1","capacity":6,"state":"ready","coldLeftMs":0,"sequence":1,"address":")" + toString(address) + "\"}");
+            R"({"service":"desk","zone":"z","version":"v1","capacity":6,"state":"ready","coldLeftMs":0,"sequence":1,"address":")" + toString(address) + "\"" + moreFields + "}");
     }
 
-    void startGateway()
+    void startGateway(milliseconds orderGap = seconds(3))
     {
         GatewaySettings settings;
+        settings.orderGap = orderGap;
         settings.hostName = "host";
         settings.dataCentre = "z";
         settings.callerAddress = { m_network + ".1", 7'001 };
