--- a/tests/Tests.cmake
+++ b/tests/Tests.cmake
@@ -43,3 +43,5 @@
 target_link_libraries(integration_HostFailureTest PRIVATE chiveshelf_membership)
 target_link_libraries(integration_RolloutTest PRIVATE chiveshelf_membership)
 target_link_libraries(integration_ShutdownTest PRIVATE chiveshelf_membership)
+
+add_test(NAME lint_batches COMMAND python3 ${CMAKE_SOURCE_DIR}/tests/lint/lint_batches_test.py)
