Save a part to the same store from all hosts of a data centre

Cause suspected: hosts chose the store with the most room as they knew it, so that two of them that read the same part gave two stores a copy of it. Now the store follows from the part, one in the runner's data centre if any has room. And the stores that hold a prompt's parts are looked up once for a prompt and version instead of for each of 60 to 112 runners.

Test: EnginePlacementTest::hostsThatSaveAPartAtOnceChooseTheSameStore failed with the old criterion.

--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -45,8 +45,6 @@
     constexpr double farFetchFactor = 2;
     constexpr double bitsPerByte = 8;
     constexpr double bitsPerMsAndMbps = 1'000;
-    // A store in another data centre counts as having this share of its room.
-    constexpr double farStoreShare = 0.3;
     // Share of the engine's memory that requests may fill before new ones wait; the rest is for tokens still to come.
     constexpr double memoryShare = 0.95;
     // Time in which a request frees its memory, in ms, for the prediction of waits.
@@ -131,11 +129,8 @@
         if (!version || i >= byPart.size())
             return std::nullopt;
         std::optional<Source> best;
-        const auto cacheScopeOfReader = cacheScope(request, *version);
-        for (const auto& store : stores) {
-            if (store->isConfirmed(context.bootNow) && store->contains(cacheScopeOfReader, request.prompt->parts[i].id))
-                consider(best, Source { store->store().address, store->store().dataCentre == reader.record().dataCentre, true, store->speed().slowness(context.now) });
-        }
+        for (const auto* store : storesOf(*version)[i])
+            consider(best, Source { store->store().address, store->store().dataCentre == reader.record().dataCentre, true, store->speed().slowness(context.now) });
         if (best)
             return best;
         for (const auto* holder : byPart[i]) {
@@ -145,6 +140,24 @@
         return best;
     }
 
+    // Returns the stores that hold each part as made under this version, looked up once for all runners that have it.
+    const std::vector<std::vector<const CacheContents*>>& storesOf(std::uint64_t version) const
+    {
+        const auto [it, isNew] = storesByVersion.try_emplace(version, byPart.size());
+        if (!isNew)
+            return it->second;
+        const auto scopeOfVersion = cacheScope(request, version);
+        for (const auto& store : stores) {
+            if (!store->isConfirmed(context.bootNow))
+                continue;
+            for (std::size_t i = 0; i < byPart.size(); ++i) {
+                if (store->contains(scopeOfVersion, request.prompt->parts[i].id))
+                    it->second[i].push_back(store.get());
+            }
+        }
+        return it->second;
+    }
+
     static void consider(std::optional<Source>& best, Source source)
     {
         if (!best || (source.isNear && !best->isNear))
@@ -156,6 +169,7 @@
     const CacheStores& stores;
     std::uint64_t scope;
     std::vector<std::vector<const BackendState*>> byPart;
+    mutable std::map<std::uint64_t, std::vector<std::vector<const CacheContents*>>> storesByVersion;
 };
 
 CacheScope cacheScope(const EngineRequest& request, std::uint64_t version)
@@ -369,18 +383,19 @@
     const PlacementContext& context)
 {
     const CacheContents* best = nullptr;
-    double bestRoom = 0;
+    bool isBestNear = false;
+    std::uint64_t bestScore = 0;
     for (const auto& store : stores) {
         if (store->contains(scope, part.id) || store->isSaving(scope, part.id, context.now))
             return nullptr;
         if (!store->isConfirmed(context.bootNow) || !store->maySave(scope, part.id, part.tokens, context.now))
             continue;
-        auto room = static_cast<double>(store->store().memoryTokens - store->usedTokens(context.now));
-        if (store->store().dataCentre != dataCentre)
-            room *= farStoreShare;
-        if (!best || room > bestRoom) {
+        const bool isNear = store->store().dataCentre == dataCentre;
+        const auto score = hash64(store->store().address.ip, part.id + store->store().address.port);
+        if (!best || (isNear && !isBestNear) || (isNear == isBestNear && score > bestScore)) {
             best = store.get();
-            bestRoom = room;
+            isBestNear = isNear;
+            bestScore = score;
         }
     }
     return best;
--- a/packages/placement/chiveshelf/placement/EnginePlacement.h
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.h
@@ -84,6 +84,8 @@
     // Returns what the pauses cost that the prompt would make other streams take, and that it would take itself.
     static double pauseCost(const Prediction&, std::chrono::milliseconds longestPause);
     void planTransfers(const EngineRequest&, const PlacementContext&, const PartHolders&, const CacheStores&, Placement&) const;
+    // Returns where a part is saved, or nullptr if some store has it or none has room. Hosts that save the same part at once choose
+    // the same store, one in the runner's data centre if any has room.
     static const CacheContents* chooseStore(const CacheStores&, const CacheScope&, const PromptPart&, const std::string& dataCentre,
         const PlacementContext&);
     bool isCandidate(const EngineRequest&, const PlacementContext&, const BackendState&) const;
--- a/tests/unit/placement/EnginePlacementTest.cpp
+++ b/tests/unit/placement/EnginePlacementTest.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(missingPartsAreNotTakenForASlowRunner);
     CPPUNIT_TEST(partOfAStoreIsFetchedFromThereAndNotSavedAgain);
     CPPUNIT_TEST(partThatNoStoreHasIsSavedOnce);
+    CPPUNIT_TEST(hostsThatSaveAPartAtOnceChooseTheSameStore);
+    CPPUNIT_TEST(partGoesToAnotherDataCentreOnlyWhereNoNearStoreHasRoom);
     CPPUNIT_TEST(storeThatHasNotAnsweredLatelyIsNotFetchedFrom);
     CPPUNIT_TEST(storeThatHasJustRestartedIsNotSavedTo);
     CPPUNIT_TEST(slowStoreInTimeCriticalRequestIsReplacedByReading);
@@ -218,6 +220,38 @@
         CPPUNIT_ASSERT(second && !second->saveTo.at(1));
     }
 
+    // Guards against copies of a part that fill the stores, since hosts hear of each other's saves late.
+    void hostsThatSaveAPartAtOnceChooseTheSameStore()
+    {
+        addStore("10.0.1.2", "east");
+        std::set<std::optional<Address>> chosen;
+        for (std::uint64_t part = 1; part < 9; ++part) {
+            m_prompt.parts[0].id = part;
+            const auto first = choose();
+            CPPUNIT_ASSERT(first && first->saveTo.at(0));
+            chosen.insert(first->saveTo.at(0));
+            // Another host knows of other saves, so that one store or the other looks emptier.
+            for (const auto& store : m_stores) {
+                CacheScope scope { "m", 1, "" };
+                store->noteSave(scope, 1'000 + part, 30'000, m_context.now);
+                const auto second = choose();
+                CPPUNIT_ASSERT(second && second->saveTo.at(0) == first->saveTo.at(0));
+                m_context.now += CacheContents::saveTime;
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), chosen.size());
+    }
+
+    void partGoesToAnotherDataCentreOnlyWhereNoNearStoreHasRoom()
+    {
+        addStore("10.0.2.1", "west");
+        const auto near = choose();
+        CPPUNIT_ASSERT(near && near->saveTo.at(1) == m_store->store().address);
+        m_store->noteSave({ "m", 1, "" }, 77, 190'000, m_context.now);
+        const auto far = choose();
+        CPPUNIT_ASSERT(far && far->saveTo.at(1) == m_stores[1]->store().address);
+    }
+
     // Guards against memory that a restarted store is just being given anew.
     void storeThatHasNotAnsweredLatelyIsNotFetchedFrom()
     {
@@ -420,6 +454,13 @@
         runner.begin(work);
     }
 
+    void addStore(const std::string& ip, const std::string& dataCentre)
+    {
+        m_stores.push_back(std::make_shared<CacheContents>(CacheStore { { ip, 90 }, dataCentre, 200'000 }));
+        m_stores.back()->replaceAll({}, 1, start - seconds(10));
+        m_stores.back()->confirm(seconds(50));
+    }
+
     void store(const std::string& scope, std::uint64_t part, std::int64_t tokens)
     {
         m_store->apply({ { true, { scope, std::to_string(part) }, part, tokens } }, 1);
