Do not refuse urgent prompts for the memory of less urgent ones

Cause: a runner's requests and memory were counted whatever their rank, although an engine admits urgent prompts first and takes the place and memory of less urgent ones for them. Ruled out: runners left out (all 45 that answered were used).

Requests with prompts and memory are now counted by rank, also in what hosts tell each other, and a prompt waits only for its like and more urgent ones.

Test: EnginePlacementTest::urgentPromptIsAdmittedToRunnersFullOfLessUrgentOnes failed with requests and memory of all ranks counted.

--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -179,7 +179,7 @@
         out["runners"][id] = { { "pool", runner->record().pool }, { "address", toString(runner->record().address) },
             { "leaving", runner->record().isLeaving }, { "usable", runner->health().isUsable(now) }, { "loading", runner->isLoading(now) },
             { "versions", runner->record().modelVersions }, { "requests", runner->requests(now) }, { "prefill_tokens", total.prefillTokens },
-            { "memory_tokens", total.memoryTokens }, { "failure_share", runner->health().failureShare(now) },
+            { "prompts", total.prompts }, { "memory_tokens", total.memoryTokens }, { "failure_share", runner->health().failureShare(now) },
             { "tokens_per_ms", runner->tokensPerMs(0) }, { "cached_tokens", runner->parts().tokens() } };
     }
     return out.dump(2) + "\n";
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -154,7 +154,7 @@
         PlacementNotice notice { m_hostHash, runner, static_cast<std::uint8_t>(rank), 0, 0, 0, placed };
         notice.readMs = static_cast<std::uint16_t>(std::clamp<std::int64_t>(placement.read.count(), 0, longestTold.count()));
         notice.fetchMs = static_cast<std::uint16_t>(std::clamp<std::int64_t>(placement.predictedFetch.count(), 0, longestTold.count()));
-        notice.memoryTokens = static_cast<std::uint32_t>(placement.work.memoryTokens);
+        notice.memoryTokens = static_cast<std::uint32_t>(placement.work.memoryTokens[rankClass(rank)]);
         m_datagrams.sendToAll(receivers, notice);
     }
     if (isTold && receivers.size() == m_hosts.size())
@@ -213,7 +213,8 @@
     for (const auto& entry : notice.loads) {
         auto& work = loads[entry.runner];
         work.requests = entry.requests;
-        work.memoryTokens = entry.memoryTokens;
+        std::copy(entry.prompts.begin(), entry.prompts.end(), work.prompts.begin());
+        std::copy(entry.memoryTokens.begin(), entry.memoryTokens.end(), work.memoryTokens.begin());
     }
     for (const auto& [id, runner] : m_state.board().all()) {
         const auto number = shortHash(runner->record());
@@ -306,8 +307,12 @@
         const auto& own = runner->own();
         if (own.requests <= 0)
             continue;
-        const auto memoryTokens = std::max<std::int64_t>(own.memoryTokens, 0);
-        out.push_back({ shortHash(runner->record()), static_cast<std::uint16_t>(own.requests), static_cast<std::uint32_t>(memoryTokens) });
+        RunnerLoadEntry entry { shortHash(runner->record()), static_cast<std::uint16_t>(own.requests), {}, {} };
+        for (std::size_t i = 0; i < rankClassCount; ++i) {
+            entry.prompts[i] = static_cast<std::uint16_t>(std::max(own.prompts[i], 0));
+            entry.memoryTokens[i] = static_cast<std::uint32_t>(std::max<std::int64_t>(own.memoryTokens[i], 0));
+        }
+        out.push_back(entry);
     }
     std::sort(out.begin(), out.end(), [](const auto& a, const auto& b) { return a.runner < b.runner; });
     return out;
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -2,7 +2,9 @@
 
 #include "chiveshelf/peer/DatagramChannel.h"
 #include "chiveshelf/peer/MessageType.h"
+#include "chiveshelf/placement/OutstandingWork.h"
 
+#include <cereal/types/array.hpp>
 #include <cereal/types/utility.hpp>
 
 #include <cstdint>
@@ -18,12 +20,14 @@
 struct RunnerLoadEntry {
     std::uint32_t runner = 0;
     std::uint16_t requests = 0;
-    std::uint32_t memoryTokens = 0;
+    // Requests with prompts and their memory, by rank class.
+    std::array<std::uint16_t, rankClassCount> prompts {};
+    std::array<std::uint32_t, rankClassCount> memoryTokens {};
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(runner, requests, memoryTokens);
+        archive(runner, requests, prompts, memoryTokens);
     }
 };
 
--- a/packages/placement/chiveshelf/placement/BackendState.cpp
+++ b/packages/placement/chiveshelf/placement/BackendState.cpp
@@ -46,7 +46,8 @@
     if (now - peer.at > figureLifetime)
         peer = { {}, now };
     ++peer.work.requests;
-    peer.work.memoryTokens += prompt.memoryTokens;
+    ++peer.work.prompts[rankClass(prompt.rank)];
+    peer.work.memoryTokens[rankClass(prompt.rank)] += prompt.memoryTokens;
 }
 
 OutstandingWork BackendState::total(TimePoint now) const
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -233,11 +233,12 @@
     const auto requests = runner.requests(now);
     out.requests = requests;
     const auto slots = static_cast<std::int32_t>(std::max(m_limits.slots, 1U));
-    if (requests >= slots)
-        out.waitMs += residenceMs * (requests - slots + 1) / slots;
+    // The engine admits urgent prompts before others, and lets them take the place and memory of others.
+    const auto ahead = requests - work.lessUrgentPrompts(request.rank);
+    if (ahead >= slots)
+        out.waitMs += residenceMs * (ahead - slots + 1) / slots;
     const auto memory = static_cast<double>(runner.memoryTokens()) * memoryShare;
-    const auto excess = static_cast<double>(work.memoryTokens + prompt.promptTokens + prompt.outputTokens) - memory;
-    // The most urgent requests take the memory of others.
+    const auto excess = static_cast<double>(work.memoryUpTo(request.rank) + prompt.promptTokens + prompt.outputTokens) - memory;
     if (memory > 0 && excess > 0 && request.rank > 0)
         out.waitMs += residenceMs * excess / memory;
     out.readMs = static_cast<double>(out.uncachedTokens) / speed;
@@ -340,7 +341,8 @@
     out.work.requests = 1;
     out.work.prefillTokens[rankClass(request.rank)] = bestPrediction.uncachedTokens;
     out.work.fetchTokens = bestPrediction.fetchTokens;
-    out.work.memoryTokens = prompt.promptTokens + prompt.outputTokens;
+    out.work.prompts[rankClass(request.rank)] = 1;
+    out.work.memoryTokens[rankClass(request.rank)] = prompt.promptTokens + prompt.outputTokens;
     out.predictedFetch = roundedMs(bestPrediction.fetchMs);
     out.nominalFetchMs = bestPrediction.nominalFetchMs;
     planTransfers(request, context, holders, stores, out);
--- a/packages/placement/chiveshelf/placement/OutstandingWork.h
+++ b/packages/placement/chiveshelf/placement/OutstandingWork.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <numeric>
 
 namespace chiveshelf {
 
@@ -19,32 +20,50 @@
 // Work that was sent to a runner and has not ended.
 struct OutstandingWork {
     std::int32_t requests = 0;
+    // Those of them that have prompts, by rank class.
+    std::array<std::int32_t, rankClassCount> prompts {};
     // Prompt tokens to be read for requests without a first token yet, by rank class.
     std::array<std::int64_t, rankClassCount> prefillTokens {};
     // Tokens that are fetched from another runner or a store.
     std::int64_t fetchTokens = 0;
-    // Memory that the requests need in full, in tokens.
-    std::int64_t memoryTokens = 0;
+    // Memory that the requests need in full, in tokens, by rank class.
+    std::array<std::int64_t, rankClassCount> memoryTokens {};
 
     auto operator<=>(const OutstandingWork&) const = default;
 
+    // Returns the requests that are less urgent than a rank: the engine lets others overtake them.
+    std::int32_t lessUrgentPrompts(unsigned rank) const
+    {
+        return std::accumulate(prompts.begin() + static_cast<std::ptrdiff_t>(rankClass(rank)) + 1, prompts.end(), std::int32_t(0));
+    }
+
+    // Returns the memory of requests of a rank and more urgent ones: the engine takes that of others for them.
+    std::int64_t memoryUpTo(unsigned rank) const
+    {
+        return std::accumulate(memoryTokens.begin(), memoryTokens.begin() + static_cast<std::ptrdiff_t>(rankClass(rank)) + 1, std::int64_t(0));
+    }
+
     OutstandingWork& operator+=(const OutstandingWork& other)
     {
         requests += other.requests;
-        for (std::size_t i = 0; i < rankClassCount; ++i)
+        for (std::size_t i = 0; i < rankClassCount; ++i) {
+            prompts[i] += other.prompts[i];
             prefillTokens[i] += other.prefillTokens[i];
+            memoryTokens[i] += other.memoryTokens[i];
+        }
         fetchTokens += other.fetchTokens;
-        memoryTokens += other.memoryTokens;
         return *this;
     }
 
     OutstandingWork& operator-=(const OutstandingWork& other)
     {
         requests -= other.requests;
-        for (std::size_t i = 0; i < rankClassCount; ++i)
+        for (std::size_t i = 0; i < rankClassCount; ++i) {
+            prompts[i] -= other.prompts[i];
             prefillTokens[i] -= other.prefillTokens[i];
+            memoryTokens[i] -= other.memoryTokens[i];
+        }
         fetchTokens -= other.fetchTokens;
-        memoryTokens -= other.memoryTokens;
         return *this;
     }
 };
--- a/tests/unit/gateway/HostExchangeTest.cpp
+++ b/tests/unit/gateway/HostExchangeTest.cpp
@@ -91,7 +91,8 @@
         const auto work = runner(m_second)->total(std::chrono::steady_clock::now());
         CPPUNIT_ASSERT_EQUAL(1, work.requests);
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), work.prefillTokens[3]);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(6'000), work.memoryTokens);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(6'000), work.memoryTokens[3]);
+        CPPUNIT_ASSERT_EQUAL(1, work.prompts[3]);
     }
 
 private:
@@ -139,7 +140,8 @@
         placement.read = read;
         placement.work.requests = 1;
         placement.work.prefillTokens[3] = 6'000;
-        placement.work.memoryTokens = 6'000;
+        placement.work.prompts[3] = 1;
+        placement.work.memoryTokens[3] = 6'000;
         host.exchange.notePlacement(placement, 3, { { 7, 5'000 }, { 8, 1'000 } }, 0);
         return placement;
     }
--- a/tests/unit/placement/EnginePlacementTest.cpp
+++ b/tests/unit/placement/EnginePlacementTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(longPromptThatCannotAvoidPausesGoesWhereStreamsPauseAlready);
     CPPUNIT_TEST(shortStreamKeepsAwayFromAPauseThatIsComing);
     CPPUNIT_TEST(requestsOfOtherHostsCountUntilTheirNextFigures);
+    CPPUNIT_TEST(urgentPromptIsAdmittedToRunnersFullOfLessUrgentOnes);
     CPPUNIT_TEST(speedIsLearnedBesideRunningStreams);
     CPPUNIT_TEST(missingPartsAreNotTakenForASlowRunner);
     CPPUNIT_TEST(partOfAStoreIsFetchedFromThereAndNotSavedAgain);
@@ -175,13 +176,32 @@
         m_runners[0]->addPeerPrompt(1, { 3, milliseconds(10), milliseconds(0), 700 }, start);
         m_runners[0]->addPeerPrompt(1, { 3, milliseconds(10), milliseconds(0), 700 }, start);
         CPPUNIT_ASSERT_EQUAL(2, m_runners[0]->total(start).requests);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(1'400), m_runners[0]->total(start).memoryTokens);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1'400), m_runners[0]->total(start).memoryUpTo(3));
         OutstandingWork work;
         work.requests = 1;
         m_runners[0]->setPeerWork(1, work, start + milliseconds(600));
         CPPUNIT_ASSERT_EQUAL(1, m_runners[0]->total(start + milliseconds(600)).requests);
     }
 
+    // Guards against questions that are refused since drafts fill the engines: the engine makes room for them.
+    void urgentPromptIsAdmittedToRunnersFullOfLessUrgentOnes()
+    {
+        OutstandingWork drafts;
+        drafts.requests = 70;
+        drafts.prompts[5] = 70;
+        drafts.memoryTokens[5] = 280'000;
+        for (auto& runner : m_runners)
+            runner->begin(drafts);
+        m_context.goal = milliseconds(250);
+        m_prompt.promptTokens = 800;
+        m_prompt.parts = { { 1, 800 } };
+        CPPUNIT_ASSERT(!choose());
+        m_rank = 3;
+        const auto placement = choose();
+        CPPUNIT_ASSERT(placement);
+        CPPUNIT_ASSERT_EQUAL(milliseconds(0).count(), placement->wait.count());
+    }
+
     // Guards against queues that are believed to be empty while a runner beside its streams still reads them.
     void speedIsLearnedBesideRunningStreams()
     {
