Leave room for more urgent prompts when drafts are admitted

Now a prompt is admitted only if half as much again as the memory of more urgent requests has room besides.

Test: EnginePlacementTest::draftLeavesRoomForMoreUrgentPrompts failed with no room left.

--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -47,6 +47,8 @@
     constexpr double bitsPerMsAndMbps = 1'000;
     // Share of the engine's memory that requests may fill before new ones wait; the rest is for tokens still to come.
     constexpr double memoryShare = 0.95;
+    // Growth of the memory of more urgent requests for which room is left: what they take from a running prompt is read again.
+    constexpr double urgentGrowth = 0.5;
     // Time in which a request frees its memory, in ms, for the prediction of waits.
     constexpr double residenceMs = 1'500;
     // ms that a runner with failures counts as slower, per unit of its failure share above the tolerated one.
@@ -238,7 +240,8 @@
     if (ahead >= slots)
         out.waitMs += residenceMs * (ahead - slots + 1) / slots;
     const auto memory = static_cast<double>(runner.memoryTokens()) * memoryShare;
-    const auto excess = static_cast<double>(work.memoryUpTo(request.rank) + prompt.promptTokens + prompt.outputTokens) - memory;
+    const auto taken = static_cast<double>(work.memoryUpTo(request.rank)) + urgentGrowth * static_cast<double>(work.memoryAbove(request.rank));
+    const auto excess = taken + static_cast<double>(prompt.promptTokens + prompt.outputTokens) - memory;
     if (memory > 0 && excess > 0 && request.rank > 0)
         out.waitMs += residenceMs * excess / memory;
     out.readMs = static_cast<double>(out.uncachedTokens) / speed;
--- a/packages/placement/chiveshelf/placement/OutstandingWork.h
+++ b/packages/placement/chiveshelf/placement/OutstandingWork.h
@@ -43,6 +43,9 @@
         return std::accumulate(memoryTokens.begin(), memoryTokens.begin() + static_cast<std::ptrdiff_t>(rankClass(rank)) + 1, std::int64_t(0));
     }
 
+    // Returns the memory of requests that are more urgent than a rank.
+    std::int64_t memoryAbove(unsigned rank) const { return memoryUpTo(rank) - memoryTokens[rankClass(rank)]; }
+
     OutstandingWork& operator+=(const OutstandingWork& other)
     {
         requests += other.requests;
--- a/tests/unit/placement/EnginePlacementTest.cpp
+++ b/tests/unit/placement/EnginePlacementTest.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(shortStreamKeepsAwayFromAPauseThatIsComing);
     CPPUNIT_TEST(requestsOfOtherHostsCountUntilTheirNextFigures);
     CPPUNIT_TEST(urgentPromptIsAdmittedToRunnersFullOfLessUrgentOnes);
+    CPPUNIT_TEST(draftLeavesRoomForMoreUrgentPrompts);
     CPPUNIT_TEST(speedIsLearnedBesideRunningStreams);
     CPPUNIT_TEST(missingPartsAreNotTakenForASlowRunner);
     CPPUNIT_TEST(partOfAStoreIsFetchedFromThereAndNotSavedAgain);
@@ -202,6 +203,24 @@
         CPPUNIT_ASSERT_EQUAL(milliseconds(0).count(), placement->wait.count());
     }
 
+    // Guards against drafts that are preempted and read again as soon as a few more questions come.
+    void draftLeavesRoomForMoreUrgentPrompts()
+    {
+        OutstandingWork questions;
+        questions.requests = 40;
+        questions.prompts[3] = 40;
+        questions.memoryTokens[3] = 85'000;
+        for (auto& runner : m_runners)
+            runner->begin(questions);
+        // 85,000 and half of it, and the prompt: more than 95% of 138,000.
+        const auto draft = choose();
+        CPPUNIT_ASSERT(draft && draft->wait > milliseconds(0));
+        m_rank = 3;
+        const auto question = choose();
+        CPPUNIT_ASSERT(question);
+        CPPUNIT_ASSERT_EQUAL(milliseconds(0).count(), question->wait.count());
+    }
+
     // Guards against queues that are believed to be empty while a runner beside its streams still reads them.
     void speedIsLearnedBesideRunningStreams()
     {
