Begin no prompt on old weights after a long wait

The fixed share of that time that is kept back covers 1.8 s; queues of drafts have grown longer since urgent prompts overtake them. Ruled out: a wrong age of the version (0 ms on five hosts, 1,700 ms on one that had just started).

Two changes for the one cause: a runner with old weights is left out where two and a half times the predicted wait goes past the end of the weights, and a request that may be repeated is taken back 0.4 s before that end if its runner has not begun to answer. Not covered: a request that may not be repeated and waits since before the naming.

Tests: EnginePlacementTest::promptThatWouldBeginTooLateOnOldWeightsGoesElsewhere and GatewayTest::requestThatOldWeightsDoNotBeginInTimeIsTakenBack failed with each change left out.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -36,6 +36,9 @@
     // its goal.
     constexpr int patienceFactor = 4;
     constexpr double patienceGoals = 1.5;
+    // Time before the end of a runner's weights at which a request that it has not begun is taken back: the way to the runner, and
+    // what this host may have learned late of the version.
+    constexpr std::chrono::milliseconds weightsMargin { 400 };
     // Pause of callers when this process stops or has no tables yet: another host takes them.
     constexpr std::chrono::milliseconds otherHostPause { 100 };
     constexpr std::chrono::milliseconds noTablesPause { 500 };
@@ -204,13 +207,22 @@
         m_connection->close();
 }
 
+std::chrono::milliseconds ForwardTask::weightsTimeLeft(const Placement& placement) const
+{
+    const auto version = m_headers.prompt ? placement.runner->version(m_headers.prompt->model) : std::nullopt;
+    const auto end = version ? m_context.state.weightsEnd(m_headers.prompt->model, *version) : std::nullopt;
+    if (!end)
+        return std::chrono::milliseconds::max();
+    return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(*end - bootTime()) - weightsMargin, std::chrono::milliseconds(0));
+}
+
 void ForwardTask::armPatience(const Placement& placement)
 {
     m_isImpatient = false;
     if (!m_route->mayRepeat() || m_history->runs() + 1 >= m_route->attempts)
         return;
     const auto goal = std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(m_route->goal.count()) * patienceGoals));
-    m_patience.expires_after(std::max(placement.predicted * patienceFactor, goal));
+    m_patience.expires_after(std::min(std::max(placement.predicted * patienceFactor, goal), weightsTimeLeft(placement)));
     m_patience.async_wait([this, alive = m_alive, sends = m_history->sends()](boost::system::error_code ec) {
         // A later send has a patience of its own.
         if (ec || !*alive || m_history->sends() != sends || m_hasStarted)
@@ -252,6 +264,7 @@
     request.rank = m_rank;
     request.newestVersion = m_context.state.newestVersion(m_headers.prompt->model);
     request.requiredVersion = m_context.state.requiredVersion(m_headers.prompt->model, bootTime());
+    request.weightsEnd = [this](std::uint64_t version) { return m_context.state.weightsEnd(m_headers.prompt->model, version); };
     return request;
 }
 
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -92,6 +92,8 @@
     void keepConnection(const Parser&, const platform::RunnerHeaders&, const RunnerUse&);
     void startTimers();
     void interrupt();
+    // Returns how long the runner may take to begin on its weights.
+    std::chrono::milliseconds weightsTimeLeft(const Placement&) const;
     void armPatience(const Placement&);
     void logOutcome(std::string_view outcome, std::string_view reason) const;
     std::chrono::milliseconds timeLeft(TimePoint now) const;
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -106,6 +106,12 @@
     return it == m_versions.end() ? 0 : it->second.required(bootNow, versionGrace());
 }
 
+std::optional<std::chrono::nanoseconds> ServingState::weightsEnd(const std::string& model, std::uint64_t version) const
+{
+    const auto it = m_versions.find(model);
+    return it == m_versions.end() ? std::nullopt : it->second.endOf(version, m_settings.versionLimit);
+}
+
 bool ServingState::isReturning(const std::string& route, std::optional<std::chrono::milliseconds> timeLeft, std::chrono::milliseconds goal)
 {
     if (!timeLeft)
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -59,6 +59,9 @@
     std::uint64_t newestVersion(const std::string& model) const;
     std::uint64_t requiredVersion(const std::string& model, std::chrono::nanoseconds bootNow) const;
 
+    // Returns when requests may no longer begin on weights of this version, by bootTime(), or nothing while none newer is named.
+    std::optional<std::chrono::nanoseconds> weightsEnd(const std::string& model, std::uint64_t version) const;
+
     PoolPolicies& policies(const std::string& pool);
 
     // The stores of cached parts that the tables name.
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -62,6 +62,9 @@
     constexpr std::int32_t mostPausedStreams = 20;
     // The same for the prompt's own stream.
     constexpr double ownPauseMs = 150;
+    // Multiple of the predicted wait for which older weights must still be in time: waits in full engines were seen to take twice as
+    // long as predicted.
+    constexpr double queuePatience = 2.5;
     // ms that older weights count as slower once newer ones were named.
     constexpr double oldVersionMs = 60;
     // Waits up to this share of the goal are no queue: prompts too long for the goal are admitted then.
@@ -197,6 +200,13 @@
     return request.requiredVersion == 0 || runner.version(request.prompt->model).value_or(0) >= request.requiredVersion;
 }
 
+bool EnginePlacement::beginsInTime(const EngineRequest& request, const PlacementContext& context, const BackendState& runner, const Prediction& prediction)
+{
+    const auto version = runner.version(request.prompt->model);
+    const auto end = version && request.weightsEnd ? request.weightsEnd(*version) : std::nullopt;
+    return !end || toMilliseconds(*end - context.bootNow) > prediction.waitMs * queuePatience;
+}
+
 EnginePlacement::Prediction EnginePlacement::predict(const EngineRequest& request, const BackendState& runner, const PartHolders& holders,
     TimePoint now, std::chrono::milliseconds goal, double fallbackSpeed) const
 {
@@ -307,6 +317,8 @@
         if (!isCandidate(request, context, *runner))
             continue;
         const auto prediction = predict(request, *runner, holders, context.now, context.goal, fallbackSpeed);
+        if (!beginsInTime(request, context, *runner, prediction))
+            continue;
         double cost = prediction.firstMs + readWeight * prediction.readMs + fetchWeight * prediction.fetchMs;
         if (runner == home)
             cost -= std::min(prediction.readMs * homeShare, homeMostMs);
--- a/packages/placement/chiveshelf/placement/EnginePlacement.h
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.h
@@ -5,6 +5,7 @@
 #include "chiveshelf/placement/Placement.h"
 #include "chiveshelf/routing/Prompt.h"
 
+#include <functional>
 #include <optional>
 
 namespace chiveshelf {
@@ -18,6 +19,8 @@
     // The newest version that the operator named and the oldest that may still be used; 0 if none was named.
     std::uint64_t newestVersion = 0;
     std::uint64_t requiredVersion = 0;
+    // Returns when requests may no longer begin on weights of a version, by bootTime(); nothing if there is no such time.
+    std::function<std::optional<std::chrono::nanoseconds>(std::uint64_t version)> weightsEnd;
 };
 
 // The stores of cached parts with their known contents.
@@ -88,6 +91,8 @@
     // the same store, one in the runner's data centre if any has room.
     static const CacheContents* chooseStore(const CacheStores&, const CacheScope&, const PromptPart&, const std::string& dataCentre,
         const PlacementContext&);
+    // Whether a prompt with this wait would begin in time on the runner's weights.
+    static bool beginsInTime(const EngineRequest&, const PlacementContext&, const BackendState&, const Prediction&);
     bool isCandidate(const EngineRequest&, const PlacementContext&, const BackendState&) const;
 
     EngineLimits m_limits;
--- a/packages/placement/chiveshelf/placement/VersionHistory.cpp
+++ b/packages/placement/chiveshelf/placement/VersionHistory.cpp
@@ -1,5 +1,7 @@
 #include "chiveshelf/placement/VersionHistory.h"
 
+#include <algorithm>
+
 namespace chiveshelf {
 
 namespace {
@@ -39,4 +41,12 @@
     return out;
 }
 
+std::optional<std::chrono::nanoseconds> VersionHistory::endOf(std::uint64_t version, std::chrono::nanoseconds grace) const
+{
+    std::optional<std::chrono::nanoseconds> out;
+    for (auto it = m_versions.upper_bound(version); it != m_versions.end(); ++it)
+        out = std::min(out.value_or(std::chrono::nanoseconds::max()), it->second.since + grace);
+    return out;
+}
+
 }
--- a/packages/placement/chiveshelf/placement/VersionHistory.h
+++ b/packages/placement/chiveshelf/placement/VersionHistory.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace chiveshelf {
 
@@ -33,6 +34,9 @@
     // place.
     std::uint64_t required(std::chrono::nanoseconds now, std::chrono::nanoseconds grace) const;
 
+    // Returns when weights of this version are past their time, by bootTime(), or nothing while no newer version is named.
+    std::optional<std::chrono::nanoseconds> endOf(std::uint64_t version, std::chrono::nanoseconds grace) const;
+
     const std::map<std::uint64_t, NamedVersion>& versions() const { return m_versions; }
 
 private:
--- a/tests/unit/gateway/GatewayTest.cpp
+++ b/tests/unit/gateway/GatewayTest.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(olderTablesFromTheStoreDoNotReplaceNewerOnes);
     CPPUNIT_TEST(removedRunnerGetsNoMoreRequests);
     CPPUNIT_TEST(stoppingHostEndsWhatIsInProgress);
+    CPPUNIT_TEST(requestThatOldWeightsDoNotBeginInTimeIsTakenBack);
     CPPUNIT_TEST(rolloutDoesNotWaitForReportsThatAreOld);
     CPPUNIT_TEST_SUITE_END();
 
@@ -285,6 +286,30 @@
         CPPUNIT_ASSERT(m_context->stopped());
     }
 
+    // Guards against requests that begin on old weights after a long wait in their runner's queue.
+    void requestThatOldWeightsDoNotBeginInTimeIsTakenBack()
+    {
+        const std::string weights = R"(,"models":[{"name":"m","version":1,"adapters":[]}])";
+        const auto script = [](const http::Request& request) {
+            return request.target() == "/ask/1" ? Script { "", Script::End::Silence } : Weights::answer(503, "{}");
+        };
+        addRunner(script, weights);
+        addRunner(script, weights);
+        m_store->put("op/config", longGoalTables());
+        startGateway();
+        runFor(milliseconds(3'000));
+        m_store->put("op/version/m", R"({"model":"m","version":2})");
+        const auto named = std::chrono::steady_clock::now();
+        runFor(milliseconds(3'500));
+        auto socket = std::make_shared<asio::ip::tcp::socket>(*m_context);
+        const std::string prompt = "X-Model: m\r\nX-Token-Count: 900,40\r\nX-Prompt-Prefix: 0a:900\r\n";
+        asio::co_spawn(*m_context, sendOnly(socket, post("/ask/1", "key1", prompt)), asio::detached);
+        runUntil([&] { return departures() == 1; }, milliseconds(4'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), departures());
+        // Time for a version, of which GatewaySettings has 6 s.
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - named < GatewaySettings().versionLimit);
+    }
+
     // Guards against a rollout that takes as long as its runners' reports are old, at each step.
     void rolloutDoesNotWaitForReportsThatAreOld()
     {
@@ -376,6 +401,25 @@
             + moreHeaders + "Content-Length: 4\r\n\r\nbody";
     }
 
+    // Tables in which patience with a runner is longer than the time for a version.
+    static std::string longGoalTables()
+    {
+        auto text = std::string(tables);
+        const std::string before = R"("timeoutMs":3000,"goalMs":300,"priority":0)";
+        const auto at = text.find(before);
+        CPPUNIT_ASSERT(at != std::string::npos);
+        text.replace(at, before.size(), R"("timeoutMs":9000,"goalMs":8000,"priority":0)");
+        return text;
+    }
+
+    std::size_t departures() const
+    {
+        std::size_t n = 0;
+        for (const auto& runner : m_runners)
+            n += runner->departures();
+        return n;
+    }
+
     std::size_t allRequests() const
     {
         std::size_t n = 0;
--- a/tests/unit/placement/EnginePlacementTest.cpp
+++ b/tests/unit/placement/EnginePlacementTest.cpp
@@ -39,6 +39,8 @@
     CPPUNIT_TEST(refusedCallerComesBackLateAndIsAdmittedOnlyWithLittleWaiting);
     CPPUNIT_TEST(oldWeightsAreNotUsedPastTheTimeForAVersion);
     CPPUNIT_TEST(versionThatFollowsDoesNotProlongTheUseOfOlderOnes);
+    CPPUNIT_TEST(promptThatWouldBeginTooLateOnOldWeightsGoesElsewhere);
+    CPPUNIT_TEST(endOfWeightsFollowsFromTheNextVersion);
     CPPUNIT_TEST(runnersThatLoadWeightsGetNoWork);
     CPPUNIT_TEST(dedicatedOrganisationSharesNoParts);
     CPPUNIT_TEST(plainRequestGoesToTheLeastLoadedRunner);
@@ -397,6 +399,31 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), history.required(milliseconds(59'100), milliseconds(5'000)));
     }
 
+    // Guards against a prompt that begins on old weights after a long wait in its runner's queue.
+    void promptThatWouldBeginTooLateOnOldWeightsGoesElsewhere()
+    {
+        m_context.goal = milliseconds(3'000);
+        for (std::size_t i = 0; i < 3; ++i)
+            m_runners[i]->addPeerPrompt(1, { 5, milliseconds(i == 2 ? 1'500 : 1'000), milliseconds(0), 0 }, start);
+        m_runners[2]->setVersion("m", 2);
+        m_weightsEnd = m_context.bootNow + milliseconds(2'900);
+        const auto early = choose();
+        CPPUNIT_ASSERT(early && early->runner != m_runners[2]);
+        m_weightsEnd = m_context.bootNow + milliseconds(2'000);
+        const auto late = choose();
+        CPPUNIT_ASSERT(late && late->runner == m_runners[2]);
+    }
+
+    void endOfWeightsFollowsFromTheNextVersion()
+    {
+        VersionHistory history;
+        history.add(2, { seconds(50), false });
+        history.add(3, { seconds(53), false });
+        CPPUNIT_ASSERT(history.endOf(1, seconds(6)) == seconds(56));
+        CPPUNIT_ASSERT(history.endOf(2, seconds(6)) == seconds(59));
+        CPPUNIT_ASSERT(!history.endOf(3, seconds(6)));
+    }
+
     void runnersThatLoadWeightsGetNoWork()
     {
         m_runners[0]->setLoading("m", 2, start + seconds(1));
@@ -467,6 +494,7 @@
         out.dedicatedOrganisation = m_dedicated;
         out.newestVersion = m_newestVersion;
         out.requiredVersion = m_requiredVersion;
+        out.weightsEnd = [this](std::uint64_t version) { return version < 2 ? m_weightsEnd : std::nullopt; };
         return out;
     }
 
@@ -510,6 +538,8 @@
     std::string m_dedicated;
     std::uint64_t m_newestVersion = 0;
     std::uint64_t m_requiredVersion = 0;
+    // Of versions before 2.
+    std::optional<std::chrono::nanoseconds> m_weightsEnd;
     PlacementContext m_context;
     BackendBoard::RunnerList m_runners;
     std::shared_ptr<CacheContents> m_store;
