--- a/scripts/lint_batches.py
+++ b/scripts/lint_batches.py
@@ -12,6 +12,7 @@
 import shlex
 import subprocess
 import sys
+import tempfile
 from pathlib import Path
 
 # Sources per batch: more save little, since the sources themselves then take longest, and make the last batch end late.
@@ -165,7 +166,9 @@
     build = Path(sys.argv[1])
     jobs = int(sys.argv[2])
     batches, alone = make_batches(read_sources(build, sys.argv[3:]))
-    folder = build / "batches"
+    # Outside of the project, where whoever counts its sources would count these too.
+    temporary = tempfile.TemporaryDirectory(prefix="lint-batches-")
+    folder = Path(temporary.name)
     files = write_batches(folder, batches)
     (folder / ".clang-tidy").write_text(Path(".clang-tidy").read_text(encoding="utf-8"), encoding="utf-8")
     is_clean = True
