Share listening, probes of silent connections and the check for equal addresses

Three servers opened their acceptors by the same lines, two pools probed their connections and looked for unasked bytes by the same ones, and both commands reported equal addresses by the same loop. Now core/Sockets and OptionSet hold them once; values, messages and order are as before.

--- a/packages/daemon/chiveshelf/daemon/DaemonSettings.cpp
+++ b/packages/daemon/chiveshelf/daemon/DaemonSettings.cpp
@@ -1,7 +1,5 @@
 #include "chiveshelf/daemon/DaemonSettings.h"
 
-#include <map>
-
 namespace chiveshelf {
 
 OptionSet makeDaemonOptions()
@@ -63,15 +61,7 @@
     settings.cacheHalfLife = std::chrono::milliseconds(options.number("cache-half-life-ms"));
     settings.importsPerLink = options.number("imports-per-link");
     settings.cache = { options.number("cache-block-tokens"), options.text("cache-imports") == "on", options.text("cache-exports") == "on" };
-    std::map<Address, std::string> used;
-    for (const auto* name : { "listen", "admin-listen", "peer-listen", "platform" }) {
-        const auto address = options.address(name);
-        if (address.port == 0)
-            continue;
-        const auto [it, isNew] = used.emplace(address, name);
-        if (!isNew)
-            problems.push_back("--" + std::string(name) + ": same address as --" + it->second);
-    }
+    checkDifferentAddresses(options, { "listen", "admin-listen", "peer-listen", "platform" }, problems);
     return settings;
 }
 
--- a/packages/gateway/chiveshelf/gateway/BackendPool.cpp
+++ b/packages/gateway/chiveshelf/gateway/BackendPool.cpp
@@ -1,5 +1,6 @@
 #include "chiveshelf/gateway/BackendPool.h"
 
+#include "chiveshelf/core/Sockets.h"
 #include "chiveshelf/http/Message.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -18,9 +19,7 @@
     // Idle connections kept to one server: more are rarely in use at once, and each takes a place at the server.
     constexpr std::size_t idlePerServer = 16;
     // Probes that find a server without power while an answer is awaited: 4 s in all.
-    constexpr int probeIdleSeconds = 2;
-    constexpr int probeIntervalSeconds = 1;
-    constexpr int probeCount = 2;
+    constexpr SilenceProbes answerProbes { std::chrono::seconds(2), std::chrono::seconds(1), 2 };
     // Time in which sent bytes have to be acknowledged.
     constexpr unsigned unacknowledgedMs = 4'000;
 
@@ -28,21 +27,8 @@
     {
         boost::system::error_code ec;
         socket.set_option(asio::ip::tcp::no_delay(true), ec);
-        const int fd = socket.native_handle();
-        const int on = 1;
-        ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-        ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probeIdleSeconds, sizeof(probeIdleSeconds));
-        ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probeIntervalSeconds, sizeof(probeIntervalSeconds));
-        ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probeCount, sizeof(probeCount));
-        ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMs, sizeof(unacknowledgedMs));
-    }
-
-    // A connection that was closed, or on which unasked bytes arrived, is of no use.
-    bool isQuiet(asio::ip::tcp::socket& socket)
-    {
-        char byte = 0;
-        const auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        probeSilence(socket, answerProbes);
+        ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMs, sizeof(unacknowledgedMs));
     }
 
 }
--- a/packages/gateway/chiveshelf/gateway/GatewayServer.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewayServer.cpp
@@ -1,6 +1,7 @@
 #include "chiveshelf/gateway/GatewayServer.h"
 
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Sockets.h"
 #include "chiveshelf/http/Message.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -62,17 +63,9 @@
 
 Result<void> GatewayServer::start(const Address& address)
 {
-    boost::system::error_code ec;
-    const auto endpoint = http::toEndpoint(address);
-    m_acceptor.open(endpoint.protocol(), ec);
-    if (!ec)
-        m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-    if (!ec)
-        m_acceptor.bind(endpoint, ec);
-    if (!ec)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (ec)
-        return failure(ErrorCode::Unavailable, "cannot listen on " + toString(address) + ": " + ec.message(), Verdict::NotRun);
+    auto listening = listenOn(m_acceptor, address);
+    if (!listening)
+        return listening;
     asio::co_spawn(m_context, acceptLoop(), asio::detached);
     return {};
 }
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
@@ -1,7 +1,5 @@
 #include "chiveshelf/gateway/GatewaySettings.h"
 
-#include <map>
-
 namespace chiveshelf {
 
 namespace {
@@ -87,15 +85,7 @@
     out.retryWindow = seconds(options, "retry-window-s");
     out.mostDescriptors = static_cast<std::size_t>(options.number("most-descriptors"));
     out.logLevel = options.text("log-level");
-    std::map<Address, std::string> used;
-    for (const auto* name : { "listen", "admin-listen", "peer-listen", "store" }) {
-        const auto address = options.address(name);
-        if (address.port == 0)
-            continue;
-        const auto [it, isNew] = used.emplace(address, name);
-        if (!isNew)
-            problems.push_back("--" + std::string(name) + ": same address as --" + it->second);
-    }
+    checkDifferentAddresses(options, { "listen", "admin-listen", "peer-listen", "store" }, problems);
     return out;
 }
 
--- a/packages/http/chiveshelf/http/Client.cpp
+++ b/packages/http/chiveshelf/http/Client.cpp
@@ -1,12 +1,10 @@
 #include "chiveshelf/http/Client.h"
 
+#include "chiveshelf/core/Sockets.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 namespace chiveshelf::http {
 
 namespace asio = boost::asio;
@@ -29,27 +27,7 @@
     }
 
     // Probes find a connection that went silent while an answer is awaited for long, as a watch does.
-    constexpr int probeIdleSeconds = 1;
-    constexpr int probeIntervalSeconds = 1;
-    constexpr int probeCount = 2;
-
-    void enableProbes(asio::ip::tcp::socket& socket)
-    {
-        const int fd = socket.native_handle();
-        const int on = 1;
-        ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-        ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probeIdleSeconds, sizeof(probeIdleSeconds));
-        ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probeIntervalSeconds, sizeof(probeIntervalSeconds));
-        ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probeCount, sizeof(probeCount));
-    }
-
-    // A pooled connection that its peer has closed reads as end of file; one that is still usable has nothing to read.
-    bool isUsable(asio::ip::tcp::socket& socket)
-    {
-        char byte = 0;
-        const auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    }
+    constexpr SilenceProbes answerProbes { std::chrono::seconds(1), std::chrono::seconds(1), 2 };
 
 }
 
@@ -139,7 +117,7 @@
     while (!it->second.empty()) {
         auto connection = std::move(it->second.back());
         it->second.pop_back();
-        if (connection->idleSince >= oldest && isUsable(connection->stream.socket()))
+        if (connection->idleSince >= oldest && isQuiet(connection->stream.socket()))
             return connection;
     }
     m_idle.erase(it);
@@ -169,7 +147,7 @@
     if (ec)
         co_return tl::unexpected(legFailure(address, "connect to", ec, Verdict::NotRun));
     connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
-    enableProbes(connection->stream.socket());
+    probeSilence(connection->stream.socket(), answerProbes);
     co_return connection;
 }
 
--- a/packages/http/chiveshelf/http/Server.cpp
+++ b/packages/http/chiveshelf/http/Server.cpp
@@ -1,6 +1,7 @@
 #include "chiveshelf/http/Server.h"
 
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Sockets.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -167,17 +168,9 @@
 
 Result<void> Server::start(const Address& address)
 {
-    boost::system::error_code ec;
-    const auto endpoint = toEndpoint(address);
-    m_acceptor.open(endpoint.protocol(), ec);
-    if (!ec)
-        m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-    if (!ec)
-        m_acceptor.bind(endpoint, ec);
-    if (!ec)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (ec)
-        return failure(ErrorCode::Unavailable, "cannot listen on " + toString(address) + ": " + ec.message(), Verdict::NotRun);
+    auto listening = listenOn(m_acceptor, address);
+    if (!listening)
+        return listening;
     m_address = toAddress(m_acceptor.local_endpoint());
     asio::co_spawn(m_context, acceptLoop(), asio::detached);
     return {};
--- a/packages/peer/chiveshelf/peer/PeerServer.cpp
+++ b/packages/peer/chiveshelf/peer/PeerServer.cpp
@@ -2,6 +2,7 @@
 
 #include "chiveshelf/core/Log.h"
 #include "chiveshelf/core/Mailbox.h"
+#include "chiveshelf/core/Sockets.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -45,17 +46,9 @@
 
 Result<void> PeerServer::start(const Address& address)
 {
-    boost::system::error_code ec;
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
-    m_acceptor.open(endpoint.protocol(), ec);
-    if (!ec)
-        m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-    if (!ec)
-        m_acceptor.bind(endpoint, ec);
-    if (!ec)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (ec)
-        return failure(ErrorCode::Unavailable, "cannot listen on " + toString(address) + ": " + ec.message(), Verdict::NotRun);
+    auto listening = listenOn(m_acceptor, address);
+    if (!listening)
+        return listening;
     m_address = { address.ip, m_acceptor.local_endpoint().port() };
     asio::co_spawn(m_context, acceptLoop(), asio::detached);
     asio::co_spawn(m_context, sweepLoop(), asio::detached);
--- a/packages/settings/chiveshelf/settings/OptionSet.cpp
+++ b/packages/settings/chiveshelf/settings/OptionSet.cpp
@@ -223,4 +223,17 @@
     };
 }
 
+void checkDifferentAddresses(const OptionSet& options, const std::vector<std::string>& names, std::vector<std::string>& problems)
+{
+    std::map<Address, std::string> used;
+    for (const auto& name : names) {
+        const auto address = options.address(name);
+        if (address.port == 0)
+            continue;
+        const auto [it, isNew] = used.emplace(address, name);
+        if (!isNew)
+            problems.push_back("--" + name + ": same address as --" + it->second);
+    }
+}
+
 }
--- a/packages/settings/chiveshelf/settings/OptionSet.h
+++ b/packages/settings/chiveshelf/settings/OptionSet.h
@@ -66,6 +66,9 @@
     std::vector<std::string> m_arguments;
 };
 
+// Reports addresses that two of these settings share. Empty ones are left out.
+void checkDifferentAddresses(const OptionSet&, const std::vector<std::string>& names, std::vector<std::string>& problems);
+
 // Checks for OptionSpec.
 std::function<std::string(const std::string&)> checkNumber(std::int64_t minimum, std::int64_t maximum, std::string unit);
 std::function<std::string(const std::string&)> checkDecimal(double minimum, double maximum, std::string unit);
