Remove what nobody reads, and look at each candidate once

AttemptHistory's list of runners and FleetRetryBudget's count of denials had no reader. Placement tested each runner twice for each prompt, once for the home of its parts and once for the cost; ForwardTask stopped the same two timers in three places. Two comments say why, no longer how. Assertions are unchanged; AttemptHistoryTest only drops an argument.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -39,6 +39,7 @@
     // Time before the end of a runner's weights at which a request that it has not begun is taken back: the way to the runner, and
     // what this host may have learned late of the version.
     constexpr std::chrono::milliseconds weightsMargin { 400 };
+    // How often a waiting request looks for a version named since: well within the time for one, and one timer a second.
     constexpr std::chrono::milliseconds weightsCheckInterval { 1'000 };
     // Pause of callers when this process stops or has no tables yet: another host takes them.
     constexpr std::chrono::milliseconds otherHostPause { 100 };
@@ -181,8 +182,7 @@
     }
     *m_alive = false;
     m_timer.cancel();
-    m_patience.cancel();
-    m_weights.cancel();
+    stopRunnerTimers();
     m_caller->stopWatching();
 }
 
@@ -204,6 +204,12 @@
     });
 }
 
+void ForwardTask::stopRunnerTimers()
+{
+    m_patience.cancel();
+    m_weights.cancel();
+}
+
 void ForwardTask::interrupt()
 {
     if (m_connection)
@@ -356,7 +362,7 @@
     const auto runner = placement.runner;
     m_excluded.push_back(runner->record().id);
     if (!co_await connect(placement) || isInterrupted()) {
-        m_history->record(runner->record().id, Verdict::NotRun);
+        m_history->record(Verdict::NotRun);
         co_return SendEnd::Failed;
     }
     RunnerUse use(placement, std::chrono::steady_clock::now());
@@ -375,8 +381,7 @@
     if (!co_await readHead(parser, use))
         co_return recordFailure(use, Verdict::MayHaveRun, !m_isImpatient && !isInterrupted(), m_isImpatient ? "silent" : m_problem);
     const auto end = co_await handleAnswer(*parser, use);
-    m_patience.cancel();
-    m_weights.cancel();
+    stopRunnerTimers();
     co_return end;
 }
 
@@ -437,7 +442,7 @@
     const auto& id = use.runner().record().id;
     if (!isInterrupted())
         use.end(verdict != Verdict::NotRun, now);
-    m_history->record(id, verdict);
+    m_history->record(verdict);
     if (m_connection)
         m_connection->close();
     if (isBroken) {
@@ -455,7 +460,7 @@
     const auto now = std::chrono::steady_clock::now();
     auto& runner = use.runner();
     use.end(false, now);
-    m_history->record(runner.record().id, Verdict::NotRun);
+    m_history->record(Verdict::NotRun);
     const bool isOther = status == statusMisdirected && !headers.runnerId.empty() && headers.runnerId != runner.record().id;
     if (isOther) {
         // Another server has the address: whatever the registry says, this one is not there.
@@ -501,14 +506,14 @@
     }
     const auto relayed = co_await relay(parser, use);
     if (relayed == RelayEnd::CallerGone || isInterrupted()) {
-        m_history->record(runner.record().id, Verdict::Ran);
+        m_history->record(Verdict::Ran);
         m_connection->close();
         co_await endInterrupted();
         co_return SendEnd::Finished;
     }
     if (relayed == RelayEnd::Complete) {
         use.end(isFailure, std::chrono::steady_clock::now());
-        m_history->record(runner.record().id, Verdict::Ran);
+        m_history->record(Verdict::Ran);
         keepConnection(parser, headers, use);
         ++m_context.metrics.requests["answered"];
         logOutcome("answered", runner.record().id);
@@ -569,8 +574,7 @@
 {
     if (use.hasFirstByte())
         return;
-    m_patience.cancel();
-    m_weights.cancel();
+    stopRunnerTimers();
     const auto elapsed = use.firstByte(std::chrono::steady_clock::now());
     if (isLogged(LogLevel::Debug)) {
         const auto& made = use.placement();
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -92,6 +92,8 @@
     void keepConnection(const Parser&, const platform::RunnerHeaders&, const RunnerUse&);
     void startTimers();
     void interrupt();
+    // Ends the timers that bound how long a runner may take to begin.
+    void stopRunnerTimers();
     // Returns how long the runner may take to begin on its weights.
     std::chrono::milliseconds weightsTimeLeft(const Placement&) const;
     // Takes the request back before the runner would begin it on weights that are past their time.
--- a/packages/placement/chiveshelf/placement/AttemptHistory.cpp
+++ b/packages/placement/chiveshelf/placement/AttemptHistory.cpp
@@ -10,10 +10,9 @@
 {
 }
 
-void AttemptHistory::record(const std::string& runner, Verdict verdict)
+void AttemptHistory::record(Verdict verdict)
 {
     ++m_sends;
-    m_runners.push_back(runner);
     if (verdict != Verdict::NotRun)
         ++m_runs;
     m_verdict = std::max(m_verdict, verdict);
--- a/packages/placement/chiveshelf/placement/AttemptHistory.h
+++ b/packages/placement/chiveshelf/placement/AttemptHistory.h
@@ -2,9 +2,6 @@
 
 #include "chiveshelf/core/Verdict.h"
 
-#include <string>
-#include <vector>
-
 namespace chiveshelf {
 
 // What became of the sends of one request, and the only place from which a repeat or a refusal is derived.
@@ -20,7 +17,7 @@
     AttemptHistory(bool mayRepeat, unsigned runLimit);
 
     // Records the outcome of one send to a runner. Failed connections, over which nothing was sent, are recorded too.
-    void record(const std::string& runner, Verdict);
+    void record(Verdict);
 
     // Whether the request may be sent once more.
     bool maySendAgain() const;
@@ -32,16 +29,12 @@
     unsigned sends() const { return m_sends; }
     unsigned runs() const { return m_runs; }
 
-    // Runners that were tried.
-    const std::vector<std::string>& runners() const { return m_runners; }
-
 private:
     bool m_mayRepeat;
     unsigned m_runLimit;
     unsigned m_sends = 0;
     unsigned m_runs = 0;
     Verdict m_verdict = Verdict::NotRun;
-    std::vector<std::string> m_runners;
 };
 
 }
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -2,7 +2,9 @@
 
 #include "chiveshelf/core/Hash.h"
 
+#include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace chiveshelf {
 
@@ -62,8 +64,8 @@
     constexpr std::int32_t mostPausedStreams = 20;
     // The same for the prompt's own stream.
     constexpr double ownPauseMs = 150;
-    // Multiple of the predicted wait for which older weights must still be in time: waits in full engines were seen to take twice as
-    // long as predicted.
+    // Multiple of the predicted wait for which older weights must still be in time: in a full engine more urgent prompts overtake,
+    // which a prediction does not know of.
     constexpr double queuePatience = 2.5;
     // ms that older weights count as slower once newer ones were named.
     constexpr double oldVersionMs = 60;
@@ -299,11 +301,11 @@
     const auto fallbackSpeed = averageSpeed(runners);
     const auto part = sessionPart(prompt);
     std::shared_ptr<BackendState> best;
+    BackendBoard::RunnerList candidates;
+    std::copy_if(runners.begin(), runners.end(), std::back_inserter(candidates), [&](const auto& runner) { return isCandidate(request, context, *runner); });
     std::shared_ptr<BackendState> home;
     std::uint64_t homeBest = 0;
-    for (const auto& runner : runners) {
-        if (!isCandidate(request, context, *runner))
-            continue;
+    for (const auto& runner : candidates) {
         const auto score = homeScore(part, *runner);
         if (!home || score > homeBest) {
             home = runner;
@@ -313,9 +315,7 @@
     Prediction bestPrediction;
     double bestCost = 0;
     double draw = random;
-    for (const auto& runner : runners) {
-        if (!isCandidate(request, context, *runner))
-            continue;
+    for (const auto& runner : candidates) {
         const auto prediction = predict(request, *runner, holders, context.now, context.goal, fallbackSpeed);
         if (!beginsInTime(request, context, *runner, prediction))
             continue;
--- a/packages/placement/chiveshelf/placement/FleetRetryBudget.cpp
+++ b/packages/placement/chiveshelf/placement/FleetRetryBudget.cpp
@@ -43,10 +43,8 @@
         repeats += it.repeats;
     }
     const auto allowed = usedPart * (m_share * requests + m_reserve / static_cast<double>(std::max<std::size_t>(hosts, 1)));
-    if (repeats + 1 > allowed) {
-        ++m_denied;
+    if (repeats + 1 > allowed)
         return false;
-    }
     ++second.repeats;
     return true;
 }
--- a/packages/placement/chiveshelf/placement/FleetRetryBudget.h
+++ b/packages/placement/chiveshelf/placement/FleetRetryBudget.h
@@ -21,8 +21,6 @@
     // Returns false if no repeat may be made now. `hosts` is the number of hosts known.
     bool take(std::size_t hosts, TimePoint now);
 
-    std::uint64_t deniedCount() const { return m_denied; }
-
 private:
     struct Second {
         TimePoint start;
@@ -36,7 +34,6 @@
     double m_reserve;
     std::chrono::milliseconds m_window;
     std::deque<Second> m_seconds;
-    std::uint64_t m_denied = 0;
 };
 
 }
--- a/tests/unit/placement/AttemptHistoryTest.cpp
+++ b/tests/unit/placement/AttemptHistoryTest.cpp
@@ -27,7 +27,7 @@
                 if (!history.maySendAgain())
                     break;
                 RC_ASSERT(history.verdict() == Verdict::NotRun);
-                history.record("runner", allVerdicts[outcome % 3]);
+                history.record(allVerdicts[outcome % 3]);
             }
             RC_ASSERT(history.runs() <= 1U);
         });
@@ -41,7 +41,7 @@
             for (const auto outcome : outcomes) {
                 if (!history.maySendAgain())
                     break;
-                history.record("runner", allVerdicts[outcome % 3]);
+                history.record(allVerdicts[outcome % 3]);
             }
             RC_ASSERT(history.runs() <= std::max<unsigned>(limit, 1));
             RC_ASSERT(history.sends() <= AttemptHistory::mostSends);
@@ -56,7 +56,7 @@
             auto strongest = Verdict::NotRun;
             for (const auto outcome : outcomes) {
                 strongest = std::max(strongest, allVerdicts[outcome % 3]);
-                history.record("runner", allVerdicts[outcome % 3]);
+                history.record(allVerdicts[outcome % 3]);
                 RC_ASSERT(history.verdict() == strongest);
             }
         });
@@ -68,7 +68,7 @@
         AttemptHistory history(true, 2);
         unsigned n = 0;
         while (history.maySendAgain() && n < 100) {
-            history.record("runner", Verdict::NotRun);
+            history.record(Verdict::NotRun);
             ++n;
         }
         CPPUNIT_ASSERT_EQUAL(AttemptHistory::mostSends, n);
