--- a/packages/cache/chiveshelf/cache/ExportManager.cpp
+++ b/packages/cache/chiveshelf/cache/ExportManager.cpp
@@ -1,9 +1,8 @@
 #include "chiveshelf/cache/ExportManager.h"
 
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -31,7 +30,7 @@
 
 void ExportManager::start()
 {
-    asio::co_spawn(m_context, loop(), asio::detached);
+    spawnLoop(m_context, "export_manager.loop", [this] { return loop(); });
 }
 
 void ExportManager::offer(ExportOffer offer)
@@ -59,7 +58,7 @@
     if (!offer)
         return false;
     auto slot = m_links.beginExport(offer->store);
-    asio::co_spawn(m_context, run(std::move(*offer), std::move(slot)), asio::detached);
+    spawnTask(m_context, "export_manager.run", run(std::move(*offer), std::move(slot)));
     return true;
 }
 
--- a/packages/control/chiveshelf/control/ControlService.cpp
+++ b/packages/control/chiveshelf/control/ControlService.cpp
@@ -1,7 +1,7 @@
 #include "chiveshelf/control/ControlService.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "chiveshelf/core/Tasks.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -41,7 +41,7 @@
         const auto controller = std::make_shared<PoolController>(m_ports, pool.name);
         m_controllers[pool.name] = controller;
         // The completion handler keeps the controller until its task has ended.
-        asio::co_spawn(m_ports.context, controller->run(), [controller](const std::exception_ptr&) {});
+        spawnLoop(m_ports.context, "pool_controller.run", [controller] { return controller->run(); });
     }
 }
 
--- a/packages/control/chiveshelf/control/PoolController.cpp
+++ b/packages/control/chiveshelf/control/PoolController.cpp
@@ -1,9 +1,8 @@
 #include "chiveshelf/control/PoolController.h"
 
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -110,7 +109,7 @@
     m_runners = std::move(present);
     m_pendingReads = backends.size();
     for (const auto& backend : backends)
-        asio::co_spawn(m_ports.context, readStatus(backend.name, backend.address), asio::detached);
+        spawnTask(m_ports.context, "pool_controller.read_status", readStatus(backend.name, backend.address));
     while (m_pendingReads > 0)
         co_await sleepFor(readPollInterval);
     for (auto& [name, runner] : m_runners) {
--- a/packages/core/chiveshelf/core/core.h
+++ b/packages/core/chiveshelf/core/core.h
@@ -12,5 +12,6 @@
 #include "chiveshelf/core/Mailbox.h"
 #include "chiveshelf/core/Priority.h"
 #include "chiveshelf/core/StoredPrefix.h"
+#include "chiveshelf/core/Tasks.h"
 #include "chiveshelf/core/Time.h"
 #include "chiveshelf/core/Verdict.h"
--- a/packages/daemon/chiveshelf/daemon/Daemon.cpp
+++ b/packages/daemon/chiveshelf/daemon/Daemon.cpp
@@ -2,9 +2,8 @@
 
 #include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
@@ -126,7 +125,7 @@
         return;
     m_isDraining = true;
     logEvent(LogLevel::Info, "drain_started", { { "host", m_settings.hostName }, { "active", m_entry.activeRequests() } });
-    asio::co_spawn(m_context, drainThenStop(), asio::detached);
+    spawnTask(m_context, "daemon.drain_then_stop", drainThenStop());
 }
 
 void Daemon::handleMemberChange(const MemberChange& change)
--- a/packages/daemon/chiveshelf/daemon/main.cpp
+++ b/packages/daemon/chiveshelf/daemon/main.cpp
@@ -1,4 +1,5 @@
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 #include "chiveshelf/daemon/Daemon.h"
 #include "chiveshelf/gateway/Gateway.h"
 
@@ -60,6 +61,6 @@
         if (!ec)
             daemon.drain();
     });
-    context.run();
+    chiveshelf::runGuarded(context);
     return 0;
 }
--- a/packages/dispatch/chiveshelf/dispatch/DispatchClient.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/DispatchClient.cpp
@@ -1,9 +1,8 @@
 #include "chiveshelf/dispatch/DispatchClient.h"
 
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -46,7 +45,7 @@
 void DispatchClient::start()
 {
     m_peers.onLost([this](const Address& address) { handleLostHost(address); });
-    asio::co_spawn(m_context, renewLoop(), asio::detached);
+    spawnLoop(m_context, "dispatch_client.renew_loop", [this] { return renewLoop(); });
 }
 
 const Member* DispatchClient::owner(const std::string& pool)
@@ -125,7 +124,7 @@
         m_local->finish(report);
         return;
     }
-    asio::co_spawn(m_context, sendFinished(std::move(report)), asio::detached);
+    spawnTask(m_context, "dispatch_client.send_finished", sendFinished(std::move(report)));
 }
 
 void DispatchClient::onPreempt(const std::string& requestId, std::function<void()> action)
@@ -167,7 +166,7 @@
     CancelQueued message;
     message.requestId = requestId;
     message.pool = pool;
-    asio::co_spawn(m_context, sendCancel(std::move(message)), asio::detached);
+    spawnTask(m_context, "dispatch_client.send_cancel", sendCancel(std::move(message)));
 }
 
 asio::awaitable<void> DispatchClient::sendCancel(CancelQueued message)
@@ -198,7 +197,7 @@
     for (const auto& [id, entry] : m_running)
         byPool[entry.pool].push_back({ id, entry.runner, entry.priority });
     for (auto& [pool, requests] : byPool)
-        asio::co_spawn(m_context, renew(pool, std::move(requests)), asio::detached);
+        spawnTask(m_context, "dispatch_client.renew", renew(pool, std::move(requests)));
 }
 
 asio::awaitable<void> DispatchClient::renew(std::string pool, std::vector<RunningRequest> requests)
--- a/packages/dispatch/chiveshelf/dispatch/LocalScheduler.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/LocalScheduler.cpp
@@ -1,7 +1,7 @@
 #include "chiveshelf/dispatch/LocalScheduler.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "chiveshelf/core/Tasks.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -31,7 +31,7 @@
 void LocalScheduler::start()
 {
     if (m_kind == PolicyKind::LeastLoaded)
-        asio::co_spawn(m_context, pollLoop(), asio::detached);
+        spawnLoop(m_context, "local_scheduler.poll_loop", [this] { return pollLoop(); });
 }
 
 PoolScheduler& LocalScheduler::scheduler(const Pool& pool, std::uint64_t tablesRevision)
@@ -83,7 +83,7 @@
         for (const auto& pool : tables->pools) {
             for (const auto& runner : pool.runners) {
                 if (pool.kind == PoolKind::Model && runner.dataCentre == m_dataCentre)
-                    asio::co_spawn(m_context, poll(pool.name, runner), asio::detached);
+                    spawnTask(m_context, "local_scheduler.poll", poll(pool.name, runner));
             }
         }
         boost::system::error_code ec;
--- a/packages/dispatch/chiveshelf/dispatch/QuarantineService.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/QuarantineService.cpp
@@ -1,9 +1,8 @@
 #include "chiveshelf/dispatch/QuarantineService.h"
 
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -53,7 +52,7 @@
 {
     const QuarantineNotice notice { fingerprint, runner };
     record(notice);
-    asio::co_spawn(m_context, announce(notice), asio::detached);
+    spawnTask(m_context, "quarantine_service.announce", announce(notice));
 }
 
 asio::awaitable<void> QuarantineService::announce(QuarantineNotice notice)
--- a/packages/dispatch/chiveshelf/dispatch/SchedulerService.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/SchedulerService.cpp
@@ -1,9 +1,8 @@
 #include "chiveshelf/dispatch/SchedulerService.h"
 
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
@@ -69,7 +68,7 @@
 
 void SchedulerService::start()
 {
-    asio::co_spawn(m_context, tickLoop(), asio::detached);
+    spawnLoop(m_context, "scheduler_service.tick_loop", [this] { return tickLoop(); });
 }
 
 SchedulerService::PoolState& SchedulerService::poolState(const std::string& name)
@@ -209,7 +208,7 @@
         if (slot == state.running.end())
             continue;
         logEvent(LogLevel::Info, "preempting", { { "request_id", preemption.requestId }, { "pool", poolName }, { "reason", preemption.reason } });
-        asio::co_spawn(m_context, sendPreempt(slot->second.entryHost, { preemption.requestId, poolName }), asio::detached);
+        spawnTask(m_context, "scheduler_service.send_preempt", sendPreempt(slot->second.entryHost, { preemption.requestId, poolName }));
     }
 }
 
--- a/packages/gateway/chiveshelf/gateway/BackendPool.h
+++ b/packages/gateway/chiveshelf/gateway/BackendPool.h
@@ -25,11 +25,16 @@
     {
     }
 
+    // Bytes that are read ahead at most, and the longest head of an answer.
+    static constexpr std::size_t mostBufferedBytes = 64 * 1024;
+    static constexpr std::uint32_t mostHeadBytes = 32 * 1024;
+
     // Ends all pending operations on it.
     void close();
 
     boost::asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer;
+    // Bounded, since a server may send a head or a chunk's head without end.
+    boost::beast::flat_buffer buffer { mostBufferedBytes };
     TimePoint idleSince {};
     // How long the server keeps it idle.
     std::chrono::milliseconds idleLimit { 0 };
--- a/packages/gateway/chiveshelf/gateway/CacheFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/CacheFollower.cpp
@@ -1,10 +1,9 @@
 #include "chiveshelf/gateway/CacheFollower.h"
 
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 #include "platform/CacheCalls.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -50,7 +49,7 @@
 
 void CacheFollower::start()
 {
-    asio::co_spawn(m_context, run(), asio::detached);
+    spawnLoop(m_context, "cache_follower.run", [this] { return run(); });
 }
 
 asio::awaitable<void> CacheFollower::sleep(std::chrono::milliseconds duration)
@@ -65,7 +64,7 @@
     while (!m_isStopped) {
         for (const auto& contents : m_state.cacheStores()) {
             if (m_followed.insert(contents).second)
-                asio::co_spawn(m_context, follow(contents), asio::detached);
+                spawnLoop(m_context, "cache_follower.follow", [this, contents] { return follow(contents); });
         }
         co_await sleep(checkInterval);
     }
--- a/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
@@ -10,6 +10,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace chiveshelf {
@@ -27,6 +28,11 @@
     // reset the connection before the answer was read.
     constexpr std::chrono::milliseconds lingerTime { 500 };
     constexpr std::size_t lingerPieceBytes = 16 * 1024;
+    constexpr std::size_t mostLingerBytes = 4 * 1024 * 1024;
+    // Room in the buffer beside a head of the longest length.
+    constexpr std::size_t bufferReserve = 64 * 1024;
+    // Well within the half second in which work for a caller that has left has to end.
+    constexpr std::chrono::milliseconds departureCheckInterval { 150 };
 
     struct ReadRefusal {
         unsigned status;
@@ -82,6 +88,7 @@
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket)
     : m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
+    , m_departureTimer(m_socket.get_executor())
 {
 }
 
@@ -134,6 +141,7 @@
     m_isIdle = false;
     expireAfter(limits.headerTime);
     beast::http::request_parser<beast::http::string_body> parser;
+    m_buffer.max_size(std::max(limits.headerBytes + bufferReserve, m_buffer.size()));
     parser.header_limit(limits.headerBytes);
     parser.body_limit(limits.bodyBytes);
     co_await beast::http::async_read_header(m_socket, m_buffer, parser, redirect_error(use_awaitable, ec));
@@ -203,13 +211,36 @@
         return;
     char byte = 0;
     const auto n = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    const bool isOpen = n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR));
-    if (isOpen && n < 0) {
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
         awaitReadable();
-        return;
-    }
-    if (isOpen)
-        return;
+    else if (n > 0 && !isClosedByCaller())
+        lookAgainSoon();
+    else
+        onDeparture();
+}
+
+bool CallerConnection::isClosedByCaller()
+{
+    pollfd entry { m_socket.native_handle(), POLLRDHUP, 0 };
+    return ::poll(&entry, 1, 0) > 0 && (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+void CallerConnection::lookAgainSoon()
+{
+    m_isAwaitingReadable = true;
+    m_departureTimer.expires_after(departureCheckInterval);
+    m_departureTimer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
+        const auto connection = weak.lock();
+        if (!connection)
+            return;
+        connection->m_isAwaitingReadable = false;
+        if (!ec)
+            connection->onReadable();
+    });
+}
+
+void CallerConnection::onDeparture()
+{
     m_hasDeparted = true;
     const auto onGone = std::exchange(m_onGone, nullptr);
     onGone();
@@ -253,8 +284,9 @@
                 connection->m_socket.cancel(ignored);
         });
         std::string piece(lingerPieceBytes, '\0');
-        while (!ec)
-            co_await m_socket.async_read_some(asio::buffer(piece), redirect_error(use_awaitable, ec));
+        std::size_t n = 0;
+        while (!ec && n < mostLingerBytes)
+            n += co_await m_socket.async_read_some(asio::buffer(piece), redirect_error(use_awaitable, ec));
     }
     m_socket.close(ec);
 }
--- a/packages/gateway/chiveshelf/gateway/CallerConnection.h
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.h
@@ -79,11 +79,18 @@
     void armTimer();
     void awaitReadable();
     void onReadable();
+    // Whether the caller has closed its end or the connection, also behind bytes that were not read.
+    bool isClosedByCaller();
+    // Looks for the departure of a caller that has sent bytes nobody reads yet: the socket stays readable then.
+    void lookAgainSoon();
+    void onDeparture();
     boost::asio::awaitable<std::optional<CallerRequest>> refuseRequest(unsigned status, const char* code, const char* message);
 
     boost::asio::ip::tcp::socket m_socket;
+    // Bounded, since a caller may send a chunk's head without end.
     boost::beast::flat_buffer m_buffer;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_departureTimer;
     // Moment at which the connection is closed. The timer may be set to an earlier one and is moved when it fires.
     TimePoint m_expiry = TimePoint::max();
     TimePoint m_timerAt = TimePoint::max();
--- a/packages/gateway/chiveshelf/gateway/EventCursor.h
+++ b/packages/gateway/chiveshelf/gateway/EventCursor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -9,6 +10,9 @@
 // the last released one is known. Part of an event is held back, since a resumed stream repeats it from its start.
 class EventCursor {
 public:
+    // Part of an event that is held back at most. An event is some tokens; a longer one is none.
+    static constexpr std::size_t mostPartialBytes = 256 * 1024;
+
     // Adds received bytes and returns the whole events that are complete now.
     std::string take(std::string_view bytes);
 
@@ -18,6 +22,9 @@
     // Forgets the held-back part of an event whose stream broke.
     void discardPartial() { m_partial.clear(); }
 
+    // Whether more is held back than an event may be long.
+    bool isOverfull() const { return m_partial.size() > mostPartialBytes; }
+
     // The id of the last released event; empty before the first.
     const std::string& lastId() const { return m_lastId; }
 
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -31,7 +31,6 @@
     constexpr std::size_t readPieceBytes = 16 * 1024;
     // Answers of plain requests up to this size are read whole before they are sent, so that a broken one can be replaced.
     constexpr std::size_t holdBytes = 64 * 1024;
-    constexpr std::uint32_t answerHeaderBytes = 32 * 1024;
     // A request that may be repeated is tried elsewhere after this multiple of its predicted time, and not before a multiple of
     // its goal.
     constexpr int patienceFactor = 4;
@@ -54,8 +53,18 @@
     constexpr double mostNearSpreadMs = 5;
     // Answers of other requests that may stand before the one that is waited for.
     constexpr int mostStrays = 4;
+    // Longest body of such an answer that is read for the sake of the connection.
+    constexpr std::size_t mostStrayBytes = 64 * 1024;
+    // Interim answers (1xx) before the answer itself.
+    constexpr int mostInterimAnswers = 8;
+    // Time without a whole event after which a resumable stream goes on elsewhere: well before callers give up, which is after two
+    // seconds, four goals or eight pauses, whichever is longest.
+    constexpr std::chrono::milliseconds shortestEventGap { 1'000 };
+    constexpr int eventGapGoals = 2;
+    constexpr int eventGapPauses = 4;
 
     constexpr unsigned statusMisdirected = 421;
+    constexpr unsigned statusUnavailable = 503;
 
     std::string_view view(beast::string_view text)
     {
@@ -87,9 +96,17 @@
     , m_timer(context.io)
     , m_patience(context.io)
     , m_weights(context.io)
+    , m_events(context.io)
 {
 }
 
+ForwardTask::~ForwardTask()
+{
+    // Callbacks that are already queued find that the task has ended, also if it ended by an exception.
+    *m_alive = false;
+    m_caller->stopWatching();
+}
+
 std::chrono::milliseconds ForwardTask::timeLeft(TimePoint now) const
 {
     return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - now), std::chrono::milliseconds(0));
@@ -173,17 +190,21 @@
             break;
         }
         // A connection that was never made has not burdened a runner.
-        if (m_hasArrived && !m_context.state.policies(m_pool).retries.take(m_context.exchange.hostCount(), std::chrono::steady_clock::now())) {
+        const bool isPaid = !m_hasArrived || std::exchange(m_isStalled, false);
+        if (!isPaid && !takeRepeat()) {
             logOutcome("repeat_denied", "budget");
             co_await fail();
             break;
         }
         ++m_context.metrics.repeats;
     }
-    *m_alive = false;
     m_timer.cancel();
     stopRunnerTimers();
-    m_caller->stopWatching();
+}
+
+bool ForwardTask::takeRepeat()
+{
+    return m_context.state.policies(m_pool).retries.take(m_context.exchange.hostCount(), std::chrono::steady_clock::now());
 }
 
 void ForwardTask::startTimers()
@@ -210,6 +231,34 @@
     m_weights.cancel();
 }
 
+std::chrono::milliseconds ForwardTask::longestEventGap() const
+{
+    return std::max({ shortestEventGap, eventGapGoals * m_route->goal, eventGapPauses * m_route->longestPause });
+}
+
+void ForwardTask::watchEvents()
+{
+    m_events.expires_at(m_eventAt + longestEventGap());
+    m_events.async_wait([this, alive = m_alive, sends = m_history->sends()](boost::system::error_code ec) {
+        if (ec || !*alive || m_history->sends() != sends || !m_connection)
+            return;
+        const auto now = std::chrono::steady_clock::now();
+        if (now - m_eventAt < longestEventGap()) {
+            watchEvents();
+            return;
+        }
+        // A stream that nobody can go on with is left to its runner.
+        const bool isAllowed = m_history->runs() + 1 < m_route->attempts && m_history->sends() + 1 < AttemptHistory::mostSends;
+        if (!isAllowed || !choose(now) || !takeRepeat()) {
+            m_eventAt = now;
+            watchEvents();
+            return;
+        }
+        m_isStalled = true;
+        m_connection->close();
+    });
+}
+
 void ForwardTask::interrupt()
 {
     if (m_connection)
@@ -298,7 +347,9 @@
 {
     const auto& record = placement.runner->record();
     const auto now = std::chrono::steady_clock::now();
-    m_connection = m_context.backends.takeIdle(record, m_route->mayRepeat() ? repeatableIdle : singleIdle, now);
+    // Without an id, a late answer to the request before could not be told from this one's.
+    if (!m_headers.requestId.empty())
+        m_connection = m_context.backends.takeIdle(record, m_route->mayRepeat() ? repeatableIdle : singleIdle, now);
     if (m_connection)
         co_return true;
     const auto address = record.address;
@@ -379,53 +430,104 @@
         co_return recordFailure(use, Verdict::NotRun, false, "connection_closed");
     std::unique_ptr<Parser> parser;
     if (!co_await readHead(parser, use))
-        co_return recordFailure(use, Verdict::MayHaveRun, !m_isImpatient && !isInterrupted(), m_isImpatient ? "silent" : m_problem);
+        co_return recordFailure(use, Verdict::MayHaveRun, m_hasLostConnection, m_isImpatient ? "silent" : m_problem);
     const auto end = co_await handleAnswer(*parser, use);
     stopRunnerTimers();
     co_return end;
 }
 
+void ForwardTask::noteReadError(const boost::system::error_code& ec)
+{
+    m_problem = ec.message();
+    const bool isEnd = ec == beast::http::error::end_of_stream || ec == beast::http::error::partial_message;
+    const bool isOfParser = ec.category() == beast::http::make_error_code(beast::http::error::end_of_stream).category();
+    // What this host ended itself says nothing of the runner.
+    m_hasLostConnection = (isEnd || !isOfParser) && !m_isImpatient && !m_isStalled && !isInterrupted();
+}
+
+void ForwardTask::observeRunner(const platform::RunnerHeaders& headers, unsigned status, BackendState& runner)
+{
+    const auto& record = runner.record();
+    if (headers.isLeaving && !runner.isLeaving()) {
+        runner.setLeaving();
+        m_context.backends.drop(record);
+        m_context.exchange.announceLeaving(record);
+        logEvent(LogLevel::Info, "runner_leaving", { { "runner", record.id }, { "pool", record.pool }, { "source", "answer" } });
+    }
+    if (status == statusUnavailable && headers.retryAfter) {
+        runner.pauseUntil(std::chrono::steady_clock::now() + *headers.retryAfter);
+        logEvent(LogLevel::Info, "runner_paused", { { "runner", record.id }, { "pool", record.pool }, { "pause_ms", headers.retryAfter->count() } });
+    }
+}
+
 asio::awaitable<bool> ForwardTask::readHead(std::unique_ptr<Parser>& parser, RunnerUse& use)
 {
     const auto connection = m_connection;
-    for (int strays = 0; strays < mostStrays;) {
+    int interims = 0;
+    int strays = 0;
+    m_hasLostConnection = false;
+    m_problem = "too many answers that are not this request's";
+    while (strays < mostStrays && interims < mostInterimAnswers) {
         parser = std::make_unique<Parser>();
-        parser->header_limit(answerHeaderBytes);
+        parser->header_limit(BackendConnection::mostHeadBytes);
         parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         if (m_request.message.method() == beast::http::verb::head)
             parser->skip(true);
         boost::system::error_code ec;
         co_await beast::http::async_read_header(connection->socket, connection->buffer, *parser, redirect_error(use_awaitable, ec));
         if (ec) {
-            m_problem = ec.message();
+            noteReadError(ec);
             co_return false;
         }
         use.runner().health().onHeard(std::chrono::steady_clock::now());
         const auto status = parser->get().result_int();
-        if (status >= 100 && status < 200)
+        if (status >= 100 && status < 200) {
+            ++interims;
             continue;
+        }
         const auto headers = platform::decodeRunnerHeaders(parser->get());
+        observeRunner(headers, status, use.runner());
         const bool isStray = !m_headers.requestId.empty() && !headers.requestId.empty() && headers.requestId != m_headers.requestId;
         if (!isStray)
             co_return true;
         ++strays;
         ++m_context.metrics.strayAnswers;
         logOutcome("stray_answer", headers.requestId);
-        std::string piece(readPieceBytes, '\0');
-        while (!parser->is_done()) {
-            parser->get().body().data = piece.data();
-            parser->get().body().size = piece.size();
-            parser->get().body().more = true;
-            co_await beast::http::async_read_some(connection->socket, connection->buffer, *parser, redirect_error(use_awaitable, ec));
-            if (ec && ec != beast::http::error::need_buffer)
-                co_return false;
-        }
-        if (!parser->keep_alive())
+        if (!co_await skipAnswer(*parser))
             co_return false;
     }
     co_return false;
 }
 
+asio::awaitable<bool> ForwardTask::skipAnswer(Parser& parser)
+{
+    const auto connection = m_connection;
+    std::string piece(readPieceBytes, '\0');
+    std::size_t n = 0;
+    while (!parser.is_done() && n <= mostStrayBytes) {
+        parser.get().body().data = piece.data();
+        parser.get().body().size = piece.size();
+        parser.get().body().more = true;
+        boost::system::error_code ec;
+        co_await beast::http::async_read_some(connection->socket, connection->buffer, parser, redirect_error(use_awaitable, ec));
+        if (ec && ec != beast::http::error::need_buffer) {
+            noteReadError(ec);
+            co_return false;
+        }
+        n += piece.size() - parser.get().body().size;
+    }
+    m_problem = "an answer of another request is too long";
+    co_return parser.is_done() && parser.keep_alive();
+}
+
+bool ForwardTask::isProofOfNotRun(const platform::RunnerHeaders& headers, unsigned status) const
+{
+    if (!headers.isNotRun && status != statusMisdirected)
+        return false;
+    // On a connection that was used before, a refusal without an id may be a late one of the request before.
+    return m_headers.requestId.empty() || !headers.requestId.empty() || !m_connection->isReused;
+}
+
 bool ForwardTask::isAnswerOfRunner(const platform::RunnerHeaders& headers, unsigned status) const
 {
     if (!headers.isSealed || headers.isEncoded)
@@ -485,7 +587,7 @@
         runner.setReport(*headers.load, now);
     if (headers.weightVersion && m_headers.prompt && status != statusMisdirected)
         runner.setVersion(m_headers.prompt->model, *headers.weightVersion);
-    if (headers.isNotRun || status == statusMisdirected) {
+    if (isProofOfNotRun(headers, status)) {
         const auto end = recordRefusal(use, headers, status);
         m_connection->close();
         co_return end;
@@ -519,7 +621,7 @@
         logOutcome("answered", runner.record().id);
         co_return SendEnd::Finished;
     }
-    recordFailure(use, Verdict::Ran, true, "answer_broken");
+    recordFailure(use, Verdict::Ran, m_hasLostConnection, m_isStalled ? "stalled" : "answer_broken");
     const bool mayGoOn = !m_hasStarted || mayResume();
     if (mayGoOn) {
         m_cursor.discardPartial();
@@ -608,7 +710,12 @@
     const auto framing = framingFor(parser);
     const bool isStream = m_route->kind == RequestKind::Stream && isSuccess(parser.get().result_int());
     std::string pending = m_hasStarted ? std::string() : formatHead(parser, framing);
+    const bool isFollowed = mayResume() && isStream;
     std::string piece(readPieceBytes, '\0');
+    if (isFollowed) {
+        m_eventAt = std::chrono::steady_clock::now();
+        watchEvents();
+    }
     while (!parser.is_done()) {
         parser.get().body().data = piece.data();
         parser.get().body().size = piece.size();
@@ -618,24 +725,35 @@
         if (isInterrupted())
             co_return RelayEnd::CallerGone;
         const auto n = piece.size() - parser.get().body().size;
+        bool hasEvents = false;
         if (n > 0) {
             observePiece(use);
             const std::string_view bytes(piece.data(), n);
-            auto whole = mayResume() && isStream ? m_cursor.take(bytes) : std::string(bytes);
+            auto whole = isFollowed ? m_cursor.take(bytes) : std::string(bytes);
+            hasEvents = isFollowed && !whole.empty();
+            if (hasEvents)
+                m_eventAt = std::chrono::steady_clock::now();
             pending += frame(std::move(whole), framing);
         }
+        const bool isBroken = (ec && ec != beast::http::error::need_buffer) || m_cursor.isOverfull();
         if (ec && ec != beast::http::error::need_buffer)
+            noteReadError(ec);
+        // Whole events in front of the break are passed on, since another runner goes on behind them.
+        if (isBroken && !hasEvents)
+            co_return RelayEnd::RunnerBroke;
+        const bool isHeld = !isStream && pending.size() < holdBytes;
+        if (!pending.empty() && n > 0 && !isHeld) {
+            m_hasStarted = true;
+            auto bytes = std::move(pending);
+            pending.clear();
+            if (!co_await m_caller->write(std::move(bytes)))
+                co_return RelayEnd::CallerGone;
+        }
+        if (isBroken)
             co_return RelayEnd::RunnerBroke;
-        if (pending.empty() || n == 0 || (!isStream && pending.size() < holdBytes))
-            continue;
-        m_hasStarted = true;
-        auto bytes = std::move(pending);
-        pending.clear();
-        if (!co_await m_caller->write(std::move(bytes)))
-            co_return RelayEnd::CallerGone;
     }
     observeFirstByte(use);
-    if (mayResume() && isStream)
+    if (isFollowed)
         pending += frame(m_cursor.finish(), framing);
     if (framing == Framing::Chunks)
         pending += "0\r\n\r\n";
@@ -650,7 +768,8 @@
 void ForwardTask::keepConnection(const Parser& parser, const platform::RunnerHeaders& headers, const RunnerUse& use)
 {
     // Bytes behind a whole answer belong to no request.
-    if (!parser.keep_alive() || parser.need_eof() || m_connection->buffer.size() > 0) {
+    const bool isClean = parser.keep_alive() && !parser.need_eof() && m_connection->buffer.size() == 0;
+    if (!isClean || m_headers.requestId.empty() || use.placement().runner->isLeaving()) {
         m_connection->close();
         return;
     }
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -31,6 +31,7 @@
 class ForwardTask {
 public:
     ForwardTask(ForwardContext&, std::shared_ptr<CallerConnection>, CallerRequest);
+    ~ForwardTask();
     ForwardTask(const ForwardTask&) = delete;
     ForwardTask& operator=(const ForwardTask&) = delete;
 
@@ -72,6 +73,8 @@
     boost::asio::awaitable<bool> connect(const Placement&);
     boost::asio::awaitable<bool> writeRequest(const Placement&);
     boost::asio::awaitable<bool> readHead(std::unique_ptr<Parser>&, RunnerUse&);
+    // Reads the rest of an answer that belongs to another request. Returns false if the connection is of no use after it.
+    boost::asio::awaitable<bool> skipAnswer(Parser&);
     boost::asio::awaitable<SendEnd> handleAnswer(Parser&, RunnerUse&);
     boost::asio::awaitable<RelayEnd> relay(Parser&, RunnerUse&);
     boost::asio::awaitable<void> answer(unsigned status, std::string_view code, std::string message, std::optional<std::chrono::milliseconds> retryAfter);
@@ -84,6 +87,12 @@
     std::string frame(std::string bytes, Framing) const;
     Framing framingFor(const Parser&) const;
     bool isAnswerOfRunner(const platform::RunnerHeaders&, unsigned status) const;
+    // Whether the runner says that it has not run the request, in an answer that can not be another's.
+    bool isProofOfNotRun(const platform::RunnerHeaders&, unsigned status) const;
+    // Learns what any answer of the runner says of the runner itself.
+    void observeRunner(const platform::RunnerHeaders&, unsigned status, BackendState&);
+    // Takes what an error of the connection tells.
+    void noteReadError(const boost::system::error_code&);
     SendEnd recordFailure(RunnerUse&, Verdict, bool isBroken, std::string_view reason);
     SendEnd recordRefusal(RunnerUse&, const platform::RunnerHeaders&, unsigned status);
     void observeFirstByte(RunnerUse&);
@@ -99,6 +108,11 @@
     // Takes the request back before the runner would begin it on weights that are past their time.
     void watchWeights(const Placement&);
     void armPatience(const Placement&);
+    // Lets a resumable stream go on elsewhere if no whole event comes for long, and another runner can take it.
+    void watchEvents();
+    std::chrono::milliseconds longestEventGap() const;
+    // Takes a repeat from the budget of all hosts.
+    bool takeRepeat();
     void logOutcome(std::string_view outcome, std::string_view reason) const;
     std::chrono::milliseconds timeLeft(TimePoint now) const;
     bool isInterrupted() const { return m_isCallerGone || m_isTimeUp; }
@@ -121,6 +135,7 @@
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_patience;
     boost::asio::steady_timer m_weights;
+    boost::asio::steady_timer m_events;
     TimePoint m_deadline {};
     EventCursor m_cursor;
     // Lets callbacks of timers find out that the task has ended.
@@ -128,12 +143,18 @@
     bool m_isCallerGone = false;
     bool m_isTimeUp = false;
     bool m_isImpatient = false;
+    // Whether the stream was taken back since no whole event came, and the repeat was taken from the budget for that.
+    bool m_isStalled = false;
+    // Whether the connection to the runner ended by itself while an answer was awaited.
+    bool m_hasLostConnection = false;
     // Whether a runner was sent the request, so that any further send is a repeat.
     bool m_hasArrived = false;
     // Why no answer could be read, for the log.
     std::string m_problem;
     // When the last piece of an answer's body arrived, and the longest time between two of one answer.
     TimePoint m_pieceAt {};
+    // When the last whole event arrived.
+    TimePoint m_eventAt {};
     std::chrono::milliseconds m_longestPause { 0 };
     // Whether part of an answer was sent to the caller.
     bool m_hasStarted = false;
--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -1,9 +1,8 @@
 #include "chiveshelf/gateway/Gateway.h"
 
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -90,7 +89,7 @@
     m_registration.start();
     m_leader.start();
     m_caches.start();
-    asio::co_spawn(m_context, sweepLoop(), asio::detached);
+    spawnLoop(m_context, "gateway.sweep_loop", [this] { return sweepLoop(); });
     logEvent(LogLevel::Info, "started", { { "data_centre", m_settings.dataCentre }, { "listen", toString(m_settings.callerAddress) } });
     return {};
 }
@@ -148,22 +147,29 @@
     logEvent(LogLevel::Info, "stopping", { { "active", m_server.activeRequests() } });
     m_server.announceClose();
     m_stopAt = std::chrono::steady_clock::now() + std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.stopLimit * lastStartShare);
-    asio::co_spawn(m_context, stopInOrder(), asio::detached);
+    spawnTask(m_context, "gateway.stop_in_order", stopInOrder());
 }
 
 asio::awaitable<void> Gateway::stopInOrder()
 {
-    const auto start = std::chrono::steady_clock::now();
+    const auto end = std::chrono::steady_clock::now() + m_settings.stopLimit - stopMargin;
     co_await m_leader.stop();
     co_await sleep(balancerNotice);
+    co_await drainCallers(end);
+    co_await m_registration.stop();
+    // Requests may have come in while the store was told.
+    co_await drainCallers(end);
+    logEvent(LogLevel::Info, "stopped", { { "active", m_server.activeRequests() } });
+    m_context.stop();
+}
+
+asio::awaitable<void> Gateway::drainCallers(TimePoint end)
+{
     m_server.closeIdle();
-    while (m_server.connectionCount() > 0 && std::chrono::steady_clock::now() - start < m_settings.stopLimit - stopMargin) {
+    while (std::chrono::steady_clock::now() < end && (m_server.acceptWaiting() || m_server.connectionCount() > 0)) {
         co_await sleep(stopCheckInterval);
         m_server.closeIdle();
     }
-    co_await m_registration.stop();
-    logEvent(LogLevel::Info, "stopped", { { "active", m_server.activeRequests() } });
-    m_context.stop();
 }
 
 std::string Gateway::stateText() const
@@ -177,7 +183,7 @@
     for (const auto& [id, runner] : m_state.board().all()) {
         const auto total = runner->total(now);
         out["runners"][id] = { { "pool", runner->record().pool }, { "address", toString(runner->record().address) },
-            { "leaving", runner->record().isLeaving }, { "usable", runner->health().isUsable(now) }, { "loading", runner->isLoading(now) },
+            { "leaving", runner->isLeaving() }, { "usable", runner->isUsable(now) }, { "paused", runner->isPaused(now) }, { "loading", runner->isLoading(now) },
             { "versions", runner->record().modelVersions }, { "requests", runner->requests(now) }, { "prefill_tokens", total.prefillTokens },
             { "prompts", total.prompts }, { "memory_tokens", total.memoryTokens }, { "failure_share", runner->health().failureShare(now) },
             { "tokens_per_ms", runner->tokensPerMs(0) }, { "cached_tokens", runner->parts().tokens() } };
@@ -241,7 +247,7 @@
         });
     };
     awaitReload();
-    context.run();
+    runGuarded(context);
     return 0;
 }
 
--- a/packages/gateway/chiveshelf/gateway/Gateway.h
+++ b/packages/gateway/chiveshelf/gateway/Gateway.h
@@ -27,6 +27,8 @@
     boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection>, CallerRequest);
     boost::asio::awaitable<void> serveAdmin(http::Exchange&);
     boost::asio::awaitable<void> stopInOrder();
+    // Waits until no caller is connected, and closes connections as they become idle.
+    boost::asio::awaitable<void> drainCallers(TimePoint end);
     boost::asio::awaitable<void> sweepLoop();
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds);
     bool isReady() const;
--- a/packages/gateway/chiveshelf/gateway/GatewayServer.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewayServer.cpp
@@ -2,10 +2,9 @@
 
 #include "chiveshelf/core/Log.h"
 #include "chiveshelf/core/Sockets.h"
+#include "chiveshelf/core/Tasks.h"
 #include "chiveshelf/http/Message.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -66,7 +65,7 @@
     auto listening = listenOn(m_acceptor, address);
     if (!listening)
         return listening;
-    asio::co_spawn(m_context, acceptLoop(), asio::detached);
+    spawnLoop(m_context, "gateway_server.accept_loop", [this] { return acceptLoop(); });
     return {};
 }
 
@@ -92,15 +91,36 @@
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
             continue;
         }
-        if (m_connections.size() >= m_mostConnections) {
-            logEvent(LogLevel::Warning, "connection_refused", { { "connections", m_connections.size() } });
-            continue;
-        }
-        setOptions(socket);
-        auto connection = std::make_shared<CallerConnection>(std::move(socket));
-        m_connections.insert(connection);
-        asio::co_spawn(m_context, serve(connection), asio::detached);
+        adopt(std::move(socket));
+    }
+}
+
+void GatewayServer::adopt(asio::ip::tcp::socket socket)
+{
+    if (m_connections.size() >= m_mostConnections) {
+        logEvent(LogLevel::Warning, "connection_refused", { { "connections", m_connections.size() } });
+        return;
+    }
+    setOptions(socket);
+    auto connection = std::make_shared<CallerConnection>(std::move(socket));
+    m_connections.insert(connection);
+    spawnTask(m_context, "gateway_server.serve", serve(connection));
+}
+
+bool GatewayServer::acceptWaiting()
+{
+    bool hasAccepted = false;
+    boost::system::error_code ec;
+    m_acceptor.non_blocking(true, ec);
+    while (!ec) {
+        asio::ip::tcp::socket socket(m_context);
+        m_acceptor.accept(socket, ec);
+        if (ec)
+            break;
+        hasAccepted = true;
+        adopt(std::move(socket));
     }
+    return hasAccepted;
 }
 
 asio::awaitable<void> GatewayServer::serve(std::shared_ptr<CallerConnection> connection)
--- a/packages/gateway/chiveshelf/gateway/GatewayServer.h
+++ b/packages/gateway/chiveshelf/gateway/GatewayServer.h
@@ -32,11 +32,16 @@
     // Closes the connections on which no request has arrived.
     void closeIdle();
 
+    // Takes the connections that the kernel has accepted, so that none of them is reset when the process ends. Returns whether
+    // there were any.
+    bool acceptWaiting();
+
     std::size_t activeRequests() const { return m_activeRequests; }
     std::size_t connectionCount() const { return m_connections.size(); }
 
 private:
     boost::asio::awaitable<void> acceptLoop();
+    void adopt(boost::asio::ip::tcp::socket);
     boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection>);
 
     boost::asio::io_context& m_context;
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -2,9 +2,8 @@
 
 #include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -79,6 +78,7 @@
         m_state.crashes().record(notice.fingerprint, notice.runner, std::chrono::steady_clock::now());
     });
     m_datagrams.handle<RolloutNotice>([this](const Address&, RolloutNotice notice) { onRollout(notice); });
+    m_datagrams.handle<LeavingNotice>([this](const Address&, LeavingNotice notice) { onLeaving(notice); });
     m_datagrams.handle<CacheNotice>([this](const Address&, CacheNotice notice) {
         if (m_cacheHandler)
             m_cacheHandler(notice);
@@ -96,7 +96,7 @@
     if (started)
         started = m_server.start(m_settings.peerAddress);
     if (started)
-        asio::co_spawn(m_context, noticeLoop(), asio::detached);
+        spawnLoop(m_context, "host_exchange.notice_loop", [this] { return noticeLoop(); });
     return started;
 }
 
@@ -186,6 +186,20 @@
     sendToAll(CrashNotice { fingerprint, runner });
 }
 
+void HostExchange::announceLeaving(const RunnerRecord& runner)
+{
+    sendToAll(LeavingNotice { shortHash(runner) });
+}
+
+void HostExchange::onLeaving(const LeavingNotice& notice)
+{
+    const auto runner = m_state.board().findByHash(notice.runner);
+    if (!runner || runner->isLeaving())
+        return;
+    runner->setLeaving();
+    logEvent(LogLevel::Info, "runner_leaving", { { "runner", runner->record().id }, { "pool", runner->record().pool }, { "source", "host" } });
+}
+
 void HostExchange::announceRollout(const RunnerRecord& runner, const std::string& model, std::uint64_t version, bool isDone)
 {
     const RolloutNotice notice { shortHash(runner), model, version, isDone };
@@ -231,7 +245,7 @@
         m_state.acceptTargetAge(version.model, version.version, std::chrono::milliseconds(version.ageMs), bootTime());
     if (notice.tablesVersion > m_state.tablesVersion() && notice.tablesVersion > m_pulledVersion) {
         m_pulledVersion = notice.tablesVersion;
-        asio::co_spawn(m_context, pullSoon(from), asio::detached);
+        spawnTask(m_context, "host_exchange.pull_soon", pullSoon(from));
     }
 }
 
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -43,6 +43,8 @@
     bool areAllHostsClose() const;
 
     void announceCrash(const std::string& fingerprint, const std::string& runner);
+    // Tells that a runner said that it leaves, so that the others need not hear it from the runner.
+    void announceLeaving(const RunnerRecord&);
     void announceRollout(const RunnerRecord&, const std::string& model, std::uint64_t version, bool isDone);
 
     // Tells the others what a store holds.
@@ -71,6 +73,7 @@
     void onLoad(const Address& from, const LoadNotice&);
     void onParts(const std::vector<PlacedPart>&);
     void onRollout(const RolloutNotice&);
+    void onLeaving(const LeavingNotice&);
     void onPlacement(const PlacementNotice&);
     void updateCloseHosts();
     // Takes notices to so many hosts from the budget, of which prompts that take long to read may use more.
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -179,6 +179,19 @@
     }
 };
 
+// A runner said that it leaves.
+struct LeavingNotice {
+    static constexpr peer::DatagramType datagramType = peer::DatagramType::LeavingNotice;
+
+    std::uint32_t runner = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(runner);
+    }
+};
+
 // The tables of a host, as the operator wrote them; empty if the asking host has them.
 struct RoutingTablesReply {
     std::uint64_t version = 0;
--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
@@ -2,10 +2,9 @@
 
 #include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 #include "platform/RunnerOrders.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -55,7 +54,7 @@
 void RolloutLeader::start()
 {
     m_lease.start();
-    asio::co_spawn(m_context, run(), asio::detached);
+    spawnLoop(m_context, "rollout_leader.run", [this] { return run(); });
 }
 
 asio::awaitable<void> RolloutLeader::stop()
@@ -102,13 +101,13 @@
         std::map<std::string, std::vector<RolloutRunner>> pools;
         for (const auto& [id, runner] : m_state.board().all()) {
             const auto version = runner->version(model);
-            if (version && !runner->record().isLeaving)
+            if (version && !runner->isLeaving() && !runner->isPaused(now))
                 pools[runner->record().pool].push_back({ id, *version, runner->requests(now) });
         }
         for (auto& [pool, runners] : pools) {
             for (const auto& id : m_schedules[{ model, pool }].next(std::move(runners), newest, now)) {
                 if (auto runner = m_state.board().find(id))
-                    asio::co_spawn(m_context, update(std::move(runner), model, newest), asio::detached);
+                    spawnTask(m_context, "rollout_leader.update", update(std::move(runner), model, newest));
             }
         }
     }
@@ -150,16 +149,16 @@
     command.holder = m_settings.hostName;
     command.expectedOrderCount = report->orderCount;
     for (int i = 0; i < mostOrders; ++i) {
-        if (!isLeading())
+        if (!isLeading() || runner->isLeaving())
             co_return false;
         command.fence = m_lease.fence();
-        const auto outcome = co_await platform::orderVersion(m_client, record, command);
+        const auto outcome = co_await platform::orderVersion(m_client, record, command, [this] { return isLeading(); });
         logEvent(LogLevel::Info, "order_sent", { { "runner", record.id }, { "version", version }, { "fence", command.fence }, { "outcome", static_cast<int>(outcome) } });
         if (outcome == platform::OrderOutcome::AlreadyInPlace)
             co_return true;
         if (outcome == platform::OrderOutcome::Refused)
             co_return false;
-        if (outcome == platform::OrderOutcome::Accepted && co_await confirm(record, command))
+        if (outcome == platform::OrderOutcome::Accepted && co_await confirm(runner, command))
             co_return true;
         if (co_await awaitVersion(runner, model, version, report->orderCount + (outcome == platform::OrderOutcome::Accepted ? 0 : 1)))
             co_return true;
@@ -170,13 +169,14 @@
 }
 
 // Asks a runner that has accepted an order by the same order, which changes nothing, from the time on that loads took so far.
-asio::awaitable<bool> RolloutLeader::confirm(RunnerRecord runner, platform::VersionOrder command)
+asio::awaitable<bool> RolloutLeader::confirm(std::shared_ptr<BackendState> runner, platform::VersionOrder command)
 {
+    const auto record = runner->record();
     ++command.expectedOrderCount;
     const auto start = std::chrono::steady_clock::now();
     co_await sleep(m_loadTime);
-    for (int i = 0; i < mostConfirmations && isLeading(); ++i) {
-        const auto outcome = co_await platform::orderVersion(m_client, runner, command);
+    for (int i = 0; i < mostConfirmations && isLeading() && !runner->isLeaving(); ++i) {
+        const auto outcome = co_await platform::orderVersion(m_client, record, command, [this] { return isLeading(); });
         if (outcome == platform::OrderOutcome::AlreadyInPlace) {
             const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start);
             m_loadTime = std::clamp(elapsed - askInterval / 2, askInterval, m_settings.orderGap);
@@ -196,6 +196,10 @@
     const auto start = std::chrono::steady_clock::now();
     while (std::chrono::steady_clock::now() - start < loadLimit && !m_isStopped) {
         co_await sleep(askInterval);
+        if (runner->isLeaving())
+            co_return false;
+        if (runner->isPaused(std::chrono::steady_clock::now()))
+            continue;
         const auto report = co_await platform::readWeightReport(m_client, address);
         if (!report)
             continue;
--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.h
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.h
@@ -26,7 +26,7 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> update(std::shared_ptr<BackendState>, std::string model, std::uint64_t version);
     boost::asio::awaitable<bool> order(std::shared_ptr<BackendState>, std::string model, std::uint64_t version);
-    boost::asio::awaitable<bool> confirm(RunnerRecord, platform::VersionOrder);
+    boost::asio::awaitable<bool> confirm(std::shared_ptr<BackendState>, platform::VersionOrder);
     boost::asio::awaitable<bool> awaitVersion(std::shared_ptr<BackendState>, std::string model, std::uint64_t version, std::uint64_t orderCount);
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds);
     void startUpdates();
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -1,10 +1,9 @@
 #include "chiveshelf/gateway/StoreFollower.h"
 
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 #include "platform/StoreFormat.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -45,8 +44,8 @@
 
 void StoreFollower::start()
 {
-    asio::co_spawn(m_context, run(), asio::detached);
-    asio::co_spawn(m_context, expireLoop(), asio::detached);
+    spawnLoop(m_context, "store_follower.run", [this] { return run(); });
+    spawnLoop(m_context, "store_follower.expire_loop", [this] { return expireLoop(); });
 }
 
 asio::awaitable<void> StoreFollower::run()
--- a/packages/gateway/chiveshelf/gateway/StoreLease.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreLease.cpp
@@ -1,10 +1,9 @@
 #include "chiveshelf/gateway/StoreLease.h"
 
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 #include "chiveshelf/core/Time.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -31,7 +30,7 @@
 
 void StoreLease::start()
 {
-    asio::co_spawn(m_context, run(), asio::detached);
+    spawnLoop(m_context, "store_lease.run", [this] { return run(); });
 }
 
 asio::awaitable<void> StoreLease::stop()
--- a/packages/http/chiveshelf/http/Client.cpp
+++ b/packages/http/chiveshelf/http/Client.cpp
@@ -17,7 +17,9 @@
 
     constexpr std::size_t idlePerAddress = 32;
     constexpr auto idleLifetime = std::chrono::seconds(20);
-    constexpr std::uint64_t responseBodyBytes = 64ull * 1024 * 1024;
+    // Bytes that are read ahead at most: a peer may send a head or a chunk's head without end.
+    constexpr std::size_t mostBufferedBytes = 128 * 1024;
+    constexpr int wholeOverProgress = 4;
     constexpr std::size_t readPieceBytes = 16 * 1024;
 
     Error legFailure(const Address& address, const char* step, const boost::system::error_code& ec, Verdict verdict)
@@ -38,7 +40,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { mostBufferedBytes };
     std::unique_ptr<Parser> parser;
     std::chrono::steady_clock::time_point idleSince;
 };
@@ -76,7 +78,7 @@
         parser.get().body().size = piece.size();
         parser.get().body().more = true;
         boost::system::error_code ec;
-        m_connection->stream.expires_after(m_limits.progress);
+        m_connection->stream.expires_at(std::min(m_end, std::chrono::steady_clock::now() + m_limits.progress));
         co_await beast::http::async_read_some(m_connection->stream, m_connection->buffer, parser, redirect_error(use_awaitable, ec));
         if (ec && ec != beast::http::error::need_buffer) {
             if (ec == beast::error::timeout)
@@ -151,12 +153,14 @@
     co_return connection;
 }
 
-asio::awaitable<Result<std::unique_ptr<ResponseStream>>> Client::open(Address address, Request request, CallLimits limits)
+asio::awaitable<Result<std::unique_ptr<ResponseStream>>> Client::open(Address address, Request request, CallLimits limits, std::function<bool()> maySend)
 {
     auto connected = co_await connect(address, limits);
     if (!connected)
         co_return tl::unexpected(connected.error());
     auto connection = std::move(*connected);
+    if (maySend && !maySend())
+        co_return failure(ErrorCode::Unavailable, "the request to " + toString(address) + " is no longer allowed", Verdict::NotRun);
     request.set(beast::http::field::host, toString(address));
     request.prepare_payload();
     boost::system::error_code ec;
@@ -164,7 +168,7 @@
     co_await beast::http::async_write(connection->stream, request, redirect_error(use_awaitable, ec));
     if (!ec) {
         connection->parser = std::make_unique<Parser>();
-        connection->parser->body_limit(responseBodyBytes);
+        connection->parser->body_limit(limits.bodyBytes);
         connection->stream.expires_after(limits.progress);
         co_await beast::http::async_read_header(connection->stream, connection->buffer, *connection->parser,
             redirect_error(use_awaitable, ec));
@@ -177,12 +181,14 @@
     co_return std::make_unique<ResponseStream>(*this, address, std::move(connection), limits);
 }
 
-asio::awaitable<Result<Response>> Client::send(Address address, Request request, CallLimits limits)
+asio::awaitable<Result<Response>> Client::send(Address address, Request request, CallLimits limits, std::function<bool()> maySend)
 {
-    auto opened = co_await open(address, std::move(request), limits);
+    const auto end = std::chrono::steady_clock::now() + (limits.whole.count() > 0 ? limits.whole : wholeOverProgress * limits.progress);
+    auto opened = co_await open(address, std::move(request), limits, std::move(maySend));
     if (!opened)
         co_return tl::unexpected(opened.error());
     auto& stream = **opened;
+    stream.m_end = end;
     Response response { static_cast<Status>(stream.status()), 11 };
     for (const auto& field : stream.m_connection->parser->get())
         response.set(field.name_string(), field.value());
--- a/packages/http/chiveshelf/http/Client.h
+++ b/packages/http/chiveshelf/http/Client.h
@@ -7,6 +7,8 @@
 #include <boost/beast/core.hpp>
 
 #include <chrono>
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -20,6 +22,10 @@
     std::chrono::milliseconds progress { 2'000 };
     // Whether the call may go over a pooled connection. A new one tells for certain that nothing was sent when it fails.
     bool isReuseAllowed = true;
+    // Longest body, in bytes.
+    std::uint64_t bodyBytes = 64ull * 1024 * 1024;
+    // Time for a whole answer that send() reads, however often some bytes of it come; 0 for four times `progress`.
+    std::chrono::milliseconds whole { 0 };
 };
 
 class Client;
@@ -53,6 +59,8 @@
     Address m_address;
     std::unique_ptr<Connection> m_connection;
     CallLimits m_limits;
+    // Moment at which the response has to be there whole.
+    std::chrono::steady_clock::time_point m_end = std::chrono::steady_clock::time_point::max();
 };
 
 // Sends requests over pooled connections. A failure before the first byte was written has the verdict NotRun, a later one
@@ -65,11 +73,13 @@
     Client(const Client&) = delete;
     Client& operator=(const Client&) = delete;
 
-    // Sends a request and reads the whole response. Bodies over 64 MiB fail with InvalidRequest.
-    boost::asio::awaitable<Result<Response>> send(Address, Request, CallLimits);
+    // Sends a request and reads the whole response. Fails with Timeout if that takes longer than the limits allow, and with
+    // Unavailable if the response is longer. `maySend` is asked once more when the connection stands, directly before the
+    // request is written; if it denies, nothing is sent.
+    boost::asio::awaitable<Result<Response>> send(Address, Request, CallLimits, std::function<bool()> maySend = {});
 
     // Sends a request and returns once the response header is there.
-    boost::asio::awaitable<Result<std::unique_ptr<ResponseStream>>> open(Address, Request, CallLimits);
+    boost::asio::awaitable<Result<std::unique_ptr<ResponseStream>>> open(Address, Request, CallLimits, std::function<bool()> maySend = {});
 
     std::size_t idleConnections() const;
 
--- a/packages/http/chiveshelf/http/Server.cpp
+++ b/packages/http/chiveshelf/http/Server.cpp
@@ -2,9 +2,8 @@
 
 #include "chiveshelf/core/Log.h"
 #include "chiveshelf/core/Sockets.h"
+#include "chiveshelf/core/Tasks.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -172,7 +171,7 @@
     if (!listening)
         return listening;
     m_address = toAddress(m_acceptor.local_endpoint());
-    asio::co_spawn(m_context, acceptLoop(), asio::detached);
+    spawnLoop(m_context, "server.accept_loop", [this] { return acceptLoop(); });
     return {};
 }
 
@@ -217,7 +216,7 @@
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged, sizeof(unacknowledged));
     auto connection = std::make_shared<Connection>(std::move(socket));
     m_connections.insert(connection);
-    asio::co_spawn(m_context, serve(connection), asio::detached);
+    spawnTask(m_context, "server.serve", serve(connection));
 }
 
 void Server::closeAll()
--- a/packages/idempotency/chiveshelf/idempotency/IdempotencyService.cpp
+++ b/packages/idempotency/chiveshelf/idempotency/IdempotencyService.cpp
@@ -1,10 +1,9 @@
 #include "chiveshelf/idempotency/IdempotencyService.h"
 
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 #include "chiveshelf/membership/RendezvousHash.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -90,7 +89,7 @@
     const auto settlement = std::make_shared<Settlement>(m_context);
     settlement->timer.expires_after(limit);
     ++m_pendingCount;
-    asio::co_spawn(m_context, settleLoop(std::move(message), settlement), asio::detached);
+    spawnTask(m_context, "idempotency_service.settle_loop", settleLoop(std::move(message), settlement));
     boost::system::error_code ec;
     if (!settlement->isDone && limit.count() > 0)
         co_await settlement->timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
--- a/packages/idempotency/chiveshelf/idempotency/ShardWriter.cpp
+++ b/packages/idempotency/chiveshelf/idempotency/ShardWriter.cpp
@@ -2,9 +2,8 @@
 
 #include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -104,7 +103,7 @@
     state->pending.push_back(operation);
     if (!state->isRunning) {
         state->isRunning = true;
-        asio::co_spawn(m_context, run(shard), asio::detached);
+        spawnTask(m_context, "shard_writer.run", run(shard));
     }
     boost::system::error_code ec;
     while (!operation->result)
--- a/packages/membership/chiveshelf/membership/MembershipService.cpp
+++ b/packages/membership/chiveshelf/membership/MembershipService.cpp
@@ -1,10 +1,9 @@
 #include "chiveshelf/membership/MembershipService.h"
 
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 #include "chiveshelf/membership/RendezvousHash.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -54,8 +53,8 @@
 
 void MembershipService::start()
 {
-    asio::co_spawn(m_context, tickLoop(), asio::detached);
-    asio::co_spawn(m_context, refreshLoop(), asio::detached);
+    spawnLoop(m_context, "membership_service.tick_loop", [this] { return tickLoop(); });
+    spawnLoop(m_context, "membership_service.refresh_loop", [this] { return refreshLoop(); });
 }
 
 void MembershipService::subscribe(ChangeListener listener)
--- a/packages/peer/chiveshelf/peer/Codec.h
+++ b/packages/peer/chiveshelf/peer/Codec.h
@@ -10,6 +10,40 @@
 #include <sstream>
 #include <string>
 
+// cereal makes room for as many elements as the bytes claim before it reads any, so that some bytes of a damaged message could
+// use up the memory. These overloads, which win over cereal's own, grow with what was read.
+namespace cereal {
+
+template <typename Element, typename Allocator>
+void CEREAL_LOAD_FUNCTION_NAME(PortableBinaryInputArchive& archive, std::vector<Element, Allocator>& out)
+{
+    size_type n = 0;
+    archive(make_size_tag(n));
+    out.clear();
+    for (size_type i = 0; i < n; ++i) {
+        out.emplace_back();
+        archive(out.back());
+    }
+}
+
+template <typename Traits, typename Allocator>
+void CEREAL_LOAD_FUNCTION_NAME(PortableBinaryInputArchive& archive, std::basic_string<char, Traits, Allocator>& out)
+{
+    constexpr size_type pieceBytes = 64 * 1024;
+    size_type left = 0;
+    archive(make_size_tag(left));
+    out.clear();
+    while (left > 0) {
+        const auto n = std::min(left, pieceBytes);
+        const auto begin = out.size();
+        out.resize(begin + n);
+        archive(binary_data(out.data() + begin, n));
+        left -= n;
+    }
+}
+
+}
+
 namespace chiveshelf::peer {
 
 // Returns the wire form of a message.
--- a/packages/peer/chiveshelf/peer/DatagramChannel.cpp
+++ b/packages/peer/chiveshelf/peer/DatagramChannel.cpp
@@ -1,10 +1,9 @@
 #include "chiveshelf/peer/DatagramChannel.h"
 
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -41,7 +40,7 @@
         m_socket.non_blocking(true, ec);
     if (ec)
         return failure(ErrorCode::Unavailable, "cannot bind UDP " + toString(address) + ": " + ec.message(), Verdict::NotRun);
-    asio::co_spawn(m_context, receiveLoop(), asio::detached);
+    spawnLoop(m_context, "datagram_channel.receive_loop", [this] { return receiveLoop(); });
     return {};
 }
 
@@ -65,8 +64,13 @@
             continue;
         m_receivedBytes += n;
         const auto it = m_handlers.find(static_cast<DatagramType>(buf[1]));
-        if (it != m_handlers.end())
+        if (it == m_handlers.end())
+            continue;
+        try {
             it->second({ from.address().to_string(), from.port() }, std::string(buf.data() + headerBytes, n - headerBytes));
+        } catch (const std::exception& error) {
+            logEvent(LogLevel::Error, "datagram_failed", { { "type", static_cast<int>(buf[1]) }, { "error", error.what() } });
+        }
     }
 }
 
--- a/packages/peer/chiveshelf/peer/DatagramChannel.h
+++ b/packages/peer/chiveshelf/peer/DatagramChannel.h
@@ -26,6 +26,7 @@
     CacheNotice = 7,
     PartsNotice = 8,
     PlacementNotice = 9,
+    LeavingNotice = 10,
 };
 
 // A message that is sent as one datagram, without a reply.
--- a/packages/peer/chiveshelf/peer/PeerClient.cpp
+++ b/packages/peer/chiveshelf/peer/PeerClient.cpp
@@ -2,9 +2,8 @@
 
 #include "chiveshelf/core/Log.h"
 #include "chiveshelf/core/Mailbox.h"
+#include "chiveshelf/core/Tasks.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
 namespace chiveshelf::peer {
@@ -72,7 +71,7 @@
     auto& slot = m_links[address];
     if (!slot) {
         slot = std::make_shared<Link>(m_context, address);
-        asio::co_spawn(m_context, run(slot), asio::detached);
+        spawnTask(m_context, "peer_client.run", run(slot));
     }
     const auto link = slot;
     const auto correlation = m_nextCorrelation++;
@@ -123,8 +122,8 @@
 asio::awaitable<void> PeerClient::run(std::shared_ptr<Link> link)
 {
     if (co_await connect(*link)) {
-        asio::co_spawn(m_context, writeLoop(link), asio::detached);
-        asio::co_spawn(m_context, watch(link), asio::detached);
+        spawnTask(m_context, "peer_client.write_loop", writeLoop(link));
+        spawnTask(m_context, "peer_client.watch", watch(link));
         while (true) {
             auto frame = co_await readFrame(link->socket);
             if (!frame)
--- a/packages/peer/chiveshelf/peer/PeerServer.cpp
+++ b/packages/peer/chiveshelf/peer/PeerServer.cpp
@@ -3,9 +3,8 @@
 #include "chiveshelf/core/Log.h"
 #include "chiveshelf/core/Mailbox.h"
 #include "chiveshelf/core/Sockets.h"
+#include "chiveshelf/core/Tasks.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
 namespace chiveshelf::peer {
@@ -21,6 +20,7 @@
     // Clients close links that are unused for 30 s; one that is silent for longer has lost its client without a sign.
     constexpr auto silenceLimit = std::chrono::seconds(60);
     constexpr auto sweepInterval = std::chrono::seconds(10);
+    constexpr std::size_t mostWaitingReplies = 1'000;
 
 }
 
@@ -50,8 +50,8 @@
     if (!listening)
         return listening;
     m_address = { address.ip, m_acceptor.local_endpoint().port() };
-    asio::co_spawn(m_context, acceptLoop(), asio::detached);
-    asio::co_spawn(m_context, sweepLoop(), asio::detached);
+    spawnLoop(m_context, "peer_server.accept_loop", [this] { return acceptLoop(); });
+    spawnLoop(m_context, "peer_server.sweep_loop", [this] { return sweepLoop(); });
     return {};
 }
 
@@ -79,8 +79,8 @@
         socket.set_option(asio::ip::tcp::no_delay(true), ec);
         auto connection = std::make_shared<Connection>(m_context, std::move(socket));
         m_connections.insert(connection);
-        asio::co_spawn(m_context, readLoop(connection), asio::detached);
-        asio::co_spawn(m_context, writeLoop(connection), asio::detached);
+        spawnTask(m_context, "peer_server.read_loop", readLoop(connection));
+        spawnTask(m_context, "peer_server.write_loop", writeLoop(connection));
     }
 }
 
@@ -106,10 +106,13 @@
         if (!frame)
             break;
         connection->lastReceived = std::chrono::steady_clock::now();
+        // A peer that asks without reading the replies.
+        if (connection->outgoing.size() > mostWaitingReplies)
+            break;
         if (frame->kind == FrameKind::Ping)
             connection->outgoing.push(serializeFrame({ FrameKind::Pong, frame->type, frame->correlation, {} }));
         if (frame->kind == FrameKind::Request)
-            asio::co_spawn(m_context, serve(connection, std::move(*frame)), asio::detached);
+            spawnTask(m_context, "peer_server.serve", serve(connection, std::move(*frame)));
     }
     boost::system::error_code ec;
     connection->socket.close(ec);
--- a/packages/placement/chiveshelf/placement/BackendBoard.cpp
+++ b/packages/placement/chiveshelf/placement/BackendBoard.cpp
@@ -24,7 +24,7 @@
             runner->update(record);
         runners.emplace(id, runner);
         m_byHash.emplace(static_cast<std::uint32_t>(runnerHash(record)), runner);
-        if (!record.isLeaving)
+        if (!runner->isLeaving())
             m_pools[record.pool].push_back(runner);
     }
     m_runners = std::move(runners);
--- a/packages/placement/chiveshelf/placement/BackendState.h
+++ b/packages/placement/chiveshelf/placement/BackendState.h
@@ -7,6 +7,7 @@
 #include "chiveshelf/placement/RunnerRecord.h"
 #include "chiveshelf/placement/TransferSpeed.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace chiveshelf {
@@ -16,6 +17,8 @@
     std::int32_t running = 0;
     std::int32_t waiting = 0;
     std::int32_t slots = 0;
+    // How long work takes at this moment, in per cent of the usual.
+    std::int32_t workPercent = 100;
 
     auto operator<=>(const LoadReport&) const = default;
 };
@@ -77,6 +80,18 @@
     // Prompt tokens read per ms; `fallback` until it was learned.
     double tokensPerMs(double fallback) const { return m_tokensPerMs > 0 ? m_tokensPerMs : fallback; }
 
+    // Tells that the runner said that it leaves. It gets no new work from then on, whatever the registry says.
+    void setLeaving() { m_isLeaving = true; }
+    bool isLeaving() const { return m_isLeaving || m_record.isLeaving; }
+
+    // Tells that the runner asked to be left alone until `end`. An earlier end than a known one changes nothing.
+    void pauseUntil(TimePoint end) { m_pauseEnd = std::max(m_pauseEnd, end); }
+    TimePoint pauseEnd() const { return m_pauseEnd; }
+    bool isPaused(TimePoint now) const { return now < m_pauseEnd; }
+
+    // Whether new work may go there.
+    bool isUsable(TimePoint now) const { return !isLeaving() && !isPaused(now) && m_health.isUsable(now); }
+
     BackendHealth& health() { return m_health; }
     const BackendHealth& health() const { return m_health; }
     // Of transfers to the runner.
@@ -106,6 +121,8 @@
     TimePoint m_reportAt {};
     WeightLoad m_load;
     double m_tokensPerMs = 0;
+    bool m_isLeaving = false;
+    TimePoint m_pauseEnd {};
     BackendHealth m_health;
     TransferSpeed m_transfers;
     PartMemory m_parts;
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -119,7 +119,7 @@
         const auto& parts = request.prompt->parts;
         byPart.resize(parts.empty() ? 0 : parts.size() - 1);
         for (const auto& runner : runners) {
-            if (!runner->health().isUsable(context.now) || runner->isLoading(context.now))
+            if (!runner->isUsable(context.now) || runner->isLoading(context.now))
                 continue;
             for (std::size_t i = 0; i < byPart.size(); ++i) {
                 if (runner->parts().contains(parts[i], scope))
@@ -197,7 +197,7 @@
 
 bool EnginePlacement::isCandidate(const EngineRequest& request, const PlacementContext& context, const BackendState& runner) const
 {
-    if (context.isExcluded(runner.record().id) || runner.isLoading(context.now) || !runner.health().isUsable(context.now))
+    if (context.isExcluded(runner.record().id) || runner.isLoading(context.now) || !runner.isUsable(context.now))
         return false;
     return request.requiredVersion == 0 || runner.version(request.prompt->model).value_or(0) >= request.requiredVersion;
 }
@@ -337,7 +337,7 @@
         }
     }
     if (!best)
-        return tl::unexpected(PlacementRefusal { RefusalReason::NoRunner, spreadRetryAfter(context.goal, context.timeLeft, random), {} });
+        return tl::unexpected(refuseWithoutRunner(context, runners, random));
     const auto goalMs = toMilliseconds(context.goal);
     const auto firstMs = bestPrediction.firstMs;
     const bool isInTime = !context.isLate && firstMs <= goalMs;
--- a/packages/placement/chiveshelf/placement/Placement.cpp
+++ b/packages/placement/chiveshelf/placement/Placement.cpp
@@ -15,6 +15,19 @@
 
 }
 
+PlacementRefusal refuseWithoutRunner(const PlacementContext& context, const std::vector<std::shared_ptr<BackendState>>& runners, double random)
+{
+    std::optional<TimePoint> end;
+    for (const auto& runner : runners) {
+        if (!runner->isLeaving() && runner->isPaused(context.now))
+            end = std::min(end.value_or(TimePoint::max()), runner->pauseEnd());
+    }
+    if (!end)
+        return { RefusalReason::NoRunner, spreadRetryAfter(context.goal, context.timeLeft, random), {} };
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(*end - context.now);
+    return { RefusalReason::Paused, spreadRetryAfter(wait, context.timeLeft, random), wait };
+}
+
 double nextDraw(double draw)
 {
     // Any irrational-looking factor spreads well enough over a few hundred runners.
--- a/packages/placement/chiveshelf/placement/Placement.h
+++ b/packages/placement/chiveshelf/placement/Placement.h
@@ -70,10 +70,14 @@
     NoRunner,
     // No runner would be in time.
     Overloaded,
+    // All runners that could be tried asked for a pause.
+    Paused,
 };
 
 constexpr std::string_view refusalReasonName(RefusalReason reason)
 {
+    if (reason == RefusalReason::Paused)
+        return "runners_paused";
     return reason == RefusalReason::NoRunner ? "no_runner" : "overloaded";
 }
 
@@ -87,6 +91,12 @@
 
 using PlacementResult = tl::expected<Placement, PlacementRefusal>;
 
+// Returns the refusal where no runner may be tried. Callers come back when the first runner that asked for a pause takes work
+// again, or after the goal if none did.
+//
+// Answers the load pattern "all runners of a pool ask for a pause at once".
+PlacementRefusal refuseWithoutRunner(const PlacementContext&, const std::vector<std::shared_ptr<BackendState>>& runners, double random);
+
 // Returns the next number of a sequence in 0 to 1 that one random number begins, for choices among many.
 double nextDraw(double draw);
 
--- a/packages/placement/chiveshelf/placement/ServicePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/ServicePlacement.cpp
@@ -27,7 +27,7 @@
     double bestWaitMs = 0;
     double draw = random;
     for (const auto& runner : runners) {
-        if (context.isExcluded(runner->record().id) || !runner->health().isUsable(context.now))
+        if (context.isExcluded(runner->record().id) || !runner->isUsable(context.now))
             continue;
         const auto slots = std::max<double>(runner->record().slots, 1);
         const auto requests = runner->requests(context.now);
@@ -47,7 +47,7 @@
         }
     }
     if (!best)
-        return tl::unexpected(PlacementRefusal { RefusalReason::NoRunner, spreadRetryAfter(context.goal, context.timeLeft, random), {} });
+        return tl::unexpected(refuseWithoutRunner(context, runners, random));
     const std::chrono::milliseconds wait(static_cast<std::int64_t>(bestWaitMs));
     const std::chrono::milliseconds predicted(static_cast<std::int64_t>(bestWaitMs + m_workMs));
     if (bestWaitMs > toMilliseconds(context.timeLeft) * longestWaitShare)
--- a/packages/tables/chiveshelf/tables/TableAgent.cpp
+++ b/packages/tables/chiveshelf/tables/TableAgent.cpp
@@ -2,11 +2,10 @@
 
 #include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Tasks.h"
 #include "chiveshelf/membership/RendezvousHash.h"
 #include "chiveshelf/tables/TablesJson.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -59,9 +58,9 @@
 
 void TableAgent::start()
 {
-    asio::co_spawn(m_context, watchLoop(), asio::detached);
-    asio::co_spawn(m_context, pullLoop(), asio::detached);
-    asio::co_spawn(m_context, announceLoop(), asio::detached);
+    spawnLoop(m_context, "table_agent.watch_loop", [this] { return watchLoop(); });
+    spawnLoop(m_context, "table_agent.pull_loop", [this] { return pullLoop(); });
+    spawnLoop(m_context, "table_agent.announce_loop", [this] { return announceLoop(); });
 }
 
 asio::awaitable<void> TableAgent::pause(std::chrono::milliseconds duration)
--- a/tests/unit/gateway/GatewayTest.cpp
+++ b/tests/unit/gateway/GatewayTest.cpp
@@ -1,44 +1,16 @@
-#include "chiveshelf/gateway/Gateway.h"
-#include "PlatformStandIn.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/connect.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
-
-#include <cppunit/extensions/HelperMacros.h>
-#include <nlohmann/json.hpp>
+#include "GatewayFixture.h"
 
 namespace {
 
 using namespace chiveshelf;
 using standin::Script;
+using standin::tables;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 
-const char* const tables = R"({"version":3,"routes":[
-{"name":"book","host":"desk.example","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":1500,"goalMs":300,"priority":2,"service":"desk","attempts":1},
-{"name":"look","host":"desk.example","pathPrefix":"/look/","kind":"idempotent","timeoutMs":1500,"goalMs":300,"priority":2,"service":"desk","attempts":2},
-{"name":"ask","host":"desk.example","pathPrefix":"/ask/","kind":"stream","resumable":true,"timeoutMs":3000,"goalMs":300,"priority":0,"service":"desk","attempts":2},
-{"name":"draft","host":"desk.example","pathPrefix":"/draft/","kind":"stream","timeoutMs":3000,"goalMs":300,"priority":2,"service":"desk","attempts":1},
-{"name":"open","host":"desk.example","pathPrefix":"/open/","kind":"idempotent","timeoutMs":1500,"goalMs":300,"priority":2,"service":"desk","attempts":1,"public":true}],
-"services":[{"name":"desk","maxConns":50}],"tenants":[{"name":"gallery","apiKeys":["key1"]}]})";
-
-struct Answer {
-    unsigned status = 0;
-    std::string body;
-    std::string retryAfter;
-    // Whether the connection ended before the answer did.
-    bool isBroken = false;
-};
-
-class GatewayTest : public CppUnit::TestFixture {
+class GatewayTest : public standin::GatewayFixture {
     CPPUNIT_TEST_SUITE(GatewayTest);
     CPPUNIT_TEST(plainAnswerWithALengthIsReturnedWhole);
     CPPUNIT_TEST(requestWithoutARouteOrKeyIsRejected);
@@ -64,25 +36,6 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void setUp() override
-    {
-        // Each test has addresses of its own, so that connections of the one before can not reach it.
-        static int network = 0;
-        m_network = "127.70." + std::to_string(++network);
-        m_context = std::make_unique<asio::io_context>(1);
-        m_store = std::make_unique<standin::Store>(*m_context);
-        CPPUNIT_ASSERT(m_store->start({ m_network + ".1", 7'000 }));
-        m_store->put("op/config", tables);
-    }
-
-    void tearDown() override
-    {
-        m_gateway.reset();
-        m_runners.clear();
-        m_store.reset();
-        m_context.reset();
-    }
-
     void plainAnswerWithALengthIsReturnedWhole()
     {
         addRunner([](const auto& request) { return Script { standin::sealedAnswer(request, 200, "booked", "X-Other: kept\r\n"), Script::End::Keep }; });
@@ -359,37 +312,6 @@
         }
     };
 
-    void addRunner(standin::Runner::Handler handler, const std::string& moreFields = {})
-    {
-        const auto i = m_runners.size();
-        const Address address { m_network + ".2", static_cast<std::uint16_t>(8'000 + i) };
-        m_runners.push_back(std::make_unique<standin::Runner>(*m_context, std::move(handler)));
-        CPPUNIT_ASSERT(m_runners.back()->start(address));
-        m_store->put("servers/r" + std::to_string(i),
-            R"({"service":"desk","zone":"z","version":"v1","capacity":6,"state":"ready","coldLeftMs":0,"sequence":1,"address":")" + toString(address) + "\"" + moreFields + "}");
-    }
-
-    void startGateway(milliseconds orderGap = seconds(3))
-    {
-        GatewaySettings settings;
-        settings.orderGap = orderGap;
-        settings.hostName = "host";
-        settings.dataCentre = "z";
-        settings.callerAddress = { m_network + ".1", 7'001 };
-        settings.adminAddress = { m_network + ".1", 7'002 };
-        settings.peerAddress = { m_network + ".1", 7'003 };
-        settings.storeAddress = { m_network + ".1", 7'000 };
-        m_gateway = std::make_unique<Gateway>(*m_context, settings);
-        CPPUNIT_ASSERT(m_gateway->start());
-        runFor(milliseconds(150));
-    }
-
-    static std::string post(const std::string& path, const std::string& key = "key1", const std::string& moreHeaders = {})
-    {
-        return "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: id1\r\nX-Deadline-Ms: 3000\r\n" + (key.empty() ? "" : "Api-Key: " + key + "\r\n")
-            + moreHeaders + "Content-Length: 4\r\n\r\nbody";
-    }
-
     // Sends a prompt 3.5 s after a version was named to runners that have the former one and do not begin.
     void expectTakenBackInTime(const std::string& path)
     {
@@ -415,14 +337,6 @@
         CPPUNIT_ASSERT(std::chrono::steady_clock::now() - named < GatewaySettings().versionLimit);
     }
 
-    std::size_t requestsTo(const std::string& path) const
-    {
-        std::size_t n = 0;
-        for (const auto& runner : m_runners)
-            n += static_cast<std::size_t>(std::count_if(runner->requests().begin(), runner->requests().end(), [&](const auto& request) { return request.target() == path; }));
-        return n;
-    }
-
     // Tables in which patience with a runner is longer than the time for a version.
     static std::string longGoalTables()
     {
@@ -433,76 +347,6 @@
         text.replace(at, before.size(), R"("timeoutMs":9000,"goalMs":8000,"priority":0)");
         return text;
     }
-
-    std::size_t departures() const
-    {
-        std::size_t n = 0;
-        for (const auto& runner : m_runners)
-            n += runner->departures();
-        return n;
-    }
-
-    std::size_t allRequests() const
-    {
-        std::size_t n = 0;
-        for (const auto& runner : m_runners)
-            n += runner->requests().size();
-        return n;
-    }
-
-    void runFor(milliseconds duration)
-    {
-        m_context->run_for(duration);
-    }
-
-    template <typename Condition>
-    void runUntil(Condition condition, milliseconds limit = seconds(5))
-    {
-        const auto end = std::chrono::steady_clock::now() + limit;
-        while (!condition() && std::chrono::steady_clock::now() < end && !m_context->stopped())
-            m_context->run_for(milliseconds(5));
-    }
-
-    asio::awaitable<void> sendOnly(std::shared_ptr<asio::ip::tcp::socket> socket, std::string bytes)
-    {
-        boost::system::error_code ec;
-        const auto endpoint = http::toEndpoint({ m_network + ".1", 7'001 });
-        co_await socket->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
-        co_await asio::async_write(*socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
-    }
-
-    asio::awaitable<void> fetchInto(std::string bytes, std::uint16_t port, std::shared_ptr<std::optional<Answer>> out)
-    {
-        asio::ip::tcp::socket socket(*m_context);
-        boost::system::error_code ec;
-        const auto endpoint = http::toEndpoint({ m_network + ".1", port });
-        co_await socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
-        co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
-        beast::flat_buffer buffer;
-        beast::http::response_parser<beast::http::string_body> parser;
-        co_await beast::http::async_read(socket, buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
-        Answer answer;
-        answer.isBroken = static_cast<bool>(ec);
-        answer.status = parser.get().result_int();
-        answer.body = parser.get().body();
-        answer.retryAfter = std::string(parser.get()["Retry-After"]);
-        *out = std::move(answer);
-    }
-
-    Answer fetch(std::string bytes, std::uint16_t port = 7'001)
-    {
-        const auto out = std::make_shared<std::optional<Answer>>();
-        asio::co_spawn(*m_context, fetchInto(std::move(bytes), port, out), asio::detached);
-        runUntil([&] { return out->has_value(); });
-        CPPUNIT_ASSERT(out->has_value());
-        return **out;
-    }
-
-    std::string m_network;
-    std::unique_ptr<asio::io_context> m_context;
-    std::unique_ptr<standin::Store> m_store;
-    std::vector<std::unique_ptr<standin::Runner>> m_runners;
-    std::unique_ptr<Gateway> m_gateway;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
--- a/tests/unit/gateway/PlatformStandIn.cpp
+++ b/tests/unit/gateway/PlatformStandIn.cpp
@@ -119,6 +119,18 @@
 {
     const auto target = http::parseTarget({ exchange.request().target().data(), exchange.request().target().size() });
     auto response = http::makeResponse(http::Status::ok, R"({"lease":7,"ttlMs":9000})");
+    if (m_otherBody.second > 0 && (target.path == "/kv-watch" || target.path == "/kv-range")) {
+        --m_otherBody.second;
+        response = http::makeResponse(http::Status::ok, m_otherBody.first);
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    if (target.path.starts_with("/kv-lease-end/")) {
+        ++m_leaseEnds;
+        asio::steady_timer timer(m_context, m_leaseEndDelay);
+        boost::system::error_code ec;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
     if (target.path == "/kv-watch") {
         co_await watch(exchange, static_cast<std::uint64_t>(target.number("after", 0)), std::chrono::milliseconds(target.number("waitMs", 0)));
         co_return;
@@ -165,6 +177,24 @@
     }
 }
 
+asio::awaitable<void> Runner::pauseFor(std::chrono::milliseconds duration)
+{
+    asio::steady_timer timer(m_context, duration);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+asio::awaitable<void> Runner::writeWithoutEnd(asio::ip::tcp::socket& socket, const Script& script)
+{
+    boost::system::error_code ec;
+    while (!ec) {
+        if (script.pause.count() > 0)
+            co_await pauseFor(script.pause);
+        m_endlessBytes += co_await asio::async_write(socket, asio::buffer(script.more), asio::redirect_error(asio::use_awaitable, ec));
+    }
+    ++m_departures;
+}
+
 asio::awaitable<void> Runner::serve(asio::ip::tcp::socket socket)
 {
     beast::flat_buffer buffer;
@@ -177,6 +207,14 @@
         m_requests.push_back(request);
         const auto script = m_handler(request);
         co_await asio::async_write(socket, asio::buffer(script.bytes), asio::redirect_error(asio::use_awaitable, ec));
+        if (script.end == Script::End::Endless) {
+            co_await writeWithoutEnd(socket, script);
+            co_return;
+        }
+        if (script.end == Script::End::Keep && !script.more.empty()) {
+            co_await pauseFor(script.pause);
+            co_await asio::async_write(socket, asio::buffer(script.more), asio::redirect_error(asio::use_awaitable, ec));
+        }
         if (script.end == Script::End::Silence) {
             co_await socket.async_wait(asio::socket_base::wait_read, asio::redirect_error(asio::use_awaitable, ec));
             ++m_departures;
--- a/tests/unit/gateway/PlatformStandIn.h
+++ b/tests/unit/gateway/PlatformStandIn.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <string>
@@ -29,6 +30,13 @@
 
     std::size_t readCount() const { return m_reads; }
 
+    // Answers the next reads and watches with this body instead of their own.
+    void answerInstead(std::string body, std::size_t times) { m_otherBody = { std::move(body), times }; }
+
+    // Delays the answers to calls that end a lease.
+    void delayLeaseEnds(std::chrono::milliseconds delay) { m_leaseEndDelay = delay; }
+    std::size_t leaseEnds() const { return m_leaseEnds; }
+
 private:
     struct Item {
         std::string value;
@@ -48,6 +56,9 @@
     std::uint64_t m_lostBefore = 0;
     std::size_t m_reads = 0;
     std::size_t m_cuts = 0;
+    std::pair<std::string, std::size_t> m_otherBody;
+    std::chrono::milliseconds m_leaseEndDelay { 0 };
+    std::size_t m_leaseEnds = 0;
 };
 
 // What a backend server writes for one request, and whether it then closes the connection, and how.
@@ -57,10 +68,15 @@
         Close,
         Reset,
         Silence,
+        // Writes `more` again and again until the peer closes.
+        Endless,
     };
 
     std::string bytes;
     End end = End::Keep;
+    std::string more {};
+    // Time before `more`: between two of them, or, on a kept connection, before the only one.
+    std::chrono::milliseconds pause { 0 };
 };
 
 // A backend server. It records the requests and writes what the script says.
@@ -73,18 +89,23 @@
     chiveshelf::Result<void> start(const chiveshelf::Address&);
 
     const std::vector<chiveshelf::http::Request>& requests() const { return m_requests; }
-    // Connections on which the peer went away while the server was silent.
+    // Connections on which the peer went away while the server was silent or wrote without end.
     std::size_t departures() const { return m_departures; }
+    // Bytes that were written without end.
+    std::size_t endlessBytes() const { return m_endlessBytes; }
 
 private:
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket);
+    boost::asio::awaitable<void> pauseFor(std::chrono::milliseconds);
+    boost::asio::awaitable<void> writeWithoutEnd(boost::asio::ip::tcp::socket&, const Script&);
 
     boost::asio::io_context& m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     Handler m_handler;
     std::vector<chiveshelf::http::Request> m_requests;
     std::size_t m_departures = 0;
+    std::size_t m_endlessBytes = 0;
 };
 
 // Returns a whole sealed answer to a request, with a length.
--- /dev/null
+++ b/tests/unit/http/ClientTest.cpp
@@ -0,0 +1,138 @@
+#include "chiveshelf/http/Client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace chiveshelf;
+using std::chrono::milliseconds;
+namespace asio = boost::asio;
+
+// A server that writes a beginning, and then the same bytes again and again until the peer closes.
+struct EndlessServer {
+    EndlessServer(asio::io_context& context, std::string first, std::string again, milliseconds pause)
+        : m_acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , m_first(std::move(first))
+        , m_again(std::move(again))
+        , m_pause(pause)
+    {
+        asio::co_spawn(context, serve(), asio::detached);
+    }
+
+    Address address() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
+
+    asio::awaitable<void> serve()
+    {
+        boost::system::error_code ec;
+        asio::ip::tcp::socket socket(m_acceptor.get_executor());
+        co_await m_acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, ec));
+        std::string buf(1'024, '\0');
+        received = co_await socket.async_read_some(asio::buffer(buf), asio::redirect_error(asio::use_awaitable, ec));
+        co_await asio::async_write(socket, asio::buffer(m_first), asio::redirect_error(asio::use_awaitable, ec));
+        asio::steady_timer timer(m_acceptor.get_executor());
+        while (!ec && !m_again.empty()) {
+            timer.expires_after(m_pause);
+            boost::system::error_code ignored;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            sent += co_await asio::async_write(socket, asio::buffer(m_again), asio::redirect_error(asio::use_awaitable, ec));
+        }
+        isClosed = true;
+    }
+
+    std::size_t received = 0;
+    std::size_t sent = 0;
+    bool isClosed = false;
+
+private:
+    asio::ip::tcp::acceptor m_acceptor;
+    std::string m_first;
+    std::string m_again;
+    milliseconds m_pause;
+};
+
+class ClientTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ClientTest);
+    CPPUNIT_TEST(headWithoutEndFails);
+    CPPUNIT_TEST(chunkHeadWithoutEndFails);
+    CPPUNIT_TEST(bodyWithoutEndFailsAtItsLimit);
+    CPPUNIT_TEST(bodyOfSingleBytesFailsAtTheTimeForTheWhole);
+    CPPUNIT_TEST(requestThatIsNoLongerAllowedIsNotSent);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void headWithoutEndFails()
+    {
+        expectFailure("HTTP/1.1 200 OK\r\nX-Long: ", std::string(4'096, 'a'));
+    }
+
+    // Guards against a buffer that grows with a chunk's head.
+    void chunkHeadWithoutEndFails()
+    {
+        expectFailure("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;x=", std::string(16'384, 'a'));
+    }
+
+    void bodyWithoutEndFailsAtItsLimit()
+    {
+        expectFailure("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4000\r\n" + std::string(16'384, 'a') + "\r\n");
+    }
+
+    // Guards against a call that never ends since a byte comes now and then.
+    void bodyOfSingleBytesFailsAtTheTimeForTheWhole()
+    {
+        expectFailure("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n", milliseconds(50));
+    }
+
+    // Guards against an order that is sent after its holder lost the right to it while the connection was made.
+    void requestThatIsNoLongerAllowedIsNotSent()
+    {
+        EndlessServer server(m_context, "", "", milliseconds(0));
+        const auto result = send(server, [] { return false; });
+        CPPUNIT_ASSERT(result && !*result);
+        CPPUNIT_ASSERT(result->error().verdict == Verdict::NotRun);
+        m_context.run_for(milliseconds(50));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.received);
+    }
+
+private:
+    std::optional<Result<http::Response>> send(EndlessServer& server, std::function<bool()> maySend)
+    {
+        std::optional<Result<http::Response>> out;
+        http::CallLimits limits { milliseconds(200), milliseconds(200) };
+        limits.bodyBytes = 1'024 * 1'024;
+        const auto call = [&]() -> asio::awaitable<void> {
+            auto request = http::makeRequest(http::Verb::get, "/");
+            auto result = co_await m_client.send(server.address(), std::move(request), limits, std::move(maySend));
+            out.emplace(std::move(result));
+        };
+        asio::co_spawn(m_context, call(), asio::detached);
+        const auto end = std::chrono::steady_clock::now() + milliseconds(2'000);
+        while (!out && std::chrono::steady_clock::now() < end)
+            m_context.run_for(milliseconds(5));
+        return out;
+    }
+
+    void expectFailure(const std::string& first, const std::string& again, milliseconds pause = milliseconds(0))
+    {
+        EndlessServer server(m_context, first, again, pause);
+        const auto result = send(server, {});
+        CPPUNIT_ASSERT(result && !*result);
+        m_context.run_for(milliseconds(150));
+        CPPUNIT_ASSERT(server.isClosed);
+        // The limit of the body, and what the kernel holds.
+        CPPUNIT_ASSERT(server.sent < std::size_t(16 * 1'024 * 1'024));
+    }
+
+    asio::io_context m_context { 1 };
+    http::Client m_client { m_context };
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClientTest);
+
+}
--- /dev/null
+++ b/tests/unit/peer/CodecTest.cpp
@@ -0,0 +1,121 @@
+#include "chiveshelf/peer/Codec.h"
+#include "chiveshelf/peer/DatagramChannel.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <sys/resource.h>
+
+namespace {
+
+using namespace chiveshelf;
+
+struct Row {
+    std::uint64_t number = 0;
+    std::string text;
+
+    bool operator==(const Row&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(number, text);
+    }
+};
+
+struct Rows {
+    static constexpr peer::DatagramType datagramType = peer::DatagramType::LoadNotice;
+
+    std::vector<Row> rows;
+    std::vector<std::uint32_t> numbers;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(rows, numbers);
+    }
+};
+
+class CodecTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(CodecTest);
+    CPPUNIT_TEST(messageIsReadAsWritten);
+    CPPUNIT_TEST(messageThatClaimsMoreThanItHasTakesNoMemory);
+    CPPUNIT_TEST(shortenedAndChangedMessagesAreRefusedOrRead);
+    CPPUNIT_TEST(handlerThatThrowsDoesNotEndTheReceiver);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void messageIsReadAsWritten()
+    {
+        const Rows rows { { { 1, "a" }, { 2, std::string(200'000, 'b') } }, { 7, 8, 9 } };
+        const auto read = peer::decode<Rows>(peer::encode(rows));
+        CPPUNIT_ASSERT(read);
+        CPPUNIT_ASSERT(read->rows == rows.rows);
+        CPPUNIT_ASSERT(read->numbers == rows.numbers);
+    }
+
+    // Guards against a damaged message that makes the process ask for memory until it is killed.
+    void messageThatClaimsMoreThanItHasTakesNoMemory()
+    {
+        const auto before = peakKilobytes();
+        for (const std::uint64_t claim : { std::uint64_t(20'000'000), std::uint64_t(1) << 40 }) {
+            auto bytes = peer::encode(Rows { {}, {} });
+            // The number of rows follows the mark of the byte order.
+            std::memcpy(bytes.data() + 1, &claim, sizeof(claim));
+            CPPUNIT_ASSERT(!peer::decode<Rows>(bytes));
+            auto text = peer::encode(Row { 1, "abc" });
+            std::memcpy(text.data() + 1 + sizeof(std::uint64_t), &claim, sizeof(claim));
+            CPPUNIT_ASSERT(!peer::decode<Row>(text));
+        }
+        constexpr long mostKilobytes = 32 * 1'024;
+        CPPUNIT_ASSERT(peakKilobytes() - before < mostKilobytes);
+    }
+
+    void shortenedAndChangedMessagesAreRefusedOrRead()
+    {
+        const auto whole = peer::encode(Rows { { { 1, "abc" } }, { 7, 8 } });
+        for (std::size_t i = 0; i < whole.size(); ++i) {
+            CPPUNIT_ASSERT(!peer::decode<Rows>(whole.substr(0, i)));
+            for (int change = 1; change < 256; change += 17) {
+                auto changed = whole;
+                changed[i] = static_cast<char>(changed[i] ^ change);
+                peer::decode<Rows>(changed);
+            }
+        }
+    }
+
+    // Guards against one message after which a host hears nothing more.
+    void handlerThatThrowsDoesNotEndTheReceiver()
+    {
+        boost::asio::io_context context(1);
+        peer::DatagramChannel sender(context);
+        peer::DatagramChannel receiver(context);
+        const Address from { "127.0.71.1", 7'201 };
+        const Address to { "127.0.71.2", 7'201 };
+        int n = 0;
+        receiver.handle<Rows>([&](const Address&, const Rows&) {
+            if (++n == 1)
+                throw std::runtime_error("unexpected");
+        });
+        CPPUNIT_ASSERT(sender.start(from));
+        CPPUNIT_ASSERT(receiver.start(to));
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+        while (n < 2 && std::chrono::steady_clock::now() < end) {
+            sender.send(to, Rows {});
+            context.run_for(std::chrono::milliseconds(20));
+        }
+        CPPUNIT_ASSERT(n >= 2);
+    }
+
+private:
+    static long peakKilobytes()
+    {
+        rusage usage {};
+        ::getrusage(RUSAGE_SELF, &usage);
+        return usage.ru_maxrss;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CodecTest);
+
+}
--- a/tests/unit/platform/PlatformFormatsTest.cpp
+++ b/tests/unit/platform/PlatformFormatsTest.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(headerNamedInConnectionIsDroppedUnlessItIsIdentity);
     CPPUNIT_TEST(orderedPlacesBecomeOneEntryPerPart);
     CPPUNIT_TEST(runnerHeadersAreDecoded);
+    CPPUNIT_TEST(loadWithMoreFiguresIsDecoded);
+    CPPUNIT_TEST(leavingAndPausesAreDecoded);
     CPPUNIT_TEST(weightReportAndOrderHaveTheirForm);
     CPPUNIT_TEST(cacheChangesAreDecodedAndDamagedOnesAreNot);
     CPPUNIT_TEST_SUITE_END();
@@ -194,6 +196,38 @@
         CPPUNIT_ASSERT(!decodeRunnerHeaders(fields).load);
     }
 
+    // Guards against losing the whole report to a figure that was added to it.
+    void loadWithMoreFiguresIsDecoded()
+    {
+        Fields fields;
+        fields.set("X-Server-Load", "3,0,8,140");
+        CPPUNIT_ASSERT(decodeRunnerHeaders(fields).load);
+        CPPUNIT_ASSERT_EQUAL(3, decodeRunnerHeaders(fields).load->running);
+        CPPUNIT_ASSERT_EQUAL(8, decodeRunnerHeaders(fields).load->slots);
+        CPPUNIT_ASSERT_EQUAL(140, decodeRunnerHeaders(fields).load->workPercent);
+        fields.set("X-Server-Load", "3,0,8,x,9");
+        CPPUNIT_ASSERT((decodeRunnerHeaders(fields).load == LoadReport { 3, 0, 8, 100 }));
+        fields.set("X-Server-Load", "3,0");
+        CPPUNIT_ASSERT(!decodeRunnerHeaders(fields).load);
+    }
+
+    void leavingAndPausesAreDecoded()
+    {
+        Fields fields;
+        CPPUNIT_ASSERT(!decodeRunnerHeaders(fields).isLeaving);
+        CPPUNIT_ASSERT(!decodeRunnerHeaders(fields).retryAfter);
+        fields.set("Server-Leaving", "1");
+        fields.set("Retry-After", "1.25");
+        CPPUNIT_ASSERT(decodeRunnerHeaders(fields).isLeaving);
+        CPPUNIT_ASSERT(decodeRunnerHeaders(fields).retryAfter == milliseconds(1'250));
+        fields.set("Retry-After", "1e300");
+        CPPUNIT_ASSERT(decodeRunnerHeaders(fields).retryAfter == std::chrono::hours(1));
+        for (const auto* text : { "-1", "nan", "soon", "", "1s", "Fri, 04 Dec 2026 10:00:00 GMT" }) {
+            fields.set("Retry-After", text);
+            CPPUNIT_ASSERT(!decodeRunnerHeaders(fields).retryAfter);
+        }
+    }
+
     void weightReportAndOrderHaveTheirForm()
     {
         const auto report = decodeWeightReport(R"({"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"sequence":2,"waiting":1})");
