Let few hosts of a data centre watch the store and tell the others

Cause: each host watched the store by itself, and each change woke them all.

Change: in a data centre with six hosts or more a host watches unless it has heard two of a higher number within 1.3 s. Those that watch tell the others after each answer, with the changes in datagrams; who misses some asks the teller, and reads the store if that no longer has them. A host that the store refuses follows in the same way. Load notices no longer visit every runner for every sender: a host's numbers are kept with the runner, and only runners told of before are cleared.

--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -44,11 +44,6 @@
     // Time in which a runner loads weights, with the end of its runs, if nothing else is heard.
     constexpr std::chrono::milliseconds loadingTime { 2'500 };
 
-    std::uint32_t shortHash(const RunnerRecord& runner)
-    {
-        return static_cast<std::uint32_t>(runnerHash(runner));
-    }
-
 }
 
 HostExchange::HostExchange(asio::io_context& context, const GatewaySettings& settings, ServingState& state)
@@ -69,6 +64,12 @@
     m_tablesHandler = std::move(tables);
 }
 
+void HostExchange::setStoreFollower(StoreNoticeHandler handler, ChangeSource source)
+{
+    m_storeHandler = std::move(handler);
+    m_changeSource = std::move(source);
+}
+
 Result<void> HostExchange::start()
 {
     m_datagrams.handle<LoadNotice>([this](const Address& from, LoadNotice notice) { onLoad(from, notice); });
@@ -92,6 +93,13 @@
             reply.items = m_itemSource();
         co_return reply;
     });
+    m_datagrams.handle<StoreNotice>([this](const Address& from, StoreNotice notice) {
+        if (m_storeHandler)
+            m_storeHandler(from, notice);
+    });
+    m_server.handle<PullStoreChanges>([this](PullStoreChanges request) -> asio::awaitable<Result<StoreChangesReply>> {
+        co_return m_changeSource ? m_changeSource(request.after) : StoreChangesReply {};
+    });
     auto started = m_datagrams.start(m_settings.peerAddress);
     if (started)
         started = m_server.start(m_settings.peerAddress);
@@ -111,6 +119,10 @@
 {
     hosts.erase(m_settings.hostName);
     m_hosts = std::move(hosts);
+    std::set<std::uint64_t> numbers;
+    for (const auto& [name, address] : m_hosts)
+        numbers.insert(hash64(name));
+    std::erase_if(m_toldRunners, [&](const auto& entry) { return !numbers.contains(entry.first); });
     updateCloseHosts();
 }
 
@@ -122,8 +134,12 @@
 void HostExchange::updateCloseHosts()
 {
     m_closeHosts.clear();
+    m_sameDataCentre.clear();
     for (const auto& [name, address] : m_hosts) {
-        if (areAllHostsClose() || m_nearHosts.contains(hash64(name)))
+        const bool isSame = m_nearHosts.contains(hash64(name));
+        if (isSame)
+            m_sameDataCentre.emplace(name, address);
+        if (areAllHostsClose() || isSame)
             m_closeHosts.emplace(name, address);
     }
 }
@@ -142,7 +158,7 @@
 
 void HostExchange::notePlacement(const Placement& placement, unsigned rank, const std::vector<PromptPart>& parts, std::uint64_t scope)
 {
-    const auto runner = shortHash(placement.runner->record());
+    const auto runner = placement.runner->number();
     std::vector<PlacedPart> placed;
     // The last part is the request's own and never comes again on another host.
     for (std::size_t i = 0; i + 1 < parts.size(); ++i)
@@ -166,11 +182,12 @@
 void HostExchange::onPlacement(const PlacementNotice& notice)
 {
     onParts(notice.parts);
-    const auto runner = m_state.board().findByHash(notice.runner);
+    const auto runner = m_state.board().findByNumber(notice.runner);
     if (!runner)
         return;
     const PlacedPrompt prompt { notice.rank, std::chrono::milliseconds(notice.readMs), std::chrono::milliseconds(notice.fetchMs), notice.memoryTokens };
     runner->addPeerPrompt(notice.host, prompt, std::chrono::steady_clock::now());
+    m_toldRunners[notice.host].insert(notice.runner);
 }
 
 std::size_t HostExchange::rankFor(std::string_view subject) const
@@ -188,12 +205,12 @@
 
 void HostExchange::announceLeaving(const RunnerRecord& runner)
 {
-    sendToAll(LeavingNotice { shortHash(runner) });
+    sendToAll(LeavingNotice { runnerNumber(runner) });
 }
 
 void HostExchange::onLeaving(const LeavingNotice& notice)
 {
-    const auto runner = m_state.board().findByHash(notice.runner);
+    const auto runner = m_state.board().findByNumber(notice.runner);
     if (!runner || runner->isLeaving())
         return;
     runner->setLeaving();
@@ -202,14 +219,14 @@
 
 void HostExchange::announceRollout(const RunnerRecord& runner, const std::string& model, std::uint64_t version, bool isDone)
 {
-    const RolloutNotice notice { shortHash(runner), model, version, isDone };
+    const RolloutNotice notice { runnerNumber(runner), model, version, isDone };
     onRollout(notice);
     sendToAll(notice);
 }
 
 void HostExchange::onRollout(const RolloutNotice& notice)
 {
-    const auto runner = m_state.board().findByHash(notice.runner);
+    const auto runner = m_state.board().findByNumber(notice.runner);
     if (!runner)
         return;
     if (notice.isDone)
@@ -223,23 +240,31 @@
     const auto now = std::chrono::steady_clock::now();
     if (notice.dataCentre == hash64(m_settings.dataCentre) && m_nearHosts.insert(notice.host).second)
         updateCloseHosts();
-    std::map<std::uint32_t, OutstandingWork> loads;
+    auto& told = m_toldRunners[notice.host];
     for (const auto& entry : notice.loads) {
-        auto& work = loads[entry.runner];
+        const auto runner = m_state.board().findByNumber(entry.runner);
+        if (!runner)
+            continue;
+        OutstandingWork work;
         work.requests = entry.requests;
         std::copy(entry.prompts.begin(), entry.prompts.end(), work.prompts.begin());
         std::copy(entry.memoryTokens.begin(), entry.memoryTokens.end(), work.memoryTokens.begin());
+        runner->setPeerWork(notice.host, work, now);
+        runner->setWorkTime(entry.workPercent, now - std::chrono::milliseconds(entry.workAgeMs));
     }
-    for (const auto& [id, runner] : m_state.board().all()) {
-        const auto number = shortHash(runner->record());
-        if (number < notice.firstRunner || number > notice.lastRunner)
+    // Only runners that the host told of before can have work of it that has ended.
+    for (auto it = told.lower_bound(notice.firstRunner); it != told.end() && *it <= notice.lastRunner;) {
+        const auto isListed = std::any_of(notice.loads.begin(), notice.loads.end(), [&](const auto& entry) { return entry.runner == *it; });
+        if (isListed) {
+            ++it;
             continue;
-        const auto it = loads.find(number);
-        if (it != loads.end())
-            runner->setPeerWork(notice.host, it->second, now);
-        else
+        }
+        if (const auto runner = m_state.board().findByNumber(*it))
             runner->clearPeerWork(notice.host);
+        it = told.erase(it);
     }
+    for (const auto& entry : notice.loads)
+        told.insert(entry.runner);
     onParts(notice.parts);
     for (const auto& version : notice.versions)
         m_state.acceptTargetAge(version.model, version.version, std::chrono::milliseconds(version.ageMs), bootTime());
@@ -252,7 +277,7 @@
 void HostExchange::onParts(const std::vector<PlacedPart>& parts)
 {
     for (const auto& part : parts) {
-        if (const auto runner = m_state.board().findByHash(part.runner))
+        if (const auto runner = m_state.board().findByNumber(part.runner))
             runner->parts().touch(PromptPart { part.part, part.tokens }, part.scope);
     }
 }
@@ -268,6 +293,14 @@
         m_pulledVersion = m_state.tablesVersion();
 }
 
+asio::awaitable<Result<StoreChangesReply>> HostExchange::pullStoreChanges(Address from, std::uint64_t after)
+{
+    PullStoreChanges request;
+    request.after = after;
+    const Address address { from.ip, m_settings.peerAddress.port };
+    co_return co_await m_client.call(address, request, pullLimit);
+}
+
 asio::awaitable<bool> HostExchange::pull(Address from, bool wantsItems)
 {
     PullRoutingTables request;
@@ -317,15 +350,23 @@
 std::vector<RunnerLoadEntry> HostExchange::ownLoads() const
 {
     std::vector<RunnerLoadEntry> out;
+    const auto now = std::chrono::steady_clock::now();
     for (const auto& [id, runner] : m_state.board().all()) {
         const auto& own = runner->own();
         if (own.requests <= 0)
             continue;
-        RunnerLoadEntry entry { shortHash(runner->record()), static_cast<std::uint16_t>(own.requests), {}, {} };
+        RunnerLoadEntry entry { runner->number(), static_cast<std::uint16_t>(own.requests), {}, {}, 100, 0 };
         for (std::size_t i = 0; i < rankClassCount; ++i) {
             entry.prompts[i] = static_cast<std::uint16_t>(std::max(own.prompts[i], 0));
             entry.memoryTokens[i] = static_cast<std::uint32_t>(std::max<std::int64_t>(own.memoryTokens[i], 0));
         }
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - runner->workTimeAt());
+        if (age < BackendState::workTimeLifetime) {
+            entry.workPercent = static_cast<std::uint16_t>(std::min(runner->workPercent(), 60'000));
+            entry.workAgeMs = static_cast<std::uint16_t>(age.count());
+        } else {
+            entry.workAgeMs = static_cast<std::uint16_t>(BackendState::workTimeLifetime.count());
+        }
         out.push_back(entry);
     }
     std::sort(out.begin(), out.end(), [](const auto& a, const auto& b) { return a.runner < b.runner; });
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -6,6 +6,7 @@
 #include "chiveshelf/peer/PeerServer.h"
 
 #include <set>
+#include <unordered_map>
 
 namespace chiveshelf {
 
@@ -25,6 +26,25 @@
     // Sets what is given to and taken from peers beside the tables' version. Call before start().
     void setRelay(ItemSource, ItemHandler, TablesHandler);
 
+    // Called with what a host of this data centre tells of the store, and with a revision after which a host asks for changes.
+    using StoreNoticeHandler = std::function<void(const Address& from, const StoreNotice&)>;
+    using ChangeSource = std::function<StoreChangesReply(std::uint64_t after)>;
+
+    // Sets who follows the store. Call before start().
+    void setStoreFollower(StoreNoticeHandler, ChangeSource);
+
+    // Tells the hosts of this data centre what the store answered.
+    void announceStore(const StoreNotice& notice) { m_datagrams.sendToAll(m_sameDataCentre, notice); }
+
+    // Asks a host for the changes of the store after a revision.
+    boost::asio::awaitable<Result<StoreChangesReply>> pullStoreChanges(Address, std::uint64_t after);
+
+    // Hosts of this data centre that are known to be such, this one included.
+    std::size_t dataCentreHostCount() const { return m_sameDataCentre.size() + 1; }
+
+    // The number under which this host is known to the others.
+    std::uint64_t hostNumber() const { return m_hostHash; }
+
     // Binds the peer address. Fails with Unavailable if it can not be bound.
     Result<void> start();
     void stop();
@@ -96,10 +116,15 @@
     ItemHandler m_itemHandler;
     TablesHandler m_tablesHandler;
     std::function<void(const CacheNotice&)> m_cacheHandler;
+    StoreNoticeHandler m_storeHandler;
+    ChangeSource m_changeSource;
     std::map<std::string, Address> m_hosts;
     // The hosts in this data centre, by the hash of their names, as far as they have told; and those that are told of each prompt.
     std::set<std::uint64_t> m_nearHosts;
     std::map<std::string, Address> m_closeHosts;
+    std::map<std::string, Address> m_sameDataCentre;
+    // The runners at which a host told to have work, by the hash of the host's name.
+    std::unordered_map<std::uint64_t, std::set<std::uint32_t>> m_toldRunners;
     // Placement notices that may be sent now, one for each receiver.
     double m_noticeBudget = 0;
     TimePoint m_noticeBudgetAt {};
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -15,7 +15,7 @@
 
 namespace chiveshelf {
 
-// A host's requests at one runner. Runners are named by the low half of runnerHash(). What has still to be read or fetched is not
+// A host's requests at one runner. Runners are named by runnerNumber(). What has still to be read or fetched is not
 // told here: it is over before the next notice.
 struct RunnerLoadEntry {
     std::uint32_t runner = 0;
@@ -23,11 +23,14 @@
     // Requests with prompts and their memory, by rank class.
     std::array<std::uint16_t, rankClassCount> prompts {};
     std::array<std::uint32_t, rankClassCount> memoryTokens {};
+    // How long work took there, in per cent of the usual, by the last answer that told it, and how long ago that was.
+    std::uint16_t workPercent = 100;
+    std::uint16_t workAgeMs = 0;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(runner, requests, prompts, memoryTokens);
+        archive(runner, requests, prompts, memoryTokens, workPercent, workAgeMs);
     }
 };
 
@@ -192,6 +195,66 @@
     }
 };
 
+// A change of the store as one host tells it to another.
+struct RelayedChange {
+    std::string key;
+    std::string value;
+    std::uint64_t revision = 0;
+    bool isRemoval = false;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(key, value, revision, isRemoval);
+    }
+};
+
+// What a host that watches the store tells the others of its data centre after each answer: the revision that the store had, and
+// the changes since an earlier one if they have room.
+struct StoreNotice {
+    static constexpr peer::DatagramType datagramType = peer::DatagramType::StoreNotice;
+
+    std::uint64_t host = 0;
+    std::uint64_t fromRevision = 0;
+    std::uint64_t toRevision = 0;
+    // Otherwise they have to be asked for.
+    bool hasChanges = false;
+    std::vector<RelayedChange> changes;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(host, fromRevision, toRevision, hasChanges, changes);
+    }
+};
+
+// The changes that were asked for; incomplete if the asked host no longer has them all.
+struct StoreChangesReply {
+    bool isComplete = false;
+    std::uint64_t revision = 0;
+    std::vector<RelayedChange> changes;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(isComplete, revision, changes);
+    }
+};
+
+// Asks a host for the changes of the store after a revision.
+struct PullStoreChanges {
+    static constexpr peer::MessageType messageType = peer::MessageType::PullStoreChanges;
+    using Reply = StoreChangesReply;
+
+    std::uint64_t after = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(after);
+    }
+};
+
 // The tables of a host, as the operator wrote them; empty if the asking host has them.
 struct RoutingTablesReply {
     std::uint64_t version = 0;
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -2,6 +2,7 @@
 
 #include "chiveshelf/core/Log.h"
 #include "chiveshelf/core/Tasks.h"
+#include "chiveshelf/gateway/StoreNotices.h"
 #include "platform/StoreFormat.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -18,7 +19,16 @@
     // Pause after changes, in which others gather, in fleets whose calls together would come near the store's rate, and the first
     // watch after it.
     constexpr std::chrono::milliseconds gatherTime { 600 };
+    constexpr std::chrono::milliseconds relayGatherTime { 100 };
     constexpr std::chrono::milliseconds shortWatchTime { 400 };
+    // The first watch of a host that begins to watch for others.
+    constexpr std::chrono::milliseconds firstWatchTime { 10 };
+    // Time beyond the wait of a watch within which its answer is taken as of now.
+    constexpr std::chrono::milliseconds answerTime { 600 };
+    // How often a host that does not watch looks whether it has to.
+    constexpr std::chrono::milliseconds turnInterval { 50 };
+    // Time over which hosts that missed changes ask for them.
+    constexpr std::chrono::milliseconds pullSpread { 80 };
     constexpr std::size_t largeFleet = 20;
     // Pauses after failed calls. Every call is counted by the store, and hosts must be in step within seconds of its return.
     constexpr std::chrono::milliseconds firstPause { 50 };
@@ -39,54 +49,72 @@
     , m_state(state)
     , m_exchange(exchange)
     , m_pause(firstPause)
+    , m_election(exchange.hostNumber())
 {
 }
 
 void StoreFollower::start()
 {
+    m_exchange.setStoreFollower([this](const Address& from, const StoreNotice& notice) { takeNotice(from, notice); },
+        [this](std::uint64_t after) { return changesAfter(after); });
     spawnLoop(m_context, "store_follower.run", [this] { return run(); });
     spawnLoop(m_context, "store_follower.expire_loop", [this] { return expireLoop(); });
 }
 
+bool StoreFollower::isRelaying() const
+{
+    return m_exchange.dataCentreHostCount() >= WatcherElection::fewestHosts;
+}
+
+bool StoreFollower::mustWatch() const
+{
+    return !isRelaying() || m_election.mustWatch(now());
+}
+
 asio::awaitable<void> StoreFollower::run()
 {
+    m_isReading = false;
     while (!m_isStopped) {
-        const auto revision = co_await readAll();
-        if (revision) {
-            co_await follow(*revision);
-            continue;
+        if (m_mustRead) {
+            m_isReading = true;
+            const auto revision = co_await readAll();
+            m_isReading = false;
+            if (revision) {
+                m_revision = *revision;
+                m_mustRead = false;
+            } else {
+                if (!m_hasRead && m_state.tablesVersion() == 0)
+                    co_await m_exchange.pullFromContacts();
+                co_await pause();
+            }
+        } else if (mustWatch()) {
+            co_await follow();
+        } else {
+            co_await sleep(turnInterval);
         }
-        if (!m_hasRead && m_state.tablesVersion() == 0)
-            co_await m_exchange.pullFromContacts();
-        co_await pause();
     }
 }
 
+asio::awaitable<void> StoreFollower::sleep(std::chrono::milliseconds duration)
+{
+    asio::steady_timer timer(m_context, duration);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
 asio::awaitable<void> StoreFollower::expireLoop()
 {
-    asio::steady_timer timer(m_context);
     while (!m_isStopped) {
-        boost::system::error_code ec;
-        timer.expires_after(expireInterval);
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        co_await sleep(expireInterval);
         m_state.contact().tick(bootTime());
         if (m_state.registry().expire(now()))
             m_state.refreshRunners();
     }
 }
 
-asio::awaitable<void> StoreFollower::gather()
-{
-    asio::steady_timer timer(m_context, m_state.tablesVersion() == 0 ? firstPause : gatherTime);
-    boost::system::error_code ec;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-}
-
 asio::awaitable<void> StoreFollower::pause()
 {
-    asio::steady_timer timer(m_context, m_pause);
-    boost::system::error_code ec;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    co_await sleep(m_pause);
     m_pause = std::min(m_pause * 2, longestPause);
 }
 
@@ -115,36 +143,116 @@
     co_return first;
 }
 
-asio::awaitable<void> StoreFollower::follow(Revision revision)
+// Watches for as long as this host has to and calls succeed.
+asio::awaitable<void> StoreFollower::follow()
 {
-    auto wait = watchTime;
-    while (!m_isStopped) {
-        const auto batch = co_await m_store.watch("", revision, wait);
-        if (batch) {
-            onContact();
-            for (const auto& change : batch->changes)
-                apply(change);
-            revision = batch->revision;
-            wait = watchTime;
-            if (batch->changes.empty())
-                continue;
-            finishChanges();
-            if (m_exchange.hostCount() < largeFleet)
-                continue;
-            co_await gather();
-            // A cut in the pause was not seen, and a watch whose history is being lost may tell so only at its end.
-            wait = shortWatchTime;
-            continue;
-        }
-        if (batch.error().code == ErrorCode::NotFound) {
-            logEvent(LogLevel::Info, "store_history_lost", { { "revision", revision } });
+    // The first answer tells the others at once that this host watches. A watch whose history is being lost may tell so only
+    // at its end.
+    auto wait = isRelaying() ? firstWatchTime : watchTime;
+    while (!m_isStopped && !m_mustRead && mustWatch()) {
+        const auto from = m_revision;
+        const auto before = bootTime();
+        const auto batch = co_await m_store.watch("", from, wait);
+        if (!batch) {
+            if (batch.error().code == ErrorCode::NotFound)
+                logEvent(LogLevel::Info, "store_history_lost", { { "revision", from } });
+            else
+                onFailure(batch.error(), "watch");
+            // A watch that was cut may be about to lose its history: only a read tells at once what it missed.
+            m_mustRead = true;
+            if (batch.error().code != ErrorCode::NotFound)
+                co_await pause();
             co_return;
         }
-        // A watch that was cut may be about to lose its history: only a read tells at once what it missed.
-        onFailure(batch.error(), "watch");
-        co_await pause();
+        onContact();
+        advance(*batch);
+        m_log.add(from, batch->revision, batch->changes);
+        // An answer that lay unread while this host stood still tells nothing of the present.
+        if (bootTime() - before <= wait + answerTime)
+            announce(from, *batch);
+        const bool isGathering = !batch->changes.empty() && m_exchange.hostCount() >= largeFleet;
+        if (isGathering)
+            co_await sleep(m_state.tablesVersion() == 0 ? firstPause : isRelaying() ? relayGatherTime
+                                                                                    : gatherTime);
+        // A cut in the pause was not seen.
+        wait = isGathering ? shortWatchTime : isRelaying() ? WatcherElection::noticeInterval
+                                                           : watchTime;
+    }
+}
+
+void StoreFollower::advance(const ChangeBatch& batch)
+{
+    bool hasChanged = false;
+    for (const auto& change : batch.changes) {
+        if (change.item.revision <= m_revision)
+            continue;
+        apply(change);
+        hasChanged = true;
+    }
+    m_revision = std::max(m_revision, batch.revision);
+    if (hasChanged)
+        finishChanges();
+}
+
+void StoreFollower::announce(Revision from, const ChangeBatch& batch)
+{
+    if (!isRelaying())
+        return;
+    for (const auto& notice : makeStoreNotices(m_exchange.hostNumber(), from, batch))
+        m_exchange.announceStore(notice);
+}
+
+void StoreFollower::takeNotice(const Address& from, const StoreNotice& notice)
+{
+    if (!m_hasRead || m_isReading || notice.toRevision < m_revision)
+        return;
+    const bool isNews = notice.toRevision > m_revision;
+    if (isNews && (!notice.hasChanges || notice.fromRevision > m_revision)) {
+        if (!std::exchange(m_isPulling, true))
+            spawnTask(m_context, "store_follower.pull_changes", pullChanges(from));
+        return;
+    }
+    onRelayed(notice.host);
+    if (!isNews)
+        return;
+    const ChangeBatch batch { toItemChanges(notice.changes), notice.toRevision };
+    m_log.add(notice.fromRevision, batch.revision, batch.changes);
+    advance(batch);
+}
+
+void StoreFollower::onRelayed(std::uint64_t host)
+{
+    m_election.onHeard(host, now());
+    onContact();
+    // Nothing is missing up to the revision of the notice, whatever became of this host's own calls.
+    m_mustRead = false;
+}
+
+StoreChangesReply StoreFollower::changesAfter(Revision after) const
+{
+    const auto batch = m_log.since(after);
+    if (!batch)
+        return {};
+    return { true, batch->revision, toRelayedChanges(batch->changes) };
+}
+
+asio::awaitable<void> StoreFollower::pullChanges(Address from)
+{
+    // All hosts that have to ask do not ask together.
+    co_await sleep(std::chrono::milliseconds(static_cast<std::int64_t>(m_state.random() * static_cast<double>(pullSpread.count()))));
+    const auto after = m_revision;
+    const auto reply = co_await m_exchange.pullStoreChanges(std::move(from), after);
+    m_isPulling = false;
+    // The own read or watch has been faster.
+    if (m_isReading || m_revision != after)
+        co_return;
+    if (!reply || !reply->isComplete) {
+        m_mustRead = true;
         co_return;
     }
+    const ChangeBatch batch { toItemChanges(reply->changes), reply->revision };
+    m_log.add(after, batch.revision, batch.changes);
+    advance(batch);
 }
 
 void StoreFollower::onContact()
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.h
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.h
@@ -1,16 +1,19 @@
 #pragma once
 
+#include "chiveshelf/gateway/ChangeLog.h"
 #include "chiveshelf/gateway/HostExchange.h"
+#include "chiveshelf/gateway/WatcherElection.h"
 #include "platform/StoreClient.h"
 
 #include <boost/asio/steady_timer.hpp>
 
 namespace chiveshelf {
 
-// Follows the store by one read of everything and then one long watch, and keeps the serving state in step with it.
+// Follows the store by one read of everything and then one long watch, and keeps the serving state in step with it. In a data
+// centre with several hosts only some watch and tell the others; see WatcherElection.
 //
 // Failures: calls that fail are repeated with growing pauses, a lost history leads to a new full read, and while nothing was
-// ever read the contacts are asked.
+// ever read the contacts are asked. A host that misses changes of others asks them, and reads if they no longer have them.
 class StoreFollower {
 public:
     StoreFollower(boost::asio::io_context&, platform::StoreClient&, ServingState&, HostExchange&);
@@ -29,6 +32,12 @@
     // Registered runners and named versions as key and text, for hosts that the store refuses.
     std::vector<std::pair<std::string, std::string>> relayItems() const;
 
+    // Takes what a host that watches tells.
+    void takeNotice(const Address& from, const StoreNotice&);
+
+    // Returns the changes after a revision, for a host that missed them.
+    StoreChangesReply changesAfter(Revision) const;
+
     // Takes items of a peer. Only what the own view lacks is used.
     void takeRelayedItems(const std::vector<std::pair<std::string, std::string>>&);
 
@@ -42,9 +51,18 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> expireLoop();
     boost::asio::awaitable<std::optional<Revision>> readAll();
-    boost::asio::awaitable<void> follow(Revision);
+    boost::asio::awaitable<void> follow();
+    boost::asio::awaitable<void> pullChanges(Address from);
+    boost::asio::awaitable<void> sleep(std::chrono::milliseconds);
+    // Whether hosts of this data centre tell each other of changes.
+    bool isRelaying() const;
+    bool mustWatch() const;
+    // Applies the changes that are newer than what is known, and goes on from the batch's revision.
+    void advance(const ChangeBatch&);
+    // Tells the other hosts of changes after `from`, or that there were none.
+    void announce(Revision from, const ChangeBatch&);
+    void onRelayed(std::uint64_t host);
     boost::asio::awaitable<void> pause();
-    boost::asio::awaitable<void> gather();
     void apply(const ItemChange&);
     void applyAll(const std::vector<StoredItem>&);
     void applyDecoded(const ItemChange&, std::vector<RunnerRecord>* runners);
@@ -60,6 +78,14 @@
     std::map<std::string, std::string> m_relayTexts;
     std::chrono::milliseconds m_pause;
     TimePoint m_leaderGoneSince {};
+    WatcherElection m_election;
+    ChangeLog m_log;
+    // Up to where the changes are known.
+    Revision m_revision = 0;
+    // Whether only a read can tell what was missed.
+    bool m_mustRead = true;
+    bool m_isReading = false;
+    bool m_isPulling = false;
     bool m_isInContact = false;
     bool m_hasRead = false;
     bool m_haveHostsChanged = false;
--- a/packages/peer/chiveshelf/peer/DatagramChannel.h
+++ b/packages/peer/chiveshelf/peer/DatagramChannel.h
@@ -27,6 +27,7 @@
     PartsNotice = 8,
     PlacementNotice = 9,
     LeavingNotice = 10,
+    StoreNotice = 11,
 };
 
 // A message that is sent as one datagram, without a reply.
--- a/packages/peer/chiveshelf/peer/MessageType.h
+++ b/packages/peer/chiveshelf/peer/MessageType.h
@@ -17,6 +17,7 @@
     CancelQueued = 9,
     Preempt = 10,
     PullRoutingTables = 11,
+    PullStoreChanges = 12,
 };
 
 }
--- a/packages/placement/chiveshelf/placement/BackendBoard.cpp
+++ b/packages/placement/chiveshelf/placement/BackendBoard.cpp
@@ -1,18 +1,11 @@
 #include "chiveshelf/placement/BackendBoard.h"
 
-#include "chiveshelf/core/Hash.h"
-
 namespace chiveshelf {
 
-std::uint64_t runnerHash(const RunnerRecord& record)
-{
-    return hash64(record.id, static_cast<std::uint64_t>(record.bornMs));
-}
-
 void BackendBoard::update(const std::map<std::string, RunnerRecord>& records, const std::function<std::int64_t(const std::string& pool)>& memoryOf)
 {
     std::map<std::string, std::shared_ptr<BackendState>> runners;
-    m_byHash.clear();
+    m_byNumber.clear();
     m_pools.clear();
     for (const auto& [id, record] : records) {
         const auto it = m_runners.find(id);
@@ -23,7 +16,7 @@
         if (isKnown)
             runner->update(record);
         runners.emplace(id, runner);
-        m_byHash.emplace(static_cast<std::uint32_t>(runnerHash(record)), runner);
+        m_byNumber.emplace(runner->number(), runner);
         if (!runner->isLeaving())
             m_pools[record.pool].push_back(runner);
     }
@@ -43,10 +36,10 @@
     return it == m_runners.end() ? nullptr : it->second;
 }
 
-std::shared_ptr<BackendState> BackendBoard::findByHash(std::uint32_t shortHash) const
+std::shared_ptr<BackendState> BackendBoard::findByNumber(std::uint32_t number) const
 {
-    const auto it = m_byHash.find(shortHash);
-    return it == m_byHash.end() ? nullptr : it->second;
+    const auto it = m_byNumber.find(number);
+    return it == m_byNumber.end() ? nullptr : it->second;
 }
 
 }
--- a/packages/placement/chiveshelf/placement/BackendBoard.h
+++ b/packages/placement/chiveshelf/placement/BackendBoard.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <unordered_map>
 #include <vector>
 
 namespace chiveshelf {
@@ -23,18 +24,15 @@
     // Returns the runner, or nullptr.
     std::shared_ptr<BackendState> find(const std::string& id) const;
 
-    // Returns the runner by the low half of runnerHash(), which other hosts send, or nullptr.
-    std::shared_ptr<BackendState> findByHash(std::uint32_t shortHash) const;
+    // Returns the runner by its number, which other hosts send, or nullptr.
+    std::shared_ptr<BackendState> findByNumber(std::uint32_t) const;
 
     const std::map<std::string, std::shared_ptr<BackendState>>& all() const { return m_runners; }
 
 private:
     std::map<std::string, std::shared_ptr<BackendState>> m_runners;
-    std::map<std::uint32_t, std::shared_ptr<BackendState>> m_byHash;
+    std::unordered_map<std::uint32_t, std::shared_ptr<BackendState>> m_byNumber;
     std::map<std::string, RunnerList> m_pools;
 };
 
-// Returns the hash under which hosts name a runner to each other. It covers the incarnation.
-std::uint64_t runnerHash(const RunnerRecord&);
-
 }
--- a/packages/placement/chiveshelf/placement/BackendState.cpp
+++ b/packages/placement/chiveshelf/placement/BackendState.cpp
@@ -1,5 +1,7 @@
 #include "chiveshelf/placement/BackendState.h"
 
+#include "chiveshelf/core/Hash.h"
+
 namespace chiveshelf {
 
 namespace {
@@ -14,8 +16,14 @@
 
 }
 
+std::uint32_t runnerNumber(const RunnerRecord& record)
+{
+    return static_cast<std::uint32_t>(hash64(record.id, static_cast<std::uint64_t>(record.bornMs)));
+}
+
 BackendState::BackendState(RunnerRecord record, std::int64_t memoryTokens)
     : m_record(std::move(record))
+    , m_number(runnerNumber(m_record))
     , m_memoryTokens(memoryTokens)
     , m_parts(memoryTokens)
 {
@@ -36,6 +44,9 @@
 
 void BackendState::setPeerWork(std::uint64_t host, const OutstandingWork& work, TimePoint now)
 {
+    // A host that is gone leaves its figures behind.
+    if (!m_peers.contains(host))
+        std::erase_if(m_peers, [&](const auto& entry) { return now - entry.second.at > figureLifetime; });
     m_peers[host] = { work, now };
 }
 
@@ -64,6 +75,24 @@
 {
     m_report = report;
     m_reportAt = now;
+    setWorkTime(report.workPercent, now);
+}
+
+void BackendState::setWorkTime(std::int32_t percent, TimePoint at)
+{
+    if (at <= m_workTimeAt || percent <= 0)
+        return;
+    m_workPercent = percent;
+    m_workTimeAt = at;
+}
+
+double BackendState::slowdown(TimePoint now) const
+{
+    const auto age = now - m_workTimeAt;
+    if (age >= workTimeLifetime)
+        return 1;
+    const auto weight = 1 - toMilliseconds(age) / toMilliseconds(workTimeLifetime);
+    return 1 + (m_workPercent / 100.0 - 1) * weight;
 }
 
 std::int32_t BackendState::requests(TimePoint now) const
--- a/packages/placement/chiveshelf/placement/BackendState.h
+++ b/packages/placement/chiveshelf/placement/BackendState.h
@@ -23,6 +23,9 @@
     auto operator<=>(const LoadReport&) const = default;
 };
 
+// Returns the number under which hosts name a runner to each other.
+std::uint32_t runnerNumber(const RunnerRecord&);
+
 // All that this host believes of one incarnation of a runner.
 class BackendState {
 public:
@@ -33,6 +36,8 @@
     BackendState(RunnerRecord, std::int64_t memoryTokens);
 
     const RunnerRecord& record() const { return m_record; }
+    // The number under which hosts name the runner to each other. It covers the incarnation.
+    std::uint32_t number() const { return m_number; }
     std::int64_t memoryTokens() const { return m_memoryTokens; }
 
     // Takes a newer record of the same incarnation.
@@ -52,6 +57,9 @@
     void addPeerPrompt(std::uint64_t host, const PlacedPrompt&, TimePoint now);
     const PeerQueue& peerQueue() const { return m_peerQueue; }
 
+    // Hosts whose figures are kept.
+    std::size_t peerCount() const { return m_peers.size(); }
+
     // Tells that another host has no work there.
     void clearPeerWork(std::uint64_t host) { m_peers.erase(host); }
 
@@ -60,6 +68,17 @@
 
     void setReport(const LoadReport&, TimePoint now);
 
+    // Time over which a figure of how long work takes fades. Such figures change several times a second.
+    static constexpr std::chrono::milliseconds workTimeLifetime { 600 };
+
+    // Sets how long work took at a moment, in per cent of the usual, unless a later figure is known.
+    void setWorkTime(std::int32_t percent, TimePoint at);
+    std::int32_t workPercent() const { return m_workPercent; }
+    TimePoint workTimeAt() const { return m_workTimeAt; }
+
+    // Returns the factor by which work is expected to take longer than usual, 1 without a recent figure.
+    double slowdown(TimePoint now) const;
+
     // Returns the requests at the runner: the greater of what hosts say and what it reported.
     std::int32_t requests(TimePoint now) const;
 
@@ -113,12 +132,15 @@
     };
 
     RunnerRecord m_record;
+    std::uint32_t m_number;
     std::int64_t m_memoryTokens;
     OutstandingWork m_own;
     std::map<std::uint64_t, PeerWork> m_peers;
     PeerQueue m_peerQueue;
     LoadReport m_report;
     TimePoint m_reportAt {};
+    std::int32_t m_workPercent = 100;
+    TimePoint m_workTimeAt {};
     WeightLoad m_load;
     double m_tokensPerMs = 0;
     bool m_isLeaving = false;
--- a/tests/unit/gateway/GatewayFixture.h
+++ b/tests/unit/gateway/GatewayFixture.h
@@ -133,11 +133,11 @@
         co_await boost::asio::async_write(*socket, boost::asio::buffer(bytes), boost::asio::redirect_error(boost::asio::use_awaitable, ec));
     }
 
-    boost::asio::awaitable<void> fetchInto(std::string bytes, std::uint16_t port, std::shared_ptr<std::optional<Answer>> out)
+    boost::asio::awaitable<void> fetchInto(std::string bytes, chiveshelf::Address address, std::shared_ptr<std::optional<Answer>> out)
     {
         boost::asio::ip::tcp::socket socket(*m_context);
         boost::system::error_code ec;
-        const auto endpoint = chiveshelf::http::toEndpoint({ m_network + ".1", port });
+        const auto endpoint = chiveshelf::http::toEndpoint(address);
         co_await socket.async_connect(endpoint, boost::asio::redirect_error(boost::asio::use_awaitable, ec));
         co_await boost::asio::async_write(socket, boost::asio::buffer(bytes), boost::asio::redirect_error(boost::asio::use_awaitable, ec));
         boost::beast::flat_buffer buffer;
@@ -151,10 +151,12 @@
         *out = std::move(answer);
     }
 
-    Answer fetch(std::string bytes, std::uint16_t port = 7'001)
+    // Sends bytes to a gateway, the one of this fixture if no address is given, and returns the answer.
+    Answer fetch(std::string bytes, std::uint16_t port = 7'001, const std::string& ip = {})
     {
+        const chiveshelf::Address address { ip.empty() ? m_network + ".1" : ip, port };
         const auto out = std::make_shared<std::optional<Answer>>();
-        boost::asio::co_spawn(*m_context, fetchInto(std::move(bytes), port, out), boost::asio::detached);
+        boost::asio::co_spawn(*m_context, fetchInto(std::move(bytes), address, out), boost::asio::detached);
         runUntil([&] { return out->has_value(); });
         CPPUNIT_ASSERT(out->has_value());
         return **out;
--- a/tests/unit/gateway/PlatformStandIn.cpp
+++ b/tests/unit/gateway/PlatformStandIn.cpp
@@ -132,6 +132,7 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
     if (target.path == "/kv-watch") {
+        ++m_watches;
         co_await watch(exchange, static_cast<std::uint64_t>(target.number("after", 0)), std::chrono::milliseconds(target.number("waitMs", 0)));
         co_return;
     }
--- a/tests/unit/gateway/PlatformStandIn.h
+++ b/tests/unit/gateway/PlatformStandIn.h
@@ -29,6 +29,7 @@
     void cutWatches();
 
     std::size_t readCount() const { return m_reads; }
+    std::size_t watchCount() const { return m_watches; }
 
     // Answers the next reads and watches with this body instead of their own.
     void answerInstead(std::string body, std::size_t times) { m_otherBody = { std::move(body), times }; }
@@ -55,6 +56,7 @@
     std::uint64_t m_revision = 1;
     std::uint64_t m_lostBefore = 0;
     std::size_t m_reads = 0;
+    std::size_t m_watches = 0;
     std::size_t m_cuts = 0;
     std::pair<std::string, std::size_t> m_otherBody;
     std::chrono::milliseconds m_leaseEndDelay { 0 };
--- a/tests/unit/placement/BackendStateTest.cpp
+++ b/tests/unit/placement/BackendStateTest.cpp
@@ -17,6 +17,9 @@
     CPPUNIT_TEST(runnerWhoseNewWeightsAnAnswerShowsIsNotLoadingAnyMore);
     CPPUNIT_TEST(runnerWithOldWeightsLoadsUntilTheLimit);
     CPPUNIT_TEST(noticeOfWeightsThatAreInPlaceLeavesTheRunnerInUse);
+    CPPUNIT_TEST(slowMomentCountsWhileItIsRecent);
+    CPPUNIT_TEST(olderFigureOfAnotherHostDoesNotReplaceANewerOne);
+    CPPUNIT_TEST(figuresOfHostsThatAreGoneAreForgotten);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -52,6 +55,36 @@
         CPPUNIT_ASSERT(!m_runner.isLoading(orderedAt));
     }
 
+    // Guards against sending work to a runner whose machine is busy at this moment, and against shunning it later for that.
+    void slowMomentCountsWhileItIsRecent()
+    {
+        m_runner.setReport({ 1, 0, 8, 250 }, orderedAt);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(2.5, m_runner.slowdown(orderedAt), 0.01);
+        CPPUNIT_ASSERT(m_runner.slowdown(orderedAt + milliseconds(300)) < 2.0);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, m_runner.slowdown(orderedAt + BackendState::workTimeLifetime), 0.001);
+    }
+
+    void olderFigureOfAnotherHostDoesNotReplaceANewerOne()
+    {
+        m_runner.setReport({ 1, 0, 8, 250 }, orderedAt);
+        m_runner.setWorkTime(100, orderedAt - milliseconds(50));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(2.5, m_runner.slowdown(orderedAt), 0.01);
+        m_runner.setWorkTime(100, orderedAt + milliseconds(50));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, m_runner.slowdown(orderedAt + milliseconds(50)), 0.01);
+    }
+
+    // Guards against figures that grow with every host that was ever in the fleet.
+    void figuresOfHostsThatAreGoneAreForgotten()
+    {
+        OutstandingWork work;
+        work.requests = 1;
+        for (std::uint64_t host = 0; host < 500; ++host)
+            m_runner.setPeerWork(host, work, orderedAt);
+        CPPUNIT_ASSERT_EQUAL(500, m_runner.total(orderedAt).requests);
+        m_runner.setPeerWork(1'000, work, orderedAt + seconds(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_runner.peerCount());
+    }
+
 private:
     static RunnerRecord record(std::uint64_t version)
     {
