--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -214,7 +214,8 @@
 {
     const auto& prompt = *request.prompt;
     const auto work = runner.total(now);
-    const auto speed = runner.tokensPerMs(fallbackSpeed);
+    const auto slowdown = runner.slowdown(now);
+    const auto speed = runner.tokensPerMs(fallbackSpeed) / slowdown;
     Prediction out;
     const auto cached = runner.parts().cachedTokens(prompt.parts, holders.scope);
     const auto ownSlowness = runner.transfers().slowness(now);
@@ -427,7 +428,7 @@
         for (const auto n : placement.work.prefillTokens)
             tokens += n;
         if (tokens >= fewestSampleTokens && measuredMs > fixedMs)
-            runner.learnSpeed(static_cast<double>(tokens) / (measuredMs - fixedMs));
+            runner.learnSpeed(static_cast<double>(tokens) / (measuredMs - fixedMs) * runner.slowdown(now));
         return;
     }
     const auto fetchMs = toMilliseconds(placement.predictedFetch);
--- a/packages/placement/chiveshelf/placement/ServicePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/ServicePlacement.cpp
@@ -31,7 +31,7 @@
             continue;
         const auto slots = std::max<double>(runner->record().slots, 1);
         const auto requests = runner->requests(context.now);
-        const auto slowness = runner->record().coldLeft.count() > 0 ? coldFactor : 1.0;
+        const auto slowness = (runner->record().coldLeft.count() > 0 ? coldFactor : 1.0) * runner->slowdown(context.now);
         // Within the slots a request runs at once; the share of slots taken still orders the runners.
         const auto waitMs = std::max((requests + 1 - slots) / slots, 0.0) * m_workMs * slowness;
         double cost = (requests + 1) / slots * slowness + waitMs / m_workMs;
