Predict fetches by the link of the store and by what it has still to send

Change: the stores' links and set-up times are read from the tables; each host keeps when a store's link will have sent what is known, from its own requests and from the notices of other hosts' prompts. A fetch that would not be in time is replaced by reading.

The tests use new interfaces and were not run on the code before.

--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -167,7 +167,9 @@
     const auto& receivers = isLong ? m_hosts : m_closeHosts;
     const bool isTold = takeNotices(receivers.size(), isLong);
     if (isTold) {
-        PlacementNotice notice { m_hostHash, runner, static_cast<std::uint8_t>(rank), 0, 0, 0, placed };
+        PlacementNotice notice { m_hostHash, runner, static_cast<std::uint8_t>(rank), 0, 0, 0, placed, {} };
+        for (const auto& fetch : placement.storeFetches)
+            notice.fetches.push_back({ storeNumber(fetch.store), static_cast<std::uint16_t>(std::clamp<double>(fetch.ms, 0, static_cast<double>(longestTold.count()))) });
         notice.readMs = static_cast<std::uint16_t>(std::clamp<std::int64_t>(placement.read.count(), 0, longestTold.count()));
         notice.fetchMs = static_cast<std::uint16_t>(std::clamp<std::int64_t>(placement.predictedFetch.count(), 0, longestTold.count()));
         notice.memoryTokens = static_cast<std::uint32_t>(placement.work.memoryTokens[rankClass(rank)]);
@@ -185,6 +187,12 @@
     const auto runner = m_state.board().findByNumber(notice.runner);
     if (!runner)
         return;
+    for (const auto& fetch : notice.fetches) {
+        for (const auto& store : m_state.cacheStores()) {
+            if (store->number() == fetch.store)
+                store->noteFetch(fetch.ms, std::chrono::steady_clock::now());
+        }
+    }
     const PlacedPrompt prompt { notice.rank, std::chrono::milliseconds(notice.readMs), std::chrono::milliseconds(notice.fetchMs), notice.memoryTokens };
     runner->addPeerPrompt(notice.host, prompt, std::chrono::steady_clock::now());
     m_toldRunners[notice.host].insert(notice.runner);
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -61,6 +61,18 @@
     }
 };
 
+// Time that a store's link spends for a prompt. Stores are named by CacheContents::number().
+struct StoreFetchEntry {
+    std::uint32_t store = 0;
+    std::uint16_t ms = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(store, ms);
+    }
+};
+
 // A prompt that a host has just sent to a runner, told at once to the hosts that choose among the same runners, and to all if it takes long.
 struct PlacementNotice {
     static constexpr peer::DatagramType datagramType = peer::DatagramType::PlacementNotice;
@@ -73,11 +85,12 @@
     std::uint16_t fetchMs = 0;
     std::uint32_t memoryTokens = 0;
     std::vector<PlacedPart> parts;
+    std::vector<StoreFetchEntry> fetches;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(host, runner, rank, readMs, fetchMs, memoryTokens, parts);
+        archive(host, runner, rank, readMs, fetchMs, memoryTokens, parts, fetches);
     }
 };
 
--- a/packages/placement/chiveshelf/placement/CacheContents.cpp
+++ b/packages/placement/chiveshelf/placement/CacheContents.cpp
@@ -18,8 +18,14 @@
 
 }
 
+std::uint32_t storeNumber(const Address& address)
+{
+    return static_cast<std::uint32_t>(hash64(address.ip, address.port));
+}
+
 CacheContents::CacheContents(CacheStore store)
     : m_store(std::move(store))
+    , m_number(storeNumber(m_store.address))
 {
 }
 
@@ -66,6 +72,16 @@
     return true;
 }
 
+void CacheContents::noteFetch(double ms, TimePoint now)
+{
+    m_queueEnd = std::max(m_queueEnd, now) + std::chrono::duration_cast<TimePoint::duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
+double CacheContents::queueMs(TimePoint now) const
+{
+    return std::max(toMilliseconds(m_queueEnd - now), 0.0);
+}
+
 void CacheContents::clear()
 {
     m_parts.clear();
--- a/packages/placement/chiveshelf/placement/CacheContents.h
+++ b/packages/placement/chiveshelf/placement/CacheContents.h
@@ -30,7 +30,10 @@
     auto operator<=>(const CacheChange&) const = default;
 };
 
-// Known contents of one store. Only parts that the store itself reported as whole count as present.
+// Returns the number under which hosts name a store to each other.
+std::uint32_t storeNumber(const Address&);
+
+// Known contents of one store, and the load of its link. Only parts that the store itself reported as whole count as present.
 //
 // Answers the load pattern "more returning prompts than the runners' memory holds".
 class CacheContents {
@@ -92,6 +95,16 @@
     // Forgets a part that is about to be freed.
     void forget(const CachedPartName&);
 
+    // Records that a request was sent, by this host or another, for which the store's link is busy for so long. Transfers go
+    // one after another.
+    void noteFetch(double ms, TimePoint now);
+
+    // Returns how long the store's link is busy with what is known to be fetched.
+    double queueMs(TimePoint now) const;
+
+    // The number under which hosts name the store to each other.
+    std::uint32_t number() const { return m_number; }
+
     TransferSpeed& speed() { return m_speed; }
     const TransferSpeed& speed() const { return m_speed; }
 
@@ -121,7 +134,10 @@
     void remove(std::uint64_t key);
 
     CacheStore m_store;
+    std::uint32_t m_number;
     TransferSpeed m_speed;
+    // When the link has sent what is known.
+    TimePoint m_queueEnd {};
     std::uint64_t m_epoch = 0;
     std::uint64_t m_position = 0;
     TimePoint m_listedAt {};
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -15,6 +15,16 @@
     bool isStore = false;
     // Factor on the nominal time of transfers from there.
     double slowness = 1;
+    // The nominal time: before a transfer, and per token within a data centre.
+    double setUpMs = 0;
+    double msPerToken = 0;
+    // How long its link is busy with other transfers.
+    double queueMs = 0;
+
+    double nominalMs(std::int64_t tokens) const { return setUpMs + static_cast<double>(tokens) * msPerToken * (isNear ? 1 : farFactor); }
+
+    // Transfers between data centres take twice as long.
+    static constexpr double farFactor = 2;
 };
 
 namespace {
@@ -43,8 +53,6 @@
     // is waited for.
     constexpr double fetchGoalShare = 0.8;
     constexpr double fetchPatience = 2;
-    // Transfers between data centres take twice as long.
-    constexpr double farFetchFactor = 2;
     constexpr double bitsPerByte = 8;
     constexpr double bitsPerMsAndMbps = 1'000;
     // Share of the engine's memory that requests may fill before new ones wait; the rest is for tokens still to come.
@@ -101,6 +109,11 @@
         return n == 0 ? initialTokensPerMs : sum / n;
     }
 
+    double transferMsPerToken(const EngineLimits& limits, double linkMbps)
+    {
+        return linkMbps > 0 ? static_cast<double>(limits.bytesPerToken) * bitsPerByte / (linkMbps * bitsPerMsAndMbps) : 0;
+    }
+
     std::chrono::milliseconds roundedMs(double ms)
     {
         return std::chrono::milliseconds(static_cast<std::int64_t>(std::lround(ms)));
@@ -110,10 +123,12 @@
 
 // The runners and stores that hold the parts of one prompt, shared parts only: the last one is the request's own.
 struct EnginePlacement::PartHolders {
-    PartHolders(const EngineRequest& request, const PlacementContext& context, const BackendBoard::RunnerList& runners, const CacheStores& stores)
+    PartHolders(const EngineRequest& request, const PlacementContext& context, const BackendBoard::RunnerList& runners, const CacheStores& stores,
+        const EngineLimits& limits)
         : request(request)
         , context(context)
         , stores(stores)
+        , limits(limits)
         , scope(memoryScope(request.dedicatedOrganisation))
     {
         const auto& parts = request.prompt->parts;
@@ -137,12 +152,12 @@
             return std::nullopt;
         std::optional<Source> best;
         for (const auto* store : storesOf(*version)[i])
-            consider(best, Source { store->store().address, store->store().dataCentre == reader.record().dataCentre, true, store->speed().slowness(context.now) });
+            consider(best, sourceOf(*store, reader));
         if (best)
             return best;
         for (const auto* holder : byPart[i]) {
             if (holder != &reader && holder->version(request.prompt->model) == version)
-                consider(best, Source { holder->record().address, holder->record().dataCentre == reader.record().dataCentre, false, 1 });
+                consider(best, Source { holder->record().address, holder->record().dataCentre == reader.record().dataCentre, false, 1, 0, transferMsPerToken(limits, limits.linkMbps), 0 });
         }
         return best;
     }
@@ -165,6 +180,15 @@
         return it->second;
     }
 
+    Source sourceOf(const CacheContents& contents, const BackendState& reader) const
+    {
+        const auto& store = contents.store();
+        // The slower of both links bounds a transfer.
+        const auto linkMbps = store.linkMbps > 0 ? std::min(store.linkMbps, limits.linkMbps) : limits.linkMbps;
+        return { store.address, store.dataCentre == reader.record().dataCentre, true, contents.speed().slowness(context.now), store.setUpMs, transferMsPerToken(limits, linkMbps),
+            contents.queueMs(context.now) };
+    }
+
     static void consider(std::optional<Source>& best, Source source)
     {
         if (!best || (source.isNear && !best->isNear))
@@ -174,6 +198,7 @@
     const EngineRequest& request;
     const PlacementContext& context;
     const CacheStores& stores;
+    const EngineLimits& limits;
     std::uint64_t scope;
     std::vector<std::vector<const BackendState*>> byPart;
     mutable std::map<std::uint64_t, std::vector<std::vector<const CacheContents*>>> storesByVersion;
@@ -191,7 +216,7 @@
 
 EnginePlacement::EnginePlacement(const EngineLimits& limits)
     : m_limits(limits)
-    , m_fetchMsPerToken(limits.linkMbps > 0 ? static_cast<double>(limits.bytesPerToken) * bitsPerByte / (limits.linkMbps * bitsPerMsAndMbps) : 0)
+    , m_fetchMsPerToken(transferMsPerToken(limits, limits.linkMbps))
 {
 }
 
@@ -220,6 +245,7 @@
     const auto cached = runner.parts().cachedTokens(prompt.parts, holders.scope);
     const auto ownSlowness = runner.transfers().slowness(now);
     std::int64_t covered = 0;
+    double queueMs = 0;
     for (std::size_t i = 0; i < prompt.parts.size(); ++i) {
         const auto tokens = prompt.parts[i].tokens;
         if (covered + tokens > cached) {
@@ -227,7 +253,8 @@
             if (!source)
                 break;
             out.fetchTokens += tokens;
-            const auto nominal = static_cast<double>(tokens) * m_fetchMsPerToken * (source->isNear ? 1 : farFetchFactor);
+            const auto nominal = source->nominalMs(tokens);
+            queueMs = std::max(queueMs, source->queueMs);
             out.nominalFetchMs += nominal;
             out.fetchMs += nominal * std::max(source->slowness, ownSlowness);
         }
@@ -259,7 +286,8 @@
         out.waitMs += residenceMs * excess / memory;
     out.readMs = static_cast<double>(out.uncachedTokens) / speed;
     // Transfers run beside the reading of other prompts, one after another.
-    const auto linkMs = static_cast<double>(work.fetchTokens) * m_fetchMsPerToken * ownSlowness + runner.peerQueue().fetchMs(now);
+    const auto ownLinkMs = static_cast<double>(work.fetchTokens) * m_fetchMsPerToken * ownSlowness + runner.peerQueue().fetchMs(now);
+    const auto linkMs = std::max(ownLinkMs, queueMs);
     const auto fetchingMs = fixedMs + std::max(out.waitMs, linkMs + out.fetchMs) + out.readMs;
     const auto readAllMs = static_cast<double>(prompt.promptTokens - std::min(cached, prompt.promptTokens)) / speed;
     const auto readingMs = fixedMs + out.waitMs + readAllMs;
@@ -298,7 +326,7 @@
     double random) const
 {
     const auto& prompt = *request.prompt;
-    const PartHolders holders(request, context, runners, stores);
+    const PartHolders holders(request, context, runners, stores, m_limits);
     const auto fallbackSpeed = averageSpeed(runners);
     const auto part = sessionPart(prompt);
     std::shared_ptr<BackendState> best;
@@ -362,10 +390,12 @@
     out.predictedFetch = roundedMs(bestPrediction.fetchMs);
     out.nominalFetchMs = bestPrediction.nominalFetchMs;
     planTransfers(request, context, holders, stores, out);
-    if (bestPrediction.isReadingInstead)
+    if (bestPrediction.isReadingInstead) {
         out.fetchFrom.clear();
-    else
+        out.storeFetches.clear();
+    } else {
         out.fetchTime = roundedMs(bestPrediction.fetchTimeMs);
+    }
     return out;
 }
 
@@ -390,6 +420,8 @@
         // A store's copy is named even where the runner is believed to have the part: it is not fetched then.
         if (source && (source->isStore || covered > cached))
             placement.fetchFrom[i] = source->address;
+        if (source && source->isStore && covered > cached)
+            placement.storeFetches.push_back({ source->address, source->nominalMs(parts[i].tokens) });
         isContinuous = isContinuous && (source || covered <= cached);
         const auto* store = chooseStore(stores, scope, parts[i], runner.record().dataCentre, context);
         if (store)
@@ -453,6 +485,12 @@
     const auto& parts = request.prompt->parts;
     for (const auto& part : parts)
         placement.runner->parts().touch(part, memoryScope(request.dedicatedOrganisation));
+    for (const auto& fetch : placement.storeFetches) {
+        for (const auto& store : stores) {
+            if (store->store().address == fetch.store)
+                store->noteFetch(fetch.ms, now);
+        }
+    }
     const auto version = placement.runner->version(request.prompt->model);
     for (std::size_t i = 0; version && i < placement.saveTo.size(); ++i) {
         for (const auto& store : stores) {
--- a/packages/placement/chiveshelf/placement/Placement.h
+++ b/packages/placement/chiveshelf/placement/Placement.h
@@ -41,6 +41,14 @@
     }
 };
 
+// Time that a store's link spends on the parts that a request fetches from it.
+struct StoreFetch {
+    Address store;
+    double ms = 0;
+
+    auto operator<=>(const StoreFetch&) const = default;
+};
+
 // A runner that was chosen, with the figures that the choice was made on.
 struct Placement {
     std::shared_ptr<BackendState> runner;
@@ -55,6 +63,8 @@
     // For each part of the prompt, where it is fetched from and saved to.
     std::vector<std::optional<Address>> fetchFrom;
     std::vector<std::optional<Address>> saveTo;
+    // What the stores among the sources have to send.
+    std::vector<StoreFetch> storeFetches;
     // How long fetching may take before the prompt is read instead.
     std::optional<std::chrono::milliseconds> fetchTime;
     // Part of the prediction that is fetching, for learning.
--- a/packages/routing/chiveshelf/routing/RoutingTables.h
+++ b/packages/routing/chiveshelf/routing/RoutingTables.h
@@ -72,6 +72,9 @@
     Address address;
     std::string dataCentre;
     std::int64_t memoryTokens = 0;
+    // Speed of its link, 0 if it is not known, and the time before each transfer.
+    double linkMbps = 0;
+    double setUpMs = 0;
 
     auto operator<=>(const CacheStore&) const = default;
 };
--- a/tests/unit/placement/EnginePlacementTest.cpp
+++ b/tests/unit/placement/EnginePlacementTest.cpp
@@ -34,6 +34,9 @@
     CPPUNIT_TEST(storeThatHasNotAnsweredLatelyIsNotFetchedFrom);
     CPPUNIT_TEST(storeThatHasJustRestartedIsNotSavedTo);
     CPPUNIT_TEST(slowStoreInTimeCriticalRequestIsReplacedByReading);
+    CPPUNIT_TEST(storeWithASlowLinkIsPredictedByItsLink);
+    CPPUNIT_TEST(storeWhoseLinkIsBusyIsLeftForReading);
+    CPPUNIT_TEST(sentFetchesKeepTheLinkBusyUntilTheyAreOver);
     CPPUNIT_TEST(draftsInABurstAreRefusedOnceTheyWouldBeLate);
     CPPUNIT_TEST(questionInABurstOfDraftsWaitsOnlyForItsLike);
     CPPUNIT_TEST(refusedCallerComesBackLateAndIsAdmittedOnlyWithLittleWaiting);
@@ -326,6 +329,42 @@
         CPPUNIT_ASSERT(placement->fetchFrom.empty());
     }
 
+    // Guards against fetches that come too late, since they were predicted by the engines' faster links.
+    void storeWithASlowLinkIsPredictedByItsLink()
+    {
+        store("v1/m/", 1, 500);
+        store("v1/m/", 2, 8'500);
+        const auto fast = choose();
+        addSlowStore();
+        const auto slow = choose();
+        CPPUNIT_ASSERT(fast && slow);
+        // 9,000 tokens of 327,680 bytes over 31 Gbit/s, ten times as long as over 310 Gbit/s, and 6 ms before each part.
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(761 + 12, slow->nominalFetchMs, 10);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(76, fast->nominalFetchMs, 2);
+    }
+
+    // Guards against hosts that all send for a part to a store whose link has seconds of transfers before it.
+    void storeWhoseLinkIsBusyIsLeftForReading()
+    {
+        store("v1/m/", 1, 500);
+        store("v1/m/", 2, 8'500);
+        m_context.goal = milliseconds(400);
+        CPPUNIT_ASSERT(choose()->work.fetchTokens > 0);
+        m_store->noteFetch(1'000, start);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(0), choose()->work.fetchTokens);
+    }
+
+    void sentFetchesKeepTheLinkBusyUntilTheyAreOver()
+    {
+        store("v1/m/", 1, 500);
+        store("v1/m/", 2, 8'500);
+        const auto placement = choose();
+        CPPUNIT_ASSERT(placement);
+        EnginePlacement::recordSend(request(), *placement, m_stores, start);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(placement->nominalFetchMs, m_store->queueMs(start), 0.1);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0, m_store->queueMs(start + seconds(1)), 0.001);
+    }
+
     void draftsInABurstAreRefusedOnceTheyWouldBeLate()
     {
         int admitted = 0;
@@ -486,6 +525,17 @@
             runner->parts().clear();
     }
 
+    // Replaces the store by one with a tenth of the engines' link and a time before each transfer, with the same contents.
+    void addSlowStore()
+    {
+        m_store = std::make_shared<CacheContents>(CacheStore { { "10.0.1.1", 90 }, "east", 200'000, 31'000, 6 });
+        m_store->replaceAll({}, 1, start - seconds(10));
+        m_store->confirm(seconds(50));
+        m_stores = { m_store };
+        store("v1/m/", 1, 500);
+        store("v1/m/", 2, 8'500);
+    }
+
     EngineRequest request() const
     {
         EngineRequest out;
--- a/tests/unit/platform/PlatformFormatsTest.cpp
+++ b/tests/unit/platform/PlatformFormatsTest.cpp
@@ -56,6 +56,7 @@
         CPPUNIT_ASSERT(second.isPublic && !second.mayRepeat());
         CPPUNIT_ASSERT((second.pools == std::vector<PoolShare> { { "huvo11a", 90 }, { "kafi81c", 10 } }));
         CPPUNIT_ASSERT(tables->pools.at(0).store && tables->pools.at(0).store->memoryTokens == 188'068);
+        CPPUNIT_ASSERT(tables->pools.at(0).store->linkMbps == 2'600'000.0 && tables->pools.at(0).store->setUpMs == 0.5);
         CPPUNIT_ASSERT(tables->pools.at(1).engine && tables->pools.at(1).engine->bytesPerToken == 327'680);
         CPPUNIT_ASSERT(!tables->pools.at(2).engine);
         CPPUNIT_ASSERT(tables->organisations.at(0).priority == 1U);
