Tell far hosts less, and learn stores from notices instead of listings

Change: in fleets of 120 hosts or more other data centres hear of a host's work each 4 s, prompts are told within the data centre only, and those that are read within 15 ms not at all. Hosts that depend on notices of a store begin with what these tell, and list it only if they lack a tenth of its parts or hear nothing for 5 s. A fleet of eight asks its stores itself, as its size needs no notices.

--- a/packages/gateway/chiveshelf/gateway/CacheFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/CacheFollower.cpp
@@ -33,6 +33,11 @@
     constexpr std::chrono::milliseconds listSpacing { 700 };
     // Pause before a host that depends on notices lists a store again.
     constexpr std::chrono::milliseconds relistPause { 3'000 };
+    // Time without notices of a store after which such a host lists it.
+    constexpr std::chrono::milliseconds noticeWait { 5'000 };
+    // Parts that such a host may not know of, as a number and as a share: more are worth a listing.
+    constexpr double fewMissingParts = 20;
+    constexpr double missingShare = 0.1;
 
 }
 
@@ -80,8 +85,8 @@
 {
     const auto name = toString(contents->store().address);
     while (!m_isStopped && isNamed(contents)) {
-        const bool isAsking = m_exchange.rankFor(name) < askingHosts;
-        if (!isAsking && contents->isConfirmed(bootTime())) {
+        const bool isAsking = this->isAsking(name);
+        if (!isAsking && !mustList(*contents)) {
             co_await sleep(checkInterval);
             continue;
         }
@@ -99,9 +104,28 @@
             co_await sleep(isDone ? gatherTime : failurePause);
     }
     contents->clear();
+    m_incomplete.erase(contents.get());
+    m_unconfirmedSince.erase(contents.get());
     m_followed.erase(contents);
 }
 
+bool CacheFollower::isAsking(const std::string& store) const
+{
+    return m_exchange.hostCount() <= smallFleet || m_exchange.rankFor(store) < askingHosts;
+}
+
+bool CacheFollower::mustList(const CacheContents& contents)
+{
+    const auto now = bootTime();
+    if (contents.isConfirmed(now)) {
+        m_unconfirmedSince.erase(&contents);
+        return m_incomplete.contains(&contents);
+    }
+    // Those who tell of the store may just be replaced; until then its parts are not used.
+    const auto since = m_unconfirmedSince.try_emplace(&contents, now).first->second;
+    return now - since > noticeWait;
+}
+
 bool CacheFollower::takeListTurn()
 {
     const auto now = std::chrono::steady_clock::now();
@@ -121,6 +145,7 @@
     contents->replaceAll(listing->parts, listing->epoch, std::chrono::steady_clock::now());
     contents->confirm(before);
     contents->setPosition(listing->position);
+    m_incomplete.erase(contents.get());
     logEvent(LogLevel::Info, "cache_listed", { { "store", toString(contents->store().address) }, { "parts", contents->partCount() } });
     co_return true;
 }
@@ -164,6 +189,8 @@
         notice.entries.clear();
         for (; i < changes.size() && notice.entries.size() < entriesPerNotice; ++i)
             notice.entries.push_back({ changes[i].name.scope, changes[i].name.part, changes[i].partId, static_cast<std::uint32_t>(changes[i].tokens), changes[i].isStored });
+        // Only the last notice of an answer completes what it tells.
+        notice.partCount = i < changes.size() ? 0 : static_cast<std::uint32_t>(contents.partCount());
         m_exchange.announceCache(notice);
     } while (i < changes.size());
 }
@@ -171,17 +198,22 @@
 void CacheFollower::onNotice(const CacheNotice& notice)
 {
     for (const auto& contents : m_state.cacheStores()) {
-        if (toString(contents->store().address) != notice.store || m_exchange.rankFor(notice.store) < askingHosts)
+        if (toString(contents->store().address) != notice.store || isAsking(notice.store))
             continue;
         if (notice.clockMs != 0)
             m_state.runnerClock().set(notice.clockMs, bootTime());
         std::vector<CacheChange> changes;
         for (const auto& entry : notice.entries)
             changes.push_back({ entry.isStored, { entry.scope, entry.part }, entry.partId, entry.tokens });
+        // A store that has started since has lost all that it had, and of one that was not known before nothing is assumed.
+        if (!contents->isKnown() || contents->epoch() != notice.epoch)
+            contents->replaceAll({}, notice.epoch, std::chrono::steady_clock::now());
         // A notice that was lost hides new parts, which are only fetched later, and freed ones, which nobody wants any more.
-        if (!contents->apply(changes, notice.epoch))
-            continue;
+        contents->apply(changes, notice.epoch);
         contents->confirm(bootTime() - std::chrono::milliseconds(notice.ageMs));
+        const auto missing = static_cast<double>(notice.partCount) - static_cast<double>(contents->partCount());
+        if (missing > fewMissingParts + missingShare * notice.partCount)
+            m_incomplete.insert(contents.get());
     }
 }
 
--- a/packages/gateway/chiveshelf/gateway/CacheFollower.h
+++ b/packages/gateway/chiveshelf/gateway/CacheFollower.h
@@ -29,6 +29,10 @@
     boost::asio::awaitable<void> follow(std::shared_ptr<CacheContents>);
     boost::asio::awaitable<bool> list(std::shared_ptr<CacheContents>);
     boost::asio::awaitable<bool> poll(std::shared_ptr<CacheContents>);
+    // Whether this host, which depends on the notices of others, has to list a store: it knows too little of it, or nobody tells.
+    bool mustList(const CacheContents&);
+    // Whether this host asks a store by itself.
+    bool isAsking(const std::string& store) const;
     // Whether a store may be listed now.
     bool takeListTurn();
     void announce(const CacheContents&, std::chrono::nanoseconds askedAt, const std::vector<CacheChange>&);
@@ -43,6 +47,9 @@
     HostExchange& m_exchange;
     std::function<bool()> m_mayFree;
     std::set<std::shared_ptr<CacheContents>> m_followed;
+    // Stores of which this host lacks parts, and those of which it has not heard since a time of bootTime().
+    std::set<const CacheContents*> m_incomplete;
+    std::map<const CacheContents*, std::chrono::nanoseconds> m_unconfirmedSince;
     TimePoint m_nextListAt {};
     bool m_isStopped = false;
 };
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -22,6 +22,11 @@
     // Fleets up to this size tell every host of each prompt at once; in larger ones only hosts of the same data centre, which mostly
     // choose among the same runners.
     constexpr std::size_t smallFleet = 16;
+    // In fleets from this size on hosts of other data centres hear of a host's work at long intervals, and prompts are told within
+    // the data centre only, those that are read at once not at all: a host there would spend more on notices than on requests.
+    constexpr std::size_t hugeFleet = 120;
+    constexpr std::chrono::milliseconds longestFarInterval { 4'000 };
+    constexpr std::chrono::milliseconds shortRead { 15 };
     // Placement notices that a host sends in a second at most, one for each receiver: some 10 us of processor time each.
     constexpr double placementNoticesPerSecond = 1'000;
     // Prompts that take this long to read, more than a chunk, are told to all hosts and may use the whole budget; others only its
@@ -135,10 +140,10 @@
 {
     m_closeHosts.clear();
     m_sameDataCentre.clear();
+    m_farHosts.clear();
     for (const auto& [name, address] : m_hosts) {
         const bool isSame = m_nearHosts.contains(hash64(name));
-        if (isSame)
-            m_sameDataCentre.emplace(name, address);
+        (isSame ? m_sameDataCentre : m_farHosts).emplace(name, address);
         if (areAllHostsClose() || isSame)
             m_closeHosts.emplace(name, address);
     }
@@ -164,8 +169,9 @@
     for (std::size_t i = 0; i + 1 < parts.size(); ++i)
         placed.push_back({ runner, scope, parts[i].id, static_cast<std::uint32_t>(parts[i].tokens) });
     const bool isLong = placement.read >= longRead;
-    const auto& receivers = isLong ? m_hosts : m_closeHosts;
-    const bool isTold = takeNotices(receivers.size(), isLong);
+    const auto& receivers = isLong && !areFarHostsToldLess() ? m_hosts : m_closeHosts;
+    const bool isWorthTelling = !areFarHostsToldLess() || placement.read + placement.predictedFetch >= shortRead;
+    const bool isTold = isWorthTelling && takeNotices(receivers.size(), isLong);
     if (isTold) {
         PlacementNotice notice { m_hostHash, runner, static_cast<std::uint8_t>(rank), 0, 0, 0, placed, {} };
         for (const auto& fetch : placement.storeFetches)
@@ -248,6 +254,8 @@
     const auto now = std::chrono::steady_clock::now();
     if (notice.dataCentre == hash64(m_settings.dataCentre) && m_nearHosts.insert(notice.host).second)
         updateCloseHosts();
+    // Two notices may be lost.
+    const auto lifetime = std::max<std::chrono::milliseconds>(BackendState::figureLifetime, std::chrono::milliseconds(5 * notice.intervalMs / 2));
     auto& told = m_toldRunners[notice.host];
     for (const auto& entry : notice.loads) {
         const auto runner = m_state.board().findByNumber(entry.runner);
@@ -257,7 +265,7 @@
         work.requests = entry.requests;
         std::copy(entry.prompts.begin(), entry.prompts.end(), work.prompts.begin());
         std::copy(entry.memoryTokens.begin(), entry.memoryTokens.end(), work.memoryTokens.begin());
-        runner->setPeerWork(notice.host, work, now);
+        runner->setPeerWork(notice.host, work, now, lifetime);
         runner->setWorkTime(entry.workPercent, now - std::chrono::milliseconds(entry.workAgeMs));
     }
     // Only runners that the host told of before can have work of it that has ended.
@@ -351,7 +359,7 @@
         boost::system::error_code ec;
         timer.expires_after(noticeInterval());
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-        sendNotice();
+        sendNotices();
     }
 }
 
@@ -395,24 +403,53 @@
     return out;
 }
 
-void HostExchange::sendNotice()
+bool HostExchange::areFarHostsToldLess() const
+{
+    return m_hosts.size() >= hugeFleet && !m_sameDataCentre.empty();
+}
+
+std::chrono::milliseconds HostExchange::farInterval() const
+{
+    return areFarHostsToldLess() ? longestFarInterval : noticeInterval();
+}
+
+void HostExchange::sendNotices()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (!areFarHostsToldLess()) {
+        sendNotice(m_hosts, noticeInterval(), std::exchange(m_parts, {}));
+        m_farParts.clear();
+        return;
+    }
+    const auto room = mostWaitingParts - std::min(m_farParts.size(), mostWaitingParts);
+    m_farParts.insert(m_farParts.end(), m_parts.begin(), m_parts.begin() + static_cast<std::ptrdiff_t>(std::min(m_parts.size(), room)));
+    sendNotice(m_sameDataCentre, noticeInterval(), std::exchange(m_parts, {}));
+    if (now - m_farNoticeAt < farInterval())
+        return;
+    m_farNoticeAt = now;
+    sendNotice(m_farHosts, farInterval(), std::exchange(m_farParts, {}));
+}
+
+template <typename Addresses>
+void HostExchange::sendNotice(const Addresses& receivers, std::chrono::milliseconds interval, std::vector<PlacedPart> parts)
 {
     const auto loads = ownLoads();
     LoadNotice notice;
     notice.host = m_hostHash;
     notice.dataCentre = hash64(m_settings.dataCentre);
     notice.tablesVersion = m_state.tablesVersion();
+    notice.intervalMs = static_cast<std::uint16_t>(interval.count());
     notice.versions = versionAges();
-    const auto n = std::min(m_parts.size(), partsPerNotice);
-    notice.parts.assign(m_parts.begin(), m_parts.begin() + static_cast<std::ptrdiff_t>(n));
-    m_parts.erase(m_parts.begin(), m_parts.begin() + static_cast<std::ptrdiff_t>(n));
+    const auto n = std::min(parts.size(), partsPerNotice);
+    notice.parts.assign(parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(n));
+    parts.erase(parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(n));
     std::size_t begin = 0;
     do {
         const auto end = std::min(begin + loadsPerNotice, loads.size());
         const bool isLast = end == loads.size();
         notice.loads.assign(loads.begin() + static_cast<std::ptrdiff_t>(begin), loads.begin() + static_cast<std::ptrdiff_t>(end));
         notice.lastRunner = isLast ? std::numeric_limits<std::uint32_t>::max() : loads[end - 1].runner;
-        sendToAll(notice);
+        m_datagrams.sendToAll(receivers, notice);
         if (isLast)
             break;
         notice.firstRunner = notice.lastRunner + 1;
@@ -420,18 +457,18 @@
         notice.versions.clear();
         begin = end;
     } while (true);
-    sendParts();
+    sendParts(receivers, parts);
 }
 
-void HostExchange::sendParts()
+template <typename Addresses>
+void HostExchange::sendParts(const Addresses& receivers, const std::vector<PlacedPart>& parts)
 {
-    for (std::size_t i = 0; i < m_parts.size(); i += mostPartsPerNotice) {
+    for (std::size_t i = 0; i < parts.size(); i += mostPartsPerNotice) {
         PartsNotice notice;
-        const auto end = std::min(i + mostPartsPerNotice, m_parts.size());
-        notice.parts.assign(m_parts.begin() + static_cast<std::ptrdiff_t>(i), m_parts.begin() + static_cast<std::ptrdiff_t>(end));
-        sendToAll(notice);
+        const auto end = std::min(i + mostPartsPerNotice, parts.size());
+        notice.parts.assign(parts.begin() + static_cast<std::ptrdiff_t>(i), parts.begin() + static_cast<std::ptrdiff_t>(end));
+        m_datagrams.sendToAll(receivers, notice);
     }
-    m_parts.clear();
 }
 
 }
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -85,11 +85,18 @@
 private:
     boost::asio::awaitable<void> noticeLoop();
     boost::asio::awaitable<void> pullSoon(Address);
-    void sendNotice();
+    // Tells hosts of this one's work, as they hear it again after `interval`.
+    template <typename Addresses>
+    void sendNotice(const Addresses&, std::chrono::milliseconds interval, std::vector<PlacedPart> parts);
+    void sendNotices();
+    std::chrono::milliseconds farInterval() const;
+    // Whether hosts of other data centres are told less than those of this one.
+    bool areFarHostsToldLess() const;
     // Returns this host's work, in the order of the runners' numbers.
     std::vector<RunnerLoadEntry> ownLoads() const;
     std::vector<VersionAge> versionAges() const;
-    void sendParts();
+    template <typename Addresses>
+    void sendParts(const Addresses&, const std::vector<PlacedPart>&);
     void onLoad(const Address& from, const LoadNotice&);
     void onParts(const std::vector<PlacedPart>&);
     void onRollout(const RolloutNotice&);
@@ -123,12 +130,16 @@
     std::set<std::uint64_t> m_nearHosts;
     std::map<std::string, Address> m_closeHosts;
     std::map<std::string, Address> m_sameDataCentre;
+    std::map<std::string, Address> m_farHosts;
     // The runners at which a host told to have work, by the hash of the host's name.
     std::unordered_map<std::uint64_t, std::set<std::uint32_t>> m_toldRunners;
     // Placement notices that may be sent now, one for each receiver.
     double m_noticeBudget = 0;
     TimePoint m_noticeBudgetAt {};
     std::vector<PlacedPart> m_parts;
+    // Parts for hosts of other data centres, which are told less often.
+    std::vector<PlacedPart> m_farParts;
+    TimePoint m_farNoticeAt {};
     std::uint64_t m_hostHash;
     // Versions that are being fetched already.
     std::uint64_t m_pulledVersion = 0;
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -116,6 +116,8 @@
     // Hash of the name of its data centre.
     std::uint64_t dataCentre = 0;
     std::uint64_t tablesVersion = 0;
+    // Time until the sender's next notice to the same hosts.
+    std::uint16_t intervalMs = 0;
     // The runners that this notice is about, both ends included.
     std::uint32_t firstRunner = 0;
     std::uint32_t lastRunner = std::numeric_limits<std::uint32_t>::max();
@@ -127,7 +129,7 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(host, dataCentre, tablesVersion, firstRunner, lastRunner, loads, parts, versions);
+        archive(host, dataCentre, tablesVersion, intervalMs, firstRunner, lastRunner, loads, parts, versions);
     }
 };
 
@@ -170,12 +172,14 @@
     std::uint32_t ageMs = 0;
     // The clock of runners and stores at the sending, 0 if it is not known.
     std::int64_t clockMs = 0;
+    // Parts that the store has, or 0 if more notices follow.
+    std::uint32_t partCount = 0;
     std::vector<CacheNoticeEntry> entries;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(store, epoch, ageMs, clockMs, entries);
+        archive(store, epoch, ageMs, clockMs, partCount, entries);
     }
 };
 
--- a/packages/placement/chiveshelf/placement/BackendState.cpp
+++ b/packages/placement/chiveshelf/placement/BackendState.cpp
@@ -42,20 +42,20 @@
     m_record = std::move(record);
 }
 
-void BackendState::setPeerWork(std::uint64_t host, const OutstandingWork& work, TimePoint now)
+void BackendState::setPeerWork(std::uint64_t host, const OutstandingWork& work, TimePoint now, std::chrono::milliseconds lifetime)
 {
     // A host that is gone leaves its figures behind.
     if (!m_peers.contains(host))
-        std::erase_if(m_peers, [&](const auto& entry) { return now - entry.second.at > figureLifetime; });
-    m_peers[host] = { work, now };
+        std::erase_if(m_peers, [&](const auto& entry) { return now > entry.second.expiry; });
+    m_peers[host] = { work, now + lifetime };
 }
 
 void BackendState::addPeerPrompt(std::uint64_t host, const PlacedPrompt& prompt, TimePoint now)
 {
     m_peerQueue.add(prompt, now);
     auto& peer = m_peers[host];
-    if (now - peer.at > figureLifetime)
-        peer = { {}, now };
+    if (now > peer.expiry)
+        peer = { {}, now + figureLifetime };
     ++peer.work.requests;
     ++peer.work.prompts[rankClass(prompt.rank)];
     peer.work.memoryTokens[rankClass(prompt.rank)] += prompt.memoryTokens;
@@ -65,7 +65,7 @@
 {
     auto sum = m_own;
     for (const auto& [host, peer] : m_peers) {
-        if (now - peer.at <= figureLifetime)
+        if (now <= peer.expiry)
             sum += peer.work;
     }
     return sum;
--- a/packages/placement/chiveshelf/placement/BackendState.h
+++ b/packages/placement/chiveshelf/placement/BackendState.h
@@ -50,8 +50,8 @@
 
     const OutstandingWork& own() const { return m_own; }
 
-    // Sets what another host says that it has sent.
-    void setPeerWork(std::uint64_t host, const OutstandingWork&, TimePoint now);
+    // Sets what another host says that it has sent. It counts for `lifetime` if nothing newer comes.
+    void setPeerWork(std::uint64_t host, const OutstandingWork&, TimePoint now, std::chrono::milliseconds lifetime = figureLifetime);
 
     // Takes a prompt that another host has just sent. It counts as a request of that host until its next figures.
     void addPeerPrompt(std::uint64_t host, const PlacedPrompt&, TimePoint now);
@@ -122,7 +122,7 @@
 private:
     struct PeerWork {
         OutstandingWork work;
-        TimePoint at;
+        TimePoint expiry;
     };
 
     struct WeightLoad {
