Name the check of the lease before orders are awaited

The script against braced temporaries in co_await expressions found two: a temporary of std::function is made there from a lambda. Both are locals now.

--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
@@ -148,11 +148,12 @@
     command.running = platform::RunningRequests::GoOn;
     command.holder = m_settings.hostName;
     command.expectedOrderCount = report->orderCount;
+    const std::function<bool()> isAllowed = [this] { return isLeading(); };
     for (int i = 0; i < mostOrders; ++i) {
         if (!isLeading() || runner->isLeaving())
             co_return false;
         command.fence = m_lease.fence();
-        const auto outcome = co_await platform::orderVersion(m_client, record, command, [this] { return isLeading(); });
+        const auto outcome = co_await platform::orderVersion(m_client, record, command, isAllowed);
         logEvent(LogLevel::Info, "order_sent", { { "runner", record.id }, { "version", version }, { "fence", command.fence }, { "outcome", static_cast<int>(outcome) } });
         if (outcome == platform::OrderOutcome::AlreadyInPlace)
             co_return true;
@@ -175,8 +176,9 @@
     ++command.expectedOrderCount;
     const auto start = std::chrono::steady_clock::now();
     co_await sleep(m_loadTime);
+    const std::function<bool()> isAllowed = [this] { return isLeading(); };
     for (int i = 0; i < mostConfirmations && isLeading() && !runner->isLeaving(); ++i) {
-        const auto outcome = co_await platform::orderVersion(m_client, record, command, [this] { return isLeading(); });
+        const auto outcome = co_await platform::orderVersion(m_client, record, command, isAllowed);
         if (outcome == platform::OrderOutcome::AlreadyInPlace) {
             const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start);
             m_loadTime = std::clamp(elapsed - askInterval / 2, askInterval, m_settings.orderGap);
