Share the check for a caller's departure, and drop a choice that was made already

Two waits ended in the same callback, and the interval for far hosts was chosen by a condition that its only callers had just checked. No behaviour changes.

--- a/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
@@ -192,17 +192,22 @@
         awaitReadable();
 }
 
-void CallerConnection::awaitReadable()
+std::function<void(boost::system::error_code)> CallerConnection::departureCheck()
 {
     m_isAwaitingReadable = true;
-    m_socket.async_wait(asio::socket_base::wait_read, [weak = weak_from_this()](boost::system::error_code ec) {
+    return [weak = weak_from_this()](boost::system::error_code ec) {
         const auto connection = weak.lock();
         if (!connection)
             return;
         connection->m_isAwaitingReadable = false;
         if (!ec)
             connection->onReadable();
-    });
+    };
+}
+
+void CallerConnection::awaitReadable()
+{
+    m_socket.async_wait(asio::socket_base::wait_read, departureCheck());
 }
 
 void CallerConnection::onReadable()
@@ -227,16 +232,8 @@
 
 void CallerConnection::lookAgainSoon()
 {
-    m_isAwaitingReadable = true;
     m_departureTimer.expires_after(departureCheckInterval);
-    m_departureTimer.async_wait([weak = weak_from_this()](boost::system::error_code ec) {
-        const auto connection = weak.lock();
-        if (!connection)
-            return;
-        connection->m_isAwaitingReadable = false;
-        if (!ec)
-            connection->onReadable();
-    });
+    m_departureTimer.async_wait(departureCheck());
 }
 
 void CallerConnection::onDeparture()
--- a/packages/gateway/chiveshelf/gateway/CallerConnection.h
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.h
@@ -78,6 +78,8 @@
     void neverExpire() { m_expiry = TimePoint::max(); }
     void armTimer();
     void awaitReadable();
+    // Marks that the caller's departure is looked for, and returns what looks when a wait has ended.
+    std::function<void(boost::system::error_code)> departureCheck();
     void onReadable();
     // Whether the caller has closed its end or the connection, also behind bytes that were not read.
     bool isClosedByCaller();
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -25,7 +25,7 @@
     // In fleets from this size on hosts of other data centres hear of a host's work at long intervals, and prompts are told within
     // the data centre only, those that are read at once not at all: a host there would spend more on notices than on requests.
     constexpr std::size_t hugeFleet = 120;
-    constexpr std::chrono::milliseconds longestFarInterval { 4'000 };
+    constexpr std::chrono::milliseconds farInterval { 4'000 };
     constexpr std::chrono::milliseconds shortRead { 15 };
     // Placement notices that a host sends in a second at most, one for each receiver: some 10 us of processor time each.
     constexpr double placementNoticesPerSecond = 1'000;
@@ -408,11 +408,6 @@
     return m_hosts.size() >= hugeFleet && !m_sameDataCentre.empty();
 }
 
-std::chrono::milliseconds HostExchange::farInterval() const
-{
-    return areFarHostsToldLess() ? longestFarInterval : noticeInterval();
-}
-
 void HostExchange::sendNotices()
 {
     const auto now = std::chrono::steady_clock::now();
@@ -424,10 +419,10 @@
     const auto room = mostWaitingParts - std::min(m_farParts.size(), mostWaitingParts);
     m_farParts.insert(m_farParts.end(), m_parts.begin(), m_parts.begin() + static_cast<std::ptrdiff_t>(std::min(m_parts.size(), room)));
     sendNotice(m_sameDataCentre, noticeInterval(), std::exchange(m_parts, {}));
-    if (now - m_farNoticeAt < farInterval())
+    if (now - m_farNoticeAt < farInterval)
         return;
     m_farNoticeAt = now;
-    sendNotice(m_farHosts, farInterval(), std::exchange(m_farParts, {}));
+    sendNotice(m_farHosts, farInterval, std::exchange(m_farParts, {}));
 }
 
 template <typename Addresses>
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -89,7 +89,6 @@
     template <typename Addresses>
     void sendNotice(const Addresses&, std::chrono::milliseconds interval, std::vector<PlacedPart> parts);
     void sendNotices();
-    std::chrono::milliseconds farInterval() const;
     // Whether hosts of other data centres are told less than those of this one.
     bool areFarHostsToldLess() const;
     // Returns this host's work, in the order of the runners' numbers.
