--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -418,9 +418,10 @@
     }
     RunnerUse use(placement, std::chrono::steady_clock::now());
     m_hasArrived = true;
-    if (m_headers.prompt) {
+    auto& engine = m_context.state.policies(m_pool).engine;
+    if (m_headers.prompt && engine) {
         const auto request = engineRequest();
-        EnginePlacement::recordSend(request, placement, m_context.state.cacheStores(), std::chrono::steady_clock::now());
+        engine->recordSend(request, placement, m_context.state.cacheStores(), std::chrono::steady_clock::now());
         m_context.exchange.notePlacement(placement, m_rank, m_headers.prompt->parts, memoryScope(request.dedicatedOrganisation));
     }
     armPatience(placement);
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
@@ -26,6 +26,15 @@
         return {};
     }
 
+    std::string checkMechanisms(const std::string& text)
+    {
+        for (const auto& entry : splitList(text)) {
+            if (!parseMechanism(entry))
+                return "must be a list of these, separated by commas: " + listMechanismNames();
+        }
+        return {};
+    }
+
     std::chrono::milliseconds milliseconds(const OptionSet& options, const std::string& name)
     {
         return std::chrono::milliseconds(options.number(name));
@@ -56,6 +65,8 @@
         { "retry-reserve", "50", "Repeats in each window that all hosts together may send beside the share.", false, false, checkDecimal(0, 1'000'000, "") },
         { "retry-window-s", "10", "Window over which repeats are counted, in s.", false, false, checkDecimal(1, 3'600, "s") },
         { "most-descriptors", "4096", "File descriptors that the process may use.", false, false, checkNumber(64, 10'000'000, "") },
+        { "without", "", "Mechanisms of the choice of runners that are switched off, separated by commas, to measure what each is worth: " + listMechanismNames() + ".",
+            false, false, checkMechanisms },
         { "log-level", "info", "Lowest level that is logged.", false, false, checkOneOf({ "debug", "info", "warning", "error" }) },
         { "print-settings", "", "Print the effective settings with their origin and exit.", false, true, nullptr },
         { "help", "", "Print this help and exit.", false, true, nullptr },
@@ -84,6 +95,10 @@
     out.retryReserve = options.decimal("retry-reserve");
     out.retryWindow = seconds(options, "retry-window-s");
     out.mostDescriptors = static_cast<std::size_t>(options.number("most-descriptors"));
+    for (const auto& entry : splitList(options.text("without"))) {
+        if (const auto mechanism = parseMechanism(entry))
+            out.mechanisms = out.mechanisms.without(*mechanism);
+    }
     out.logLevel = options.text("log-level");
     checkDifferentAddresses(options, { "listen", "admin-listen", "peer-listen", "store" }, problems);
     return out;
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.h
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chiveshelf/placement/Mechanisms.h"
 #include "chiveshelf/settings/OptionSet.h"
 
 #include <chrono>
@@ -31,6 +32,8 @@
     std::chrono::milliseconds retryWindow { 10'000 };
     std::size_t mostDescriptors = 4'096;
     std::string logLevel = "info";
+    // What is used in the choice of runners.
+    Mechanisms mechanisms;
 };
 
 // Returns the settings' specs, for parsing and help.
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -171,7 +171,7 @@
     const bool isLong = placement.read >= longRead;
     const auto& receivers = isLong && !areFarHostsToldLess() ? m_hosts : m_closeHosts;
     const bool isWorthTelling = !areFarHostsToldLess() || placement.read + placement.predictedFetch >= shortRead;
-    const bool isTold = isWorthTelling && takeNotices(receivers.size(), isLong);
+    const bool isTold = m_settings.mechanisms.has(Mechanism::PromptNotices) && isWorthTelling && takeNotices(receivers.size(), isLong);
     if (isTold) {
         PlacementNotice notice { m_hostHash, runner, static_cast<std::uint8_t>(rank), 0, 0, 0, placed, {} };
         for (const auto& fetch : placement.storeFetches)
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -129,7 +129,7 @@
     const auto* row = m_routes ? m_routes->findPool(pool) : nullptr;
     PoolPolicies policies { std::nullopt, {}, FleetRetryBudget(m_settings.retryShare, m_settings.retryReserve, m_settings.retryWindow) };
     if (row && row->engine) {
-        policies.engine.emplace(*row->engine);
+        policies.engine.emplace(*row->engine, m_settings.mechanisms);
     }
     return m_policies.emplace(pool, std::move(policies)).first->second;
 }
--- a/packages/placement/chiveshelf/placement/BackendState.cpp
+++ b/packages/placement/chiveshelf/placement/BackendState.cpp
@@ -2,6 +2,8 @@
 
 #include "chiveshelf/core/Hash.h"
 
+#include <cmath>
+
 namespace chiveshelf {
 
 namespace {
@@ -13,6 +15,8 @@
     constexpr double fastestTokensPerMs = 1'000;
     // A sample below this share of the known speed tells of parts that the runner no longer had.
     constexpr double leastSampleShare = 0.4;
+    // Time over which the worst slowness of a machine is forgotten: many times that of one spell.
+    constexpr double worstSlowdownMs = 10'000;
 
 }
 
@@ -84,6 +88,16 @@
         return;
     m_workPercent = percent;
     m_workTimeAt = at;
+    const auto factor = percent / 100.0;
+    if (factor < worstSlowdown(at))
+        return;
+    m_worstSlowdown = factor;
+    m_worstSlowdownAt = at;
+}
+
+double BackendState::worstSlowdown(TimePoint now) const
+{
+    return 1 + (m_worstSlowdown - 1) * std::exp(-toMilliseconds(now - m_worstSlowdownAt) / worstSlowdownMs);
 }
 
 double BackendState::slowdown(TimePoint now) const
--- a/packages/placement/chiveshelf/placement/BackendState.h
+++ b/packages/placement/chiveshelf/placement/BackendState.h
@@ -79,6 +79,9 @@
     // Returns the factor by which work is expected to take longer than usual, 1 without a recent figure.
     double slowdown(TimePoint now) const;
 
+    // Returns the largest factor by which work took longer than usual lately, 1 if it never did.
+    double worstSlowdown(TimePoint now) const;
+
     // Returns the requests at the runner: the greater of what hosts say and what it reported.
     std::int32_t requests(TimePoint now) const;
 
@@ -141,6 +144,9 @@
     TimePoint m_reportAt {};
     std::int32_t m_workPercent = 100;
     TimePoint m_workTimeAt {};
+    // The worst figure, which fades from then on.
+    double m_worstSlowdown = 1;
+    TimePoint m_worstSlowdownAt {};
     WeightLoad m_load;
     double m_tokensPerMs = 0;
     bool m_isLeaving = false;
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -109,6 +109,14 @@
         return n == 0 ? initialTokensPerMs : sum / n;
     }
 
+    double worstSlowdown(const BackendBoard::RunnerList& runners, TimePoint now)
+    {
+        double out = 1;
+        for (const auto& runner : runners)
+            out = std::max(out, runner->worstSlowdown(now));
+        return out;
+    }
+
     double transferMsPerToken(const EngineLimits& limits, double linkMbps)
     {
         return linkMbps > 0 ? static_cast<double>(limits.bytesPerToken) * bitsPerByte / (linkMbps * bitsPerMsAndMbps) : 0;
@@ -124,11 +132,12 @@
 // The runners and stores that hold the parts of one prompt, shared parts only: the last one is the request's own.
 struct EnginePlacement::PartHolders {
     PartHolders(const EngineRequest& request, const PlacementContext& context, const BackendBoard::RunnerList& runners, const CacheStores& stores,
-        const EngineLimits& limits)
+        const EngineLimits& limits, Mechanisms mechanisms)
         : request(request)
         , context(context)
         , stores(stores)
         , limits(limits)
+        , mechanisms(mechanisms)
         , scope(memoryScope(request.dedicatedOrganisation))
     {
         const auto& parts = request.prompt->parts;
@@ -151,9 +160,11 @@
         if (!version || i >= byPart.size())
             return std::nullopt;
         std::optional<Source> best;
-        for (const auto* store : storesOf(*version)[i])
-            consider(best, sourceOf(*store, reader));
-        if (best)
+        if (mechanisms.has(Mechanism::StoreFetches)) {
+            for (const auto* store : storesOf(*version)[i])
+                consider(best, sourceOf(*store, reader));
+        }
+        if (best || !mechanisms.has(Mechanism::RunnerFetches))
             return best;
         for (const auto* holder : byPart[i]) {
             if (holder != &reader && holder->version(request.prompt->model) == version)
@@ -199,6 +210,7 @@
     const PlacementContext& context;
     const CacheStores& stores;
     const EngineLimits& limits;
+    Mechanisms mechanisms;
     std::uint64_t scope;
     std::vector<std::vector<const BackendState*>> byPart;
     mutable std::map<std::uint64_t, std::vector<std::vector<const CacheContents*>>> storesByVersion;
@@ -214,8 +226,9 @@
     return dedicatedOrganisation.empty() ? 0 : hash64(dedicatedOrganisation);
 }
 
-EnginePlacement::EnginePlacement(const EngineLimits& limits)
+EnginePlacement::EnginePlacement(const EngineLimits& limits, Mechanisms mechanisms)
     : m_limits(limits)
+    , m_mechanisms(mechanisms)
     , m_fetchMsPerToken(transferMsPerToken(limits, limits.linkMbps))
 {
 }
@@ -239,7 +252,7 @@
 {
     const auto& prompt = *request.prompt;
     const auto work = runner.total(now);
-    const auto slowdown = runner.slowdown(now);
+    const auto slowdown = m_mechanisms.has(Mechanism::WorkTimes) ? runner.slowdown(now) : 1;
     const auto speed = runner.tokensPerMs(fallbackSpeed) / slowdown;
     Prediction out;
     const auto cached = runner.parts().cachedTokens(prompt.parts, holders.scope);
@@ -293,7 +306,8 @@
     const auto readingMs = fixedMs + out.waitMs + readAllMs;
     // Reading again has the higher price, so it is chosen only where it is in time and fetching is not.
     const auto goalMs = toMilliseconds(goal);
-    if (out.fetchTokens > 0 && fetchingMs > goalMs * fetchGoalShare && readingMs < fetchingMs) {
+    const bool mayReadInstead = m_mechanisms.has(Mechanism::ReadingInstead);
+    if (mayReadInstead && out.fetchTokens > 0 && fetchingMs > goalMs * fetchGoalShare && readingMs < fetchingMs) {
         out.isReadingInstead = true;
         out.fetchTokens = 0;
         out.fetchMs = 0;
@@ -326,43 +340,59 @@
     double random) const
 {
     const auto& prompt = *request.prompt;
-    const PartHolders holders(request, context, runners, stores, m_limits);
+    const PartHolders holders(request, context, runners, stores, m_limits, m_mechanisms);
     const auto fallbackSpeed = averageSpeed(runners);
     const auto part = sessionPart(prompt);
     std::shared_ptr<BackendState> best;
     BackendBoard::RunnerList candidates;
     std::copy_if(runners.begin(), runners.end(), std::back_inserter(candidates), [&](const auto& runner) { return isCandidate(request, context, *runner); });
+    const auto streamShares = m_separation.shares(candidates);
+    const auto slowdown = worstSlowdown(candidates, context.now);
+    const auto wholeEffect = m_separation.effect(static_cast<double>(prompt.promptTokens) / fallbackSpeed, prompt.outputTokens, slowdown, context.longestPause);
     std::shared_ptr<BackendState> home;
+    double homeCost = 0;
     std::uint64_t homeBest = 0;
-    for (const auto& runner : candidates) {
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto& runner = candidates[i];
         const auto score = homeScore(part, *runner);
-        if (!home || score > homeBest) {
+        const auto separation = m_mechanisms.has(Mechanism::StreamSeparation) ? StreamSeparation::cost(wholeEffect, streamShares[i]) : 0;
+        if (!home || separation < homeCost || (separation == homeCost && score > homeBest)) {
             home = runner;
+            homeCost = separation;
             homeBest = score;
         }
     }
     Prediction bestPrediction;
+    StreamEffect bestEffect;
     double bestCost = 0;
     double draw = random;
-    for (const auto& runner : candidates) {
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto& runner = candidates[i];
         const auto prediction = predict(request, *runner, holders, context.now, context.goal, fallbackSpeed);
         if (!beginsInTime(request, context, *runner, prediction))
             continue;
         double cost = prediction.firstMs + readWeight * prediction.readMs + fetchWeight * prediction.fetchMs;
-        if (runner == home)
+        if (runner == home && m_mechanisms.has(Mechanism::Homes))
             cost -= std::min(prediction.readMs * homeShare, homeMostMs);
         if (runner->record().dataCentre != context.dataCentre)
             cost += otherDataCentreMs;
-        cost += failureMs * std::max(runner->health().failureShare(context.now) - toleratedFailureShare, 0.0);
+        if (m_mechanisms.has(Mechanism::FailureShares))
+            cost += failureMs * std::max(runner->health().failureShare(context.now) - toleratedFailureShare, 0.0);
         if (runner->version(prompt.model).value_or(0) < request.newestVersion)
             cost += oldVersionMs;
-        cost += pauseCost(prediction, context.longestPause);
+        if (m_mechanisms.has(Mechanism::PauseCosts))
+            cost += pauseCost(prediction, context.longestPause);
+        const auto effect = m_separation.effect(prediction.readMs / runner->slowdown(context.now), prompt.outputTokens, slowdown, context.longestPause);
+        if (m_mechanisms.has(Mechanism::StreamSeparation))
+            cost += StreamSeparation::cost(effect, streamShares[i]);
         draw = nextDraw(draw);
-        cost += (runner->record().dataCentre == context.dataCentre ? context.nearSpreadMs : context.spreadMs) * draw;
+        if (m_mechanisms.has(Mechanism::SpreadDraws))
+            cost += (runner->record().dataCentre == context.dataCentre ? context.nearSpreadMs : context.spreadMs) * draw;
         if (!best || cost < bestCost) {
             best = runner;
             bestCost = cost;
             bestPrediction = prediction;
+            bestEffect = effect;
         }
     }
     if (!best)
@@ -381,6 +411,7 @@
     out.predicted = roundedMs(firstMs);
     out.wait = roundedMs(bestPrediction.waitMs);
     out.read = roundedMs(bestPrediction.readMs);
+    out.streamEffect = bestEffect;
     out.isSpeedSample = bestPrediction.isReadAtOnce;
     out.work.requests = 1;
     out.work.prefillTokens[rankClass(request.rank)] = bestPrediction.uncachedTokens;
@@ -423,7 +454,7 @@
         if (source && source->isStore && covered > cached)
             placement.storeFetches.push_back({ source->address, source->nominalMs(parts[i].tokens) });
         isContinuous = isContinuous && (source || covered <= cached);
-        const auto* store = chooseStore(stores, scope, parts[i], runner.record().dataCentre, context);
+        const auto* store = !m_mechanisms.has(Mechanism::Saving) ? nullptr : chooseStore(stores, scope, parts[i], runner.record().dataCentre, context);
         if (store)
             placement.saveTo[i] = store->store().address;
     }
@@ -483,6 +514,7 @@
 void EnginePlacement::recordSend(const EngineRequest& request, const Placement& placement, const CacheStores& stores, TimePoint now)
 {
     const auto& parts = request.prompt->parts;
+    m_separation.learn(placement.streamEffect, toMilliseconds(placement.read), request.prompt->outputTokens, now);
     for (const auto& part : parts)
         placement.runner->parts().touch(part, memoryScope(request.dedicatedOrganisation));
     for (const auto& fetch : placement.storeFetches) {
--- a/packages/placement/chiveshelf/placement/EnginePlacement.h
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.h
@@ -2,7 +2,9 @@
 
 #include "chiveshelf/placement/BackendBoard.h"
 #include "chiveshelf/placement/CacheContents.h"
+#include "chiveshelf/placement/Mechanisms.h"
 #include "chiveshelf/placement/Placement.h"
+#include "chiveshelf/placement/StreamSeparation.h"
 #include "chiveshelf/routing/Prompt.h"
 
 #include <functional>
@@ -46,13 +48,13 @@
 // their like), and "a quarter of the runners vanish" (the same rule over fewer runners).
 class EnginePlacement {
 public:
-    explicit EnginePlacement(const EngineLimits&);
+    explicit EnginePlacement(const EngineLimits&, Mechanisms = {});
 
     // `random` is uniform in 0 to 1 and spreads the returns of refused callers.
     PlacementResult choose(const EngineRequest&, const PlacementContext&, const BackendBoard::RunnerList&, const CacheStores&, double random) const;
 
     // Records that a request was sent as placed, so that later prompts find its parts.
-    static void recordSend(const EngineRequest&, const Placement&, const CacheStores&, TimePoint now);
+    void recordSend(const EngineRequest&, const Placement&, const CacheStores&, TimePoint now);
 
     // Learns from the measured first token: the runner's speed where nothing was waited for or fetched, and that of transfers.
     static void learn(const Placement&, const CacheStores&, std::chrono::milliseconds firstToken, TimePoint now);
@@ -96,8 +98,10 @@
     bool isCandidate(const EngineRequest&, const PlacementContext&, const BackendState&) const;
 
     EngineLimits m_limits;
+    Mechanisms m_mechanisms;
     // Time to fetch a token over a runner's link.
     double m_fetchMsPerToken;
+    StreamSeparation m_separation;
 };
 
 }
--- a/packages/placement/chiveshelf/placement/Placement.h
+++ b/packages/placement/chiveshelf/placement/Placement.h
@@ -3,6 +3,7 @@
 #include "chiveshelf/core/Time.h"
 #include "chiveshelf/placement/BackendState.h"
 #include "chiveshelf/placement/OutstandingWork.h"
+#include "chiveshelf/placement/StreamSeparation.h"
 
 #include <memory>
 #include <optional>
@@ -58,6 +59,8 @@
     std::chrono::milliseconds wait { 0 };
     // Of which to read what has to be read.
     std::chrono::milliseconds read { 0 };
+    // What reading it does to the streams there.
+    StreamEffect streamEffect;
     // What the request adds to the runner's work.
     OutstandingWork work;
     // For each part of the prompt, where it is fetched from and saved to.
--- /dev/null
+++ b/tests/unit/gateway/GatewaySettingsTest.cpp
@@ -0,0 +1,70 @@
+#include "chiveshelf/gateway/GatewaySettings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace {
+
+using namespace chiveshelf;
+
+// The flags of `chiveshelfd gateway`.
+class GatewaySettingsTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(GatewaySettingsTest);
+    CPPUNIT_TEST(namedMechanismsAreSwitchedOffAndTheOthersStay);
+    CPPUNIT_TEST(everyMechanismIsFoundByItsName);
+    CPPUNIT_TEST(unknownMechanismIsRefusedWithTheListOfNames);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void namedMechanismsAreSwitchedOffAndTheOthersStay()
+    {
+        const auto settings = read("--without=homes,stream-separation");
+        CPPUNIT_ASSERT(!settings.mechanisms.has(Mechanism::Homes));
+        CPPUNIT_ASSERT(!settings.mechanisms.has(Mechanism::StreamSeparation));
+        CPPUNIT_ASSERT(settings.mechanisms.has(Mechanism::Saving));
+        CPPUNIT_ASSERT(settings.mechanisms.has(Mechanism::PromptNotices));
+    }
+
+    void everyMechanismIsFoundByItsName()
+    {
+        for (const auto name : mechanismNames) {
+            const auto mechanism = parseMechanism(name);
+            CPPUNIT_ASSERT(mechanism);
+            CPPUNIT_ASSERT(name == mechanismNames.at(static_cast<std::size_t>(*mechanism)));
+        }
+    }
+
+    // Guards against an experiment that measures nothing, since its flag was misspelt.
+    void unknownMechanismIsRefusedWithTheListOfNames()
+    {
+        const auto problems = parse("--without=homes,hoems");
+        CPPUNIT_ASSERT(std::any_of(problems.begin(), problems.end(), [](const std::string& problem) {
+            return problem.find("without") != std::string::npos && problem.find(listMechanismNames()) != std::string::npos;
+        }));
+    }
+
+private:
+    std::vector<std::string> parse(const std::string& flag)
+    {
+        std::vector<std::string> arguments { "chiveshelfd", "--host-name=h", "--data-centre=d", "--listen=127.0.0.1:1", "--admin-listen=127.0.0.1:2",
+            "--peer-listen=127.0.0.1:3", "--store=127.0.0.1:4", flag };
+        std::vector<char*> pointers;
+        for (auto& argument : arguments)
+            pointers.push_back(argument.data());
+        return m_options.parse(static_cast<int>(pointers.size()), pointers.data());
+    }
+
+    GatewaySettings read(const std::string& flag)
+    {
+        auto problems = parse(flag);
+        CPPUNIT_ASSERT(problems.empty());
+        return readGatewaySettings(m_options, problems);
+    }
+
+    OptionSet m_options = makeGatewayOptions();
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewaySettingsTest);
+
+}
--- a/tests/unit/placement/EnginePlacementTest.cpp
+++ b/tests/unit/placement/EnginePlacementTest.cpp
@@ -84,7 +84,7 @@
         for (const auto& holder : m_runners) {
             setUpAgain();
             const auto i = static_cast<std::size_t>(std::distance(m_runners.begin(), std::find(m_runners.begin(), m_runners.end(), holder)));
-            EnginePlacement::recordSend(request(), placed(m_runners[i % 3]), m_stores, start);
+            EnginePlacement(limits).recordSend(request(), placed(m_runners[i % 3]), m_stores, start);
             const auto placement = choose();
             CPPUNIT_ASSERT(placement && placement->runner == m_runners[i % 3]);
             CPPUNIT_ASSERT_EQUAL(std::int64_t(0), placement->work.fetchTokens);
@@ -93,7 +93,7 @@
 
     void returningPromptLeavesAnOverloadedHolderAndFetchesItsParts()
     {
-        EnginePlacement::recordSend(request(), placed(m_runners[0]), m_stores, start);
+        EnginePlacement(limits).recordSend(request(), placed(m_runners[0]), m_stores, start);
         m_runners[0]->begin(queued(60'000));
         const auto placement = choose();
         CPPUNIT_ASSERT(placement && placement->runner != m_runners[0]);
@@ -259,7 +259,7 @@
     {
         const auto first = choose();
         CPPUNIT_ASSERT(first && first->saveTo.at(1) == m_store->store().address);
-        EnginePlacement::recordSend(request(), *first, m_stores, start);
+        EnginePlacement(limits).recordSend(request(), *first, m_stores, start);
         const auto second = choose();
         CPPUNIT_ASSERT(second && !second->saveTo.at(1));
     }
@@ -360,7 +360,7 @@
         store("v1/m/", 2, 8'500);
         const auto placement = choose();
         CPPUNIT_ASSERT(placement);
-        EnginePlacement::recordSend(request(), *placement, m_stores, start);
+        EnginePlacement(limits).recordSend(request(), *placement, m_stores, start);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(placement->nominalFetchMs, m_store->queueMs(start), 0.1);
         CPPUNIT_ASSERT_DOUBLES_EQUAL(0, m_store->queueMs(start + seconds(1)), 0.001);
     }
@@ -478,7 +478,7 @@
     void dedicatedOrganisationSharesNoParts()
     {
         store("v1/m/", 1, 500);
-        EnginePlacement::recordSend(request(), placed(m_runners[0]), m_stores, start);
+        EnginePlacement(limits).recordSend(request(), placed(m_runners[0]), m_stores, start);
         m_dedicated = "museum";
         const auto placement = choose();
         CPPUNIT_ASSERT(placement);
