Wait for fetches by what reading costs, and fetch from the store that sends first

Change: the source is the one that would have sent the part first (queue, link, slowness); a fetch is waited for at least five times as long as its parts take to read.

--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -23,6 +23,9 @@
 
     double nominalMs(std::int64_t tokens) const { return setUpMs + static_cast<double>(tokens) * msPerToken * (isNear ? 1 : farFactor); }
 
+    // When the part would have been sent.
+    double sentMs(std::int64_t tokens) const { return queueMs + nominalMs(tokens) * slowness; }
+
     // Transfers between data centres take twice as long.
     static constexpr double farFactor = 2;
 };
@@ -49,10 +52,11 @@
     // How much the time to fetch counts beside the first token's time: moving memory has a price, but reading it again a far
     // higher one.
     constexpr double fetchWeight = 0.5;
-    // Share of the goal up to which fetching may take the first token, and the multiple of its predicted time for which a fetch
-    // is waited for.
+    // Share of the goal up to which fetching may take the first token, and the multiples of its predicted time and of the time to
+    // read the parts for which a fetch is waited for: what is given up is read by the engine, and again by the next one.
     constexpr double fetchGoalShare = 0.8;
     constexpr double fetchPatience = 2;
+    constexpr double readPatience = 5;
     constexpr double bitsPerByte = 8;
     constexpr double bitsPerMsAndMbps = 1'000;
     // Share of the engine's memory that requests may fill before new ones wait; the rest is for tokens still to come.
@@ -153,7 +157,7 @@
     }
 
     // Returns where `reader` can fetch the part from: a store, since its contents are certain, or another runner with the same
-    // weights; one in the reader's data centre if there is one.
+    // weights; the one that would have sent it first.
     std::optional<Source> find(std::size_t i, const BackendState& reader) const
     {
         const auto version = reader.version(request.prompt->model);
@@ -162,13 +166,13 @@
         std::optional<Source> best;
         if (mechanisms.has(Mechanism::StoreFetches)) {
             for (const auto* store : storesOf(*version)[i])
-                consider(best, sourceOf(*store, reader));
+                consider(best, sourceOf(*store, reader), request.prompt->parts[i].tokens);
         }
         if (best || !mechanisms.has(Mechanism::RunnerFetches))
             return best;
         for (const auto* holder : byPart[i]) {
             if (holder != &reader && holder->version(request.prompt->model) == version)
-                consider(best, Source { holder->record().address, holder->record().dataCentre == reader.record().dataCentre, false, 1, 0, transferMsPerToken(limits, limits.linkMbps), 0 });
+                consider(best, Source { holder->record().address, holder->record().dataCentre == reader.record().dataCentre, false, 1, 0, transferMsPerToken(limits, limits.linkMbps), 0 }, request.prompt->parts[i].tokens);
         }
         return best;
     }
@@ -200,9 +204,10 @@
             contents.queueMs(context.now) };
     }
 
-    static void consider(std::optional<Source>& best, Source source)
+    // Takes the source that would have sent the part earlier.
+    static void consider(std::optional<Source>& best, Source source, std::int64_t tokens)
     {
-        if (!best || (source.isNear && !best->isNear))
+        if (!best || source.sentMs(tokens) < best->sentMs(tokens))
             best = std::move(source);
     }
 
@@ -316,8 +321,8 @@
         out.readMs = readAllMs;
     }
     out.firstMs = out.fetchTokens > 0 ? fetchingMs : readingMs;
-    // Fetching that takes longer than what the goal leaves is given up.
-    out.fetchTimeMs = std::max(goalMs * fetchGoalShare - readAllMs, out.fetchMs * fetchPatience);
+    // Fetching that takes longer than what the goal leaves, and than it is worth, is given up.
+    out.fetchTimeMs = std::max({ goalMs * fetchGoalShare - readAllMs, out.fetchMs * fetchPatience, (readAllMs - out.readMs) * readPatience });
     out.isReadAtOnce = out.waitMs <= mostSampleWaitMs && out.fetchTokens == 0;
     return out;
 }
--- a/tests/unit/placement/EnginePlacementTest.cpp
+++ b/tests/unit/placement/EnginePlacementTest.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(slowStoreInTimeCriticalRequestIsReplacedByReading);
     CPPUNIT_TEST(storeWithASlowLinkIsPredictedByItsLink);
     CPPUNIT_TEST(storeWhoseLinkIsBusyIsLeftForReading);
+    CPPUNIT_TEST(partOfTwoStoresIsFetchedFromTheOneThatSendsItFirst);
+    CPPUNIT_TEST(partsThatTakeLongToReadAreWaitedForLonger);
     CPPUNIT_TEST(sentFetchesKeepTheLinkBusyUntilTheyAreOver);
     CPPUNIT_TEST(draftsInABurstAreRefusedOnceTheyWouldBeLate);
     CPPUNIT_TEST(questionInABurstOfDraftsWaitsOnlyForItsLike);
@@ -354,6 +356,35 @@
         CPPUNIT_ASSERT_EQUAL(std::int64_t(0), choose()->work.fetchTokens);
     }
 
+    // The load pattern "a store's link turns slow at the crest, and another store has the parts too".
+    void partOfTwoStoresIsFetchedFromTheOneThatSendsItFirst()
+    {
+        addStore("10.0.2.1", "west");
+        for (const auto& known : m_stores) {
+            known->replaceAll({ { true, { "v1/m/", "1" }, 1, 500 }, { true, { "v1/m/", "2" }, 2, 8'500 } }, 1, start - seconds(10));
+            known->confirm(seconds(50));
+        }
+        CPPUNIT_ASSERT(choose()->fetchFrom.at(1) == m_stores[0]->store().address);
+        m_stores[0]->noteFetch(400, start);
+        CPPUNIT_ASSERT(choose()->fetchFrom.at(1) == m_stores[1]->store().address);
+    }
+
+    // Guards against long parts that are read again, and by the next engine once more, since a fetch was some 100 ms late.
+    void partsThatTakeLongToReadAreWaitedForLonger()
+    {
+        m_context.goal = milliseconds(600);
+        store("v1/m/", 1, 500);
+        store("v1/m/", 2, 8'500);
+        // 9,000 tokens at 80 a ms.
+        constexpr double readMs = 112.5;
+        const auto longest = choose()->fetchTime;
+        CPPUNIT_ASSERT(longest && toMilliseconds(*longest) >= 5 * readMs - 1);
+        m_prompt.promptTokens = 700;
+        m_prompt.parts = { { 1, 500 }, { 4, 200 } };
+        const auto shortest = choose()->fetchTime;
+        CPPUNIT_ASSERT(shortest && *shortest < m_context.goal);
+    }
+
     void sentFetchesKeepTheLinkBusyUntilTheyAreOver()
     {
         store("v1/m/", 1, 500);
