Tell other hosts how slow the transfers of stores are

Change: a host tells what it has measured of each store with its next notice, and the others learn from it as from their own.

--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -39,6 +39,8 @@
     constexpr std::size_t partsPerNotice = 14;
     constexpr std::size_t mostPartsPerNotice = 50;
     constexpr std::size_t versionsPerNotice = 3;
+    constexpr std::size_t storeSpeedsPerNotice = 16;
+    constexpr double percentPerFactor = 100;
     // Older versions are in place everywhere, or past the time for them.
     constexpr std::chrono::milliseconds toldVersionAge { 20'000 };
     // Parts that wait for the next notice; more are not told.
@@ -282,6 +284,7 @@
     for (const auto& entry : notice.loads)
         told.insert(entry.runner);
     onParts(notice.parts);
+    onStoreSpeeds(notice.storeSpeeds);
     for (const auto& version : notice.versions)
         m_state.acceptTargetAge(version.model, version.version, std::chrono::milliseconds(version.ageMs), bootTime());
     if (notice.tablesVersion > m_state.tablesVersion() && notice.tablesVersion > m_pulledVersion) {
@@ -403,6 +406,30 @@
     return out;
 }
 
+std::vector<StoreSpeedEntry> HostExchange::takeStoreSpeeds()
+{
+    std::vector<StoreSpeedEntry> out;
+    if (!m_settings.mechanisms.has(Mechanism::StoreSpeedNotices))
+        return out;
+    for (const auto& store : m_state.cacheStores()) {
+        if (out.size() >= storeSpeedsPerNotice)
+            break;
+        if (const auto measured = store->speed().takeMeasured())
+            out.push_back({ store->number(), static_cast<std::uint16_t>(*measured * percentPerFactor) });
+    }
+    return out;
+}
+
+void HostExchange::onStoreSpeeds(const std::vector<StoreSpeedEntry>& speeds)
+{
+    for (const auto& entry : speeds) {
+        for (const auto& store : m_state.cacheStores()) {
+            if (store->number() == entry.store)
+                store->speed().learn(entry.percent / percentPerFactor, std::chrono::steady_clock::now());
+        }
+    }
+}
+
 bool HostExchange::areFarHostsToldLess() const
 {
     return m_hosts.size() >= hugeFleet && !m_sameDataCentre.empty();
@@ -412,21 +439,21 @@
 {
     const auto now = std::chrono::steady_clock::now();
     if (!areFarHostsToldLess()) {
-        sendNotice(m_hosts, noticeInterval(), std::exchange(m_parts, {}));
+        sendNotice(m_hosts, noticeInterval(), std::exchange(m_parts, {}), takeStoreSpeeds());
         m_farParts.clear();
         return;
     }
     const auto room = mostWaitingParts - std::min(m_farParts.size(), mostWaitingParts);
     m_farParts.insert(m_farParts.end(), m_parts.begin(), m_parts.begin() + static_cast<std::ptrdiff_t>(std::min(m_parts.size(), room)));
-    sendNotice(m_sameDataCentre, noticeInterval(), std::exchange(m_parts, {}));
+    sendNotice(m_sameDataCentre, noticeInterval(), std::exchange(m_parts, {}), takeStoreSpeeds());
     if (now - m_farNoticeAt < farInterval)
         return;
     m_farNoticeAt = now;
-    sendNotice(m_farHosts, farInterval, std::exchange(m_farParts, {}));
+    sendNotice(m_farHosts, farInterval, std::exchange(m_farParts, {}), {});
 }
 
 template <typename Addresses>
-void HostExchange::sendNotice(const Addresses& receivers, std::chrono::milliseconds interval, std::vector<PlacedPart> parts)
+void HostExchange::sendNotice(const Addresses& receivers, std::chrono::milliseconds interval, std::vector<PlacedPart> parts, std::vector<StoreSpeedEntry> storeSpeeds)
 {
     const auto loads = ownLoads();
     LoadNotice notice;
@@ -435,6 +462,7 @@
     notice.tablesVersion = m_state.tablesVersion();
     notice.intervalMs = static_cast<std::uint16_t>(interval.count());
     notice.versions = versionAges();
+    notice.storeSpeeds = std::move(storeSpeeds);
     const auto n = std::min(parts.size(), partsPerNotice);
     notice.parts.assign(parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(n));
     parts.erase(parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(n));
@@ -450,6 +478,7 @@
         notice.firstRunner = notice.lastRunner + 1;
         notice.parts.clear();
         notice.versions.clear();
+        notice.storeSpeeds.clear();
         begin = end;
     } while (true);
     sendParts(receivers, parts);
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -87,13 +87,16 @@
     boost::asio::awaitable<void> pullSoon(Address);
     // Tells hosts of this one's work, as they hear it again after `interval`.
     template <typename Addresses>
-    void sendNotice(const Addresses&, std::chrono::milliseconds interval, std::vector<PlacedPart> parts);
+    void sendNotice(const Addresses&, std::chrono::milliseconds interval, std::vector<PlacedPart> parts, std::vector<StoreSpeedEntry> storeSpeeds);
     void sendNotices();
     // Whether hosts of other data centres are told less than those of this one.
     bool areFarHostsToldLess() const;
     // Returns this host's work, in the order of the runners' numbers.
     std::vector<RunnerLoadEntry> ownLoads() const;
     std::vector<VersionAge> versionAges() const;
+    // Returns what this host has measured of stores since the last call.
+    std::vector<StoreSpeedEntry> takeStoreSpeeds();
+    void onStoreSpeeds(const std::vector<StoreSpeedEntry>&);
     template <typename Addresses>
     void sendParts(const Addresses&, const std::vector<PlacedPart>&);
     void onLoad(const Address& from, const LoadNotice&);
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -107,6 +107,18 @@
     }
 };
 
+// How much longer than nominal the transfers of a store took that a host has measured since its last notice.
+struct StoreSpeedEntry {
+    std::uint32_t store = 0;
+    std::uint16_t percent = 100;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(store, percent);
+    }
+};
+
 // What a host tells all others several times a second, in as many notices as it takes. A runner within the range of a notice
 // that is not listed has no work of this host.
 struct LoadNotice {
@@ -125,11 +137,12 @@
     std::vector<PlacedPart> parts;
     // Versions that were named lately.
     std::vector<VersionAge> versions;
+    std::vector<StoreSpeedEntry> storeSpeeds;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(host, dataCentre, tablesVersion, intervalMs, firstRunner, lastRunner, loads, parts, versions);
+        archive(host, dataCentre, tablesVersion, intervalMs, firstRunner, lastRunner, loads, parts, versions, storeSpeeds);
     }
 };
 
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -511,7 +511,7 @@
             continue;
         source = store.get();
         // What the runner's own slowness explains is not the store's.
-        store->speed().learn(ratio / runner.transfers().slowness(now), now);
+        store->speed().measure(ratio / runner.transfers().slowness(now), now);
     }
     runner.transfers().learn(source ? ratio / source->speed().slowness(now) : ratio, now);
 }
--- a/packages/placement/chiveshelf/placement/Mechanisms.h
+++ b/packages/placement/chiveshelf/placement/Mechanisms.h
@@ -31,10 +31,12 @@
     SpreadDraws,
     // Hosts tell each other at once of each prompt.
     PromptNotices,
+    // Hosts tell each other how slow transfers of stores are.
+    StoreSpeedNotices,
 };
 
-constexpr std::array<std::string_view, 11> mechanismNames { "homes", "store-fetches", "runner-fetches", "saving", "reading-instead", "pause-costs",
-    "stream-separation", "work-times", "failure-shares", "spread-draws", "prompt-notices" };
+constexpr std::array<std::string_view, 12> mechanismNames { "homes", "store-fetches", "runner-fetches", "saving", "reading-instead", "pause-costs",
+    "stream-separation", "work-times", "failure-shares", "spread-draws", "prompt-notices", "store-speed-notices" };
 
 // The mechanisms that are on.
 class Mechanisms {
--- a/packages/placement/chiveshelf/placement/TransferSpeed.cpp
+++ b/packages/placement/chiveshelf/placement/TransferSpeed.cpp
@@ -29,4 +29,21 @@
     m_learnedAt = now;
 }
 
+void TransferSpeed::measure(double ratio, TimePoint now)
+{
+    learn(ratio, now);
+    m_measuredSum += std::clamp(ratio, 1.0, mostSlowness);
+    ++m_measuredCount;
+}
+
+std::optional<double> TransferSpeed::takeMeasured()
+{
+    if (m_measuredCount == 0)
+        return std::nullopt;
+    const auto mean = m_measuredSum / m_measuredCount;
+    m_measuredSum = 0;
+    m_measuredCount = 0;
+    return mean;
+}
+
 }
--- a/tests/unit/gateway/HostExchangeTest.cpp
+++ b/tests/unit/gateway/HostExchangeTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(shortPromptIsToldAtOnceOnlyWithinTheDataCentreOfALargeFleet);
     CPPUNIT_TEST(longPromptIsToldAtOnceToAllOfALargeFleet);
     CPPUNIT_TEST(workThatWasToldAtOnceIsNotCountedTwice);
+    CPPUNIT_TEST(slowTransfersOfAStoreAreKnownToOthersOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -95,6 +96,21 @@
         CPPUNIT_ASSERT_EQUAL(1, work.prompts[3]);
     }
 
+    // The load pattern "a store's link turns slow, and each host of a large fleet sees few of its transfers".
+    void slowTransfersOfAStoreAreKnownToOthersOnce()
+    {
+        addRunners(1);
+        for (int i = 0; i < 5; ++i)
+            store(m_first).speed().measure(8, std::chrono::steady_clock::now());
+        runFor(milliseconds(400));
+        const auto now = std::chrono::steady_clock::now();
+        const auto told = store(m_second).speed().slowness(now);
+        CPPUNIT_ASSERT(told > 2);
+        CPPUNIT_ASSERT(!store(m_second).speed().takeMeasured());
+        runFor(milliseconds(400));
+        CPPUNIT_ASSERT(store(m_second).speed().slowness(std::chrono::steady_clock::now()) < told);
+    }
+
 private:
     struct Host {
         Host(boost::asio::io_context& context, std::string name, std::string dataCentre, std::string ip)
@@ -127,6 +143,8 @@
 
     static std::shared_ptr<BackendState> runner(Host& host) { return host.state.board().find("r0"); }
 
+    static CacheContents& store(Host& host) { return *host.state.cacheStores().at(0); }
+
     static double peerReadMs(Host& host)
     {
         return runner(host)->peerQueue().allReadMs(std::chrono::steady_clock::now());
@@ -165,7 +183,10 @@
         pool.engine->memoryTokens = 100'000;
         RoutingTables tables;
         tables.version = 1;
-        tables.pools = { pool };
+        RegisteredPool storePool;
+        storePool.name = "store";
+        storePool.store = CacheStore { { "127.70.9.90", 80 }, "east", 100'000 };
+        tables.pools = { pool, storePool };
         for (auto* host : { &m_first, &m_second, &m_far }) {
             host->state.acceptTables(tables, "", "test");
             for (int i = 0; i < n; ++i) {
