Tell the hosts of the own data centre of work sooner

Cause: in a fleet of 68 hosts all were told every 544 ms, while a host chooses nearly only among the runners of its own data centre and drafts and guides pile up there within that time. Change: the interval of notices within a data centre follows from the hosts there (176 ms for 22), that of far ones stays as it was; fleets of up to 16 or over 120 hosts are told as before. What was measured of stores goes to far hosts with their notices.

--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -16,7 +16,8 @@
 
     // Interval of notices in a small fleet: several within the time in which a prompt is read.
     constexpr std::chrono::milliseconds shortestInterval { 150 };
-    // In a large fleet the interval grows with the number of hosts, so that each receives some 125 notices a second at most.
+    // In a large fleet the interval grows with the number of hosts that are told at it, so that each receives some 125 notices a
+    // second at most.
     constexpr std::chrono::milliseconds intervalPerHost { 8 };
     constexpr std::chrono::milliseconds longestInterval { 1'000 };
     // Fleets up to this size tell every host of each prompt at once; in larger ones only hosts of the same data centre, which mostly
@@ -25,7 +26,7 @@
     // In fleets from this size on hosts of other data centres hear of a host's work at long intervals, and prompts are told within
     // the data centre only, those that are read at once not at all: a host there would spend more on notices than on requests.
     constexpr std::size_t hugeFleet = 120;
-    constexpr std::chrono::milliseconds farInterval { 4'000 };
+    constexpr std::chrono::milliseconds hugeFarInterval { 4'000 };
     constexpr std::chrono::milliseconds shortRead { 15 };
     // Placement notices that a host sends in a second at most, one for each receiver: some 10 us of processor time each.
     constexpr double placementNoticesPerSecond = 1'000;
@@ -51,6 +52,20 @@
     // Time in which a runner loads weights, with the end of its runs, if nothing else is heard.
     constexpr std::chrono::milliseconds loadingTime { 2'500 };
 
+    // Returns the interval of notices to so many hosts.
+    std::chrono::milliseconds intervalFor(std::size_t hosts)
+    {
+        return std::clamp<std::chrono::milliseconds>(intervalPerHost * static_cast<std::int64_t>(hosts), shortestInterval, longestInterval);
+    }
+
+    // Appends the first of `from` as long as `to` has no more than `most` entries.
+    template <typename Entry>
+    void appendUpTo(std::vector<Entry>& to, const std::vector<Entry>& from, std::size_t most)
+    {
+        const auto room = most - std::min(to.size(), most);
+        to.insert(to.end(), from.begin(), from.begin() + static_cast<std::ptrdiff_t>(std::min(from.size(), room)));
+    }
+
 }
 
 HostExchange::HostExchange(asio::io_context& context, const GatewaySettings& settings, ServingState& state)
@@ -185,8 +200,7 @@
     }
     if (isTold && receivers.size() == m_hosts.size())
         return;
-    const auto room = mostWaitingParts - std::min(m_parts.size(), mostWaitingParts);
-    m_parts.insert(m_parts.end(), placed.begin(), placed.begin() + static_cast<std::ptrdiff_t>(std::min(placed.size(), room)));
+    appendUpTo(m_parts, placed, mostWaitingParts);
 }
 
 void HostExchange::onPlacement(const PlacementNotice& notice)
@@ -351,8 +365,13 @@
 
 std::chrono::milliseconds HostExchange::noticeInterval() const
 {
-    const auto scaled = intervalPerHost * static_cast<std::int64_t>(m_hosts.size());
-    return std::clamp<std::chrono::milliseconds>(scaled, shortestInterval, longestInterval);
+    const bool isNearOnly = !areAllHostsClose() && m_hosts.size() < hugeFleet && !m_sameDataCentre.empty();
+    return intervalFor(isNearOnly ? m_sameDataCentre.size() : m_hosts.size());
+}
+
+std::chrono::milliseconds HostExchange::farNoticeInterval() const
+{
+    return areFarHostsToldLess() ? hugeFarInterval : intervalFor(m_hosts.size());
 }
 
 asio::awaitable<void> HostExchange::noticeLoop()
@@ -438,18 +457,20 @@
 void HostExchange::sendNotices()
 {
     const auto now = std::chrono::steady_clock::now();
-    if (!areFarHostsToldLess()) {
+    if (areAllHostsClose() || m_sameDataCentre.empty()) {
         sendNotice(m_hosts, noticeInterval(), std::exchange(m_parts, {}), takeStoreSpeeds());
         m_farParts.clear();
         return;
     }
-    const auto room = mostWaitingParts - std::min(m_farParts.size(), mostWaitingParts);
-    m_farParts.insert(m_farParts.end(), m_parts.begin(), m_parts.begin() + static_cast<std::ptrdiff_t>(std::min(m_parts.size(), room)));
-    sendNotice(m_sameDataCentre, noticeInterval(), std::exchange(m_parts, {}), takeStoreSpeeds());
-    if (now - m_farNoticeAt < farInterval)
+    appendUpTo(m_farParts, m_parts, mostWaitingParts);
+    auto storeSpeeds = takeStoreSpeeds();
+    appendUpTo(m_farStoreSpeeds, storeSpeeds, storeSpeedsPerNotice);
+    sendNotice(m_sameDataCentre, noticeInterval(), std::exchange(m_parts, {}), std::move(storeSpeeds));
+    const auto interval = farNoticeInterval();
+    if (now - m_farNoticeAt < interval)
         return;
     m_farNoticeAt = now;
-    sendNotice(m_farHosts, farInterval, std::exchange(m_farParts, {}), {});
+    sendNotice(m_farHosts, interval, std::exchange(m_farParts, {}), std::exchange(m_farStoreSpeeds, {}));
 }
 
 template <typename Addresses>
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -107,7 +107,9 @@
     void updateCloseHosts();
     // Takes notices to so many hosts from the budget, of which prompts that take long to read may use more.
     bool takeNotices(std::size_t receivers, bool isLong);
+    // How often the hosts of this data centre are told, and all in a fleet whose data centres are not known yet; and the others.
     std::chrono::milliseconds noticeInterval() const;
+    std::chrono::milliseconds farNoticeInterval() const;
 
     template <typename Message>
     void sendToAll(const Message& message)
@@ -141,6 +143,7 @@
     std::vector<PlacedPart> m_parts;
     // Parts for hosts of other data centres, which are told less often.
     std::vector<PlacedPart> m_farParts;
+    std::vector<StoreSpeedEntry> m_farStoreSpeeds;
     TimePoint m_farNoticeAt {};
     std::uint64_t m_hostHash;
     // Versions that are being fetched already.
--- a/tests/unit/gateway/HostExchangeTest.cpp
+++ b/tests/unit/gateway/HostExchangeTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(longPromptIsToldAtOnceToAllOfALargeFleet);
     CPPUNIT_TEST(workThatWasToldAtOnceIsNotCountedTwice);
     CPPUNIT_TEST(slowTransfersOfAStoreAreKnownToOthersOnce);
+    CPPUNIT_TEST(workInALargeFleetIsToldSoonerWithinTheDataCentre);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,6 +112,21 @@
         CPPUNIT_ASSERT(store(m_second).speed().slowness(std::chrono::steady_clock::now()) < told);
     }
 
+    // The load pattern "many hosts of a data centre place streams on the same engines": figures older than some 200 ms mislead them.
+    void workInALargeFleetIsToldSoonerWithinTheDataCentre()
+    {
+        addRunners(1);
+        enlargeFleet(70);
+        runFor(milliseconds(1'300));
+        OutstandingWork work;
+        work.requests = 3;
+        runner(m_first)->begin(work);
+        runFor(milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(3, runner(m_second)->total(std::chrono::steady_clock::now()).requests);
+        runFor(milliseconds(1'200));
+        CPPUNIT_ASSERT_EQUAL(3, runner(m_far)->total(std::chrono::steady_clock::now()).requests);
+    }
+
 private:
     struct Host {
         Host(boost::asio::io_context& context, std::string name, std::string dataCentre, std::string ip)
@@ -165,11 +181,11 @@
     }
 
     // Makes a fleet in which not everybody is told of everything, most of it addresses where nobody listens.
-    void enlargeFleet()
+    void enlargeFleet(int silentHosts = 20)
     {
         std::map<std::string, Address> hosts { { "first", m_first.settings.peerAddress }, { "second", m_second.settings.peerAddress },
             { "far", m_far.settings.peerAddress } };
-        for (int i = 0; i < 20; ++i)
+        for (int i = 0; i < silentHosts; ++i)
             hosts.emplace("silent" + std::to_string(i), Address { "127.70.9.100", 17'700 });
         for (auto* host : { &m_first, &m_second, &m_far })
             host->exchange.setHosts(hosts);
