--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -210,10 +210,8 @@
     if (!runner)
         return;
     for (const auto& fetch : notice.fetches) {
-        for (const auto& store : m_state.cacheStores()) {
-            if (store->number() == fetch.store)
-                store->noteFetch(fetch.ms, std::chrono::steady_clock::now());
-        }
+        if (const auto store = m_state.findStore(fetch.store))
+            store->noteFetch(fetch.ms, std::chrono::steady_clock::now());
     }
     const PlacedPrompt prompt { notice.rank, std::chrono::milliseconds(notice.readMs), std::chrono::milliseconds(notice.fetchMs), notice.memoryTokens };
     runner->addPeerPrompt(notice.host, prompt, std::chrono::steady_clock::now());
@@ -442,10 +440,8 @@
 void HostExchange::onStoreSpeeds(const std::vector<StoreSpeedEntry>& speeds)
 {
     for (const auto& entry : speeds) {
-        for (const auto& store : m_state.cacheStores()) {
-            if (store->number() == entry.store)
-                store->speed().learn(entry.percent / percentPerFactor, std::chrono::steady_clock::now());
-        }
+        if (const auto store = m_state.findStore(entry.store))
+            store->speed().learn(entry.percent / percentPerFactor, std::chrono::steady_clock::now());
     }
 }
 
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -52,6 +52,12 @@
     m_cacheStores = std::move(stores);
 }
 
+std::shared_ptr<CacheContents> ServingState::findStore(std::uint32_t number) const
+{
+    const auto it = std::find_if(m_cacheStores.begin(), m_cacheStores.end(), [&](const auto& store) { return store->number() == number; });
+    return it == m_cacheStores.end() ? nullptr : *it;
+}
+
 bool ServingState::isObsolete(const CacheScope& scope) const
 {
     if (scope.version >= newestVersion(scope.model))
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -67,6 +67,9 @@
     // The stores of cached parts that the tables name.
     const CacheStores& cacheStores() const { return m_cacheStores; }
 
+    // Returns the store by its number, which other hosts send, or nullptr.
+    std::shared_ptr<CacheContents> findStore(std::uint32_t number) const;
+
     RunnerClock& runnerClock() { return m_runnerClock; }
 
     // Whether no runner that serves uses the weights of a scope any more, and none will.
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -341,96 +341,117 @@
     return cost;
 }
 
-PlacementResult EnginePlacement::choose(const EngineRequest& request, const PlacementContext& context, const BackendBoard::RunnerList& runners, const CacheStores& stores,
-    double random) const
+std::shared_ptr<BackendState> EnginePlacement::homeOf(const Choice& choice) const
 {
-    const auto& prompt = *request.prompt;
-    const PartHolders holders(request, context, runners, stores, m_limits, m_mechanisms);
-    const auto fallbackSpeed = averageSpeed(runners);
+    const auto& prompt = *choice.request.prompt;
     const auto part = sessionPart(prompt);
-    std::shared_ptr<BackendState> best;
-    BackendBoard::RunnerList candidates;
-    std::copy_if(runners.begin(), runners.end(), std::back_inserter(candidates), [&](const auto& runner) { return isCandidate(request, context, *runner); });
-    const auto streamShares = m_separation.shares(candidates);
-    const auto slowdown = worstSlowdown(candidates, context.now);
-    const auto wholeEffect = m_separation.effect(static_cast<double>(prompt.promptTokens) / fallbackSpeed, prompt.outputTokens, slowdown, context.longestPause);
+    const auto readMs = static_cast<double>(prompt.promptTokens) / choice.fallbackSpeed;
+    const auto effect = m_separation.effect(readMs, prompt.outputTokens, choice.worstSlowdown, choice.context.longestPause);
     std::shared_ptr<BackendState> home;
-    double homeCost = 0;
-    std::uint64_t homeBest = 0;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const auto& runner = candidates[i];
-        const auto score = homeScore(part, *runner);
-        const auto separation = m_mechanisms.has(Mechanism::StreamSeparation) ? StreamSeparation::cost(wholeEffect, streamShares[i]) : 0;
-        if (!home || separation < homeCost || (separation == homeCost && score > homeBest)) {
-            home = runner;
-            homeCost = separation;
-            homeBest = score;
+    double leastCost = 0;
+    std::uint64_t bestScore = 0;
+    for (std::size_t i = 0; i < choice.candidates.size(); ++i) {
+        const auto score = homeScore(part, *choice.candidates[i]);
+        const auto cost = m_mechanisms.has(Mechanism::StreamSeparation) ? StreamSeparation::cost(effect, choice.streamShares[i]) : 0;
+        if (!home || cost < leastCost || (cost == leastCost && score > bestScore)) {
+            home = choice.candidates[i];
+            leastCost = cost;
+            bestScore = score;
         }
     }
-    Prediction bestPrediction;
-    StreamEffect bestEffect;
-    double bestCost = 0;
+    return home;
+}
+
+double EnginePlacement::costOf(const Choice& choice, const BackendState& runner, const Prediction& prediction) const
+{
+    const auto& context = choice.context;
+    double cost = prediction.firstMs + readWeight * prediction.readMs + fetchWeight * prediction.fetchMs;
+    if (runner.record().dataCentre != context.dataCentre)
+        cost += otherDataCentreMs;
+    if (m_mechanisms.has(Mechanism::FailureShares))
+        cost += failureMs * std::max(runner.health().failureShare(context.now) - toleratedFailureShare, 0.0);
+    if (runner.version(choice.request.prompt->model).value_or(0) < choice.request.newestVersion)
+        cost += oldVersionMs;
+    if (m_mechanisms.has(Mechanism::PauseCosts))
+        cost += pauseCost(prediction, context.longestPause);
+    return cost;
+}
+
+std::optional<EnginePlacement::Candidate> EnginePlacement::best(const Choice& choice, const PartHolders& holders, double random) const
+{
+    const auto& context = choice.context;
+    const auto home = m_mechanisms.has(Mechanism::Homes) ? homeOf(choice) : nullptr;
+    std::optional<Candidate> best;
     double draw = random;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const auto& runner = candidates[i];
-        const auto prediction = predict(request, *runner, holders, context.now, context.goal, fallbackSpeed);
-        if (!beginsInTime(request, context, *runner, prediction))
+    for (std::size_t i = 0; i < choice.candidates.size(); ++i) {
+        const auto& runner = choice.candidates[i];
+        Candidate candidate { runner, predict(choice.request, *runner, holders, context.now, context.goal, choice.fallbackSpeed), {}, 0 };
+        const auto& prediction = candidate.prediction;
+        if (!beginsInTime(choice.request, context, *runner, prediction))
             continue;
-        double cost = prediction.firstMs + readWeight * prediction.readMs + fetchWeight * prediction.fetchMs;
-        if (runner == home && m_mechanisms.has(Mechanism::Homes))
-            cost -= std::min(prediction.readMs * homeShare, homeMostMs);
-        if (runner->record().dataCentre != context.dataCentre)
-            cost += otherDataCentreMs;
-        if (m_mechanisms.has(Mechanism::FailureShares))
-            cost += failureMs * std::max(runner->health().failureShare(context.now) - toleratedFailureShare, 0.0);
-        if (runner->version(prompt.model).value_or(0) < request.newestVersion)
-            cost += oldVersionMs;
-        if (m_mechanisms.has(Mechanism::PauseCosts))
-            cost += pauseCost(prediction, context.longestPause);
-        const auto effect = m_separation.effect(prediction.readMs / runner->slowdown(context.now), prompt.outputTokens, slowdown, context.longestPause);
+        candidate.cost = costOf(choice, *runner, prediction);
+        if (runner == home)
+            candidate.cost -= std::min(prediction.readMs * homeShare, homeMostMs);
+        candidate.effect = m_separation.effect(
+            prediction.readMs / runner->slowdown(context.now), choice.request.prompt->outputTokens, choice.worstSlowdown, context.longestPause);
         if (m_mechanisms.has(Mechanism::StreamSeparation))
-            cost += StreamSeparation::cost(effect, streamShares[i]);
+            candidate.cost += StreamSeparation::cost(candidate.effect, choice.streamShares[i]);
         draw = nextDraw(draw);
         if (m_mechanisms.has(Mechanism::SpreadDraws))
-            cost += (runner->record().dataCentre == context.dataCentre ? context.nearSpreadMs : context.spreadMs) * draw;
-        if (!best || cost < bestCost) {
-            best = runner;
-            bestCost = cost;
-            bestPrediction = prediction;
-            bestEffect = effect;
-        }
+            candidate.cost += (runner->record().dataCentre == context.dataCentre ? context.nearSpreadMs : context.spreadMs) * draw;
+        if (!best || candidate.cost < best->cost)
+            best = std::move(candidate);
     }
-    if (!best)
-        return tl::unexpected(refuseWithoutRunner(context, runners, random));
+    return best;
+}
+
+std::optional<PlacementRefusal> EnginePlacement::refusalOf(const PlacementContext& context, const Prediction& prediction, double random)
+{
     const auto goalMs = toMilliseconds(context.goal);
-    const auto firstMs = bestPrediction.firstMs;
-    const bool isInTime = !context.isLate && firstMs <= goalMs;
-    const bool isShortWait = bestPrediction.waitMs <= goalMs * (context.isLate ? lateWaitShare : shortWaitShare);
-    const bool isPossible = firstMs < toMilliseconds(context.timeLeft);
-    if (!(isInTime || isShortWait) || !isPossible) {
-        const auto pause = roundedMs(std::max(bestPrediction.waitMs - goalMs * lateWaitShare, 0.0));
-        return tl::unexpected(PlacementRefusal { RefusalReason::Overloaded, spreadRetryAfter(pause, context.timeLeft, random), roundedMs(firstMs) });
-    }
+    const bool isInTime = !context.isLate && prediction.firstMs <= goalMs;
+    const bool isShortWait = prediction.waitMs <= goalMs * (context.isLate ? lateWaitShare : shortWaitShare);
+    const bool isPossible = prediction.firstMs < toMilliseconds(context.timeLeft);
+    if ((isInTime || isShortWait) && isPossible)
+        return std::nullopt;
+    const auto pause = roundedMs(std::max(prediction.waitMs - goalMs * lateWaitShare, 0.0));
+    return PlacementRefusal { RefusalReason::Overloaded, spreadRetryAfter(pause, context.timeLeft, random), roundedMs(prediction.firstMs) };
+}
+
+PlacementResult EnginePlacement::choose(const EngineRequest& request, const PlacementContext& context, const BackendBoard::RunnerList& runners, const CacheStores& stores,
+    double random) const
+{
+    const auto& prompt = *request.prompt;
+    const PartHolders holders(request, context, runners, stores, m_limits, m_mechanisms);
+    Choice choice { request, context, {}, {}, averageSpeed(runners), 1 };
+    std::copy_if(runners.begin(), runners.end(), std::back_inserter(choice.candidates), [&](const auto& runner) { return isCandidate(request, context, *runner); });
+    choice.streamShares = m_separation.shares(choice.candidates);
+    choice.worstSlowdown = worstSlowdown(choice.candidates, context.now);
+    const auto chosen = best(choice, holders, random);
+    if (!chosen)
+        return tl::unexpected(refuseWithoutRunner(context, runners, random));
+    const auto& prediction = chosen->prediction;
+    if (const auto refusal = refusalOf(context, prediction, random))
+        return tl::unexpected(*refusal);
     Placement out;
-    out.runner = best;
-    out.predicted = roundedMs(firstMs);
-    out.wait = roundedMs(bestPrediction.waitMs);
-    out.read = roundedMs(bestPrediction.readMs);
-    out.streamEffect = bestEffect;
-    out.isSpeedSample = bestPrediction.isReadAtOnce;
+    out.runner = chosen->runner;
+    out.predicted = roundedMs(prediction.firstMs);
+    out.wait = roundedMs(prediction.waitMs);
+    out.read = roundedMs(prediction.readMs);
+    out.streamEffect = chosen->effect;
+    out.isSpeedSample = prediction.isReadAtOnce;
     out.work.requests = 1;
-    out.work.prefillTokens[rankClass(request.rank)] = bestPrediction.uncachedTokens;
-    out.work.fetchTokens = bestPrediction.fetchTokens;
+    out.work.prefillTokens[rankClass(request.rank)] = prediction.uncachedTokens;
+    out.work.fetchTokens = prediction.fetchTokens;
     out.work.prompts[rankClass(request.rank)] = 1;
     out.work.memoryTokens[rankClass(request.rank)] = prompt.promptTokens + prompt.outputTokens;
-    out.predictedFetch = roundedMs(bestPrediction.fetchMs);
-    out.nominalFetchMs = bestPrediction.nominalFetchMs;
+    out.predictedFetch = roundedMs(prediction.fetchMs);
+    out.nominalFetchMs = prediction.nominalFetchMs;
     planTransfers(request, context, holders, stores, out);
-    if (bestPrediction.isReadingInstead) {
+    if (prediction.isReadingInstead) {
         out.fetchFrom.clear();
         out.storeFetches.clear();
     } else {
-        out.fetchTime = roundedMs(bestPrediction.fetchTimeMs);
+        out.fetchTime = roundedMs(prediction.fetchTimeMs);
     }
     return out;
 }
--- a/packages/placement/chiveshelf/placement/EnginePlacement.h
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.h
@@ -80,12 +80,38 @@
         bool isReadingInstead = false;
     };
 
+    // What one choice is made from.
+    struct Choice {
+        const EngineRequest& request;
+        const PlacementContext& context;
+        BackendBoard::RunnerList candidates;
+        StreamSeparation::StreamShares streamShares;
+        double fallbackSpeed = 0;
+        // The factor by which machines of the candidates got slower lately at worst.
+        double worstSlowdown = 1;
+    };
+
+    // A runner that was considered, and what it would cost, in ms of a first token.
+    struct Candidate {
+        std::shared_ptr<BackendState> runner;
+        Prediction prediction;
+        StreamEffect effect;
+        double cost = 0;
+    };
+
     // Where a prompt's parts are, found once for all candidates.
     struct PartHolders;
     struct Source;
 
     Prediction predict(const EngineRequest&, const BackendState&, const PartHolders&, TimePoint now, std::chrono::milliseconds goal,
         double fallbackSpeed) const;
+    // Returns the runner that is preferred for parts that no host remembers, one on the prompt's own side of the separation.
+    std::shared_ptr<BackendState> homeOf(const Choice&) const;
+    // Returns the cost of a candidate, but for what depends on its place among the others.
+    double costOf(const Choice&, const BackendState&, const Prediction&) const;
+    std::optional<Candidate> best(const Choice&, const PartHolders&, double random) const;
+    // Returns the refusal of a prompt whose best runner would be too late, or nothing.
+    static std::optional<PlacementRefusal> refusalOf(const PlacementContext&, const Prediction&, double random);
     // Returns what the pauses cost that the prompt would make other streams take, and that it would take itself.
     static double pauseCost(const Prediction&, std::chrono::milliseconds longestPause);
     void planTransfers(const EngineRequest&, const PlacementContext&, const PartHolders&, const CacheStores&, Placement&) const;
