--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -83,6 +83,11 @@
         return status >= 200 && status < 300;
     }
 
+    std::string formatLimit(std::optional<double> perSecond)
+    {
+        return perSecond ? std::to_string(*perSecond) : "none";
+    }
+
     // Whether the status implies that the request was not run.
     bool isNotRunStatus(unsigned status)
     {
@@ -422,6 +427,10 @@
     }
     RunnerUse use(placement, std::chrono::steady_clock::now());
     m_hasReachedRunner = true;
+    if (runner->requestLimit().perSecond()) {
+        runner->requestLimit().recordSend();
+        ++m_context.metrics.limitedSends[runner->record().id];
+    }
     auto& engine = m_context.state.policies(m_pool).engine;
     if (m_headers.prompt && engine) {
         const auto request = engineRequest();
@@ -465,6 +474,16 @@
     }
 }
 
+void ForwardTask::updateRequestLimit(const platform::RunnerHeaders& headers, BackendState& runner)
+{
+    auto& limit = runner.requestLimit();
+    if (headers.isRequestLimitUnreadable || headers.requestLimit == limit.perSecond())
+        return;
+    const auto& record = runner.record();
+    logEvent(LogLevel::Info, "runner_limit_changed", { { "runner", record.id }, { "pool", record.pool }, { "per_second", formatLimit(headers.requestLimit) }, { "previous", formatLimit(limit.perSecond()) }, { "sent", limit.sent() }, { "source", "answer" } });
+    limit.set(headers.requestLimit);
+}
+
 asio::awaitable<bool> ForwardTask::readResponseHeader(std::unique_ptr<Parser>& parser, RunnerUse& use)
 {
     const auto connection = m_connection;
@@ -543,6 +562,14 @@
     return isSuccess(status) || !isNotRunStatus(status);
 }
 
+bool ForwardTask::isFromRunner(const platform::RunnerHeaders& headers, unsigned status, const BackendState& runner) const
+{
+    // Another server at the runner's address refuses requests with its own id.
+    if (status == statusMisdirected && !headers.runnerId.empty() && headers.runnerId != runner.record().id)
+        return false;
+    return provesNotRun(headers, status) || isRunnerResponse(headers, status);
+}
+
 ForwardTask::SendResult ForwardTask::recordFailure(RunnerUse& use, Verdict verdict, bool isBroken, std::string_view reason)
 {
     const auto now = std::chrono::steady_clock::now();
@@ -592,6 +619,8 @@
         runner.setLoadReport(*headers.load, now);
     if (headers.weightVersion && m_headers.prompt && status != statusMisdirected)
         runner.setVersion(m_headers.prompt->model, *headers.weightVersion);
+    if (isFromRunner(headers, status, runner))
+        updateRequestLimit(headers, runner);
     if (provesNotRun(headers, status)) {
         const auto result = recordRefusal(use, headers, status);
         m_connection->close();
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -89,8 +89,12 @@
     bool isRunnerResponse(const platform::RunnerHeaders&, unsigned status) const;
     // Whether the response states that the request was not run and can't belong to another request.
     bool provesNotRun(const platform::RunnerHeaders&, unsigned status) const;
+    // Whether the response was written by the chosen runner, and not by another server at its address.
+    bool isFromRunner(const platform::RunnerHeaders&, unsigned status, const BackendState&) const;
     // Applies the leaving flag and the Retry-After of a response to the state of its runner.
     void updateRunnerState(const platform::RunnerHeaders&, unsigned status, BackendState&);
+    // Applies the limit that a response of the chosen runner to this request states, or that it states none.
+    void updateRequestLimit(const platform::RunnerHeaders&, BackendState&);
     // Records the error text, and whether the error means that the runner's connection was lost.
     void recordReadError(const boost::system::error_code&);
     SendResult recordFailure(RunnerUse&, Verdict, bool isBroken, std::string_view reason);
--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -192,6 +192,8 @@
             { "versions", runner->record().modelVersions }, { "requests", runner->requests(now) }, { "prefill_tokens", total.prefillTokens },
             { "prompts", total.prompts }, { "memory_tokens", total.memoryTokens }, { "failure_share", runner->health().failureShare(now) },
             { "tokens_per_ms", runner->tokensPerMs(0) }, { "cached_tokens", runner->cachedParts().tokens() } };
+        if (const auto limit = runner->requestLimit().perSecond())
+            out["runners"][id]["limit"] = { { "per_second", *limit }, { "sent", runner->requestLimit().sent() } };
     }
     return out.dump(2) + "\n";
 }
--- a/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
+++ b/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
@@ -12,6 +12,8 @@
     std::map<std::string, std::uint64_t> requests;
     // Refusals by reason.
     std::map<std::string, std::uint64_t> refusals;
+    // Requests sent to runners while they stated a limit, by runner.
+    std::map<std::string, std::uint64_t> limitedSends;
     std::uint64_t repeats = 0;
     std::uint64_t resumes = 0;
     std::uint64_t strayResponses = 0;
--- a/packages/placement/chiveshelf/placement/BackendState.h
+++ b/packages/placement/chiveshelf/placement/BackendState.h
@@ -4,6 +4,7 @@
 #include "chiveshelf/placement/OutstandingWork.h"
 #include "chiveshelf/placement/PartCacheModel.h"
 #include "chiveshelf/placement/PeerQueue.h"
+#include "chiveshelf/placement/RequestLimit.h"
 #include "chiveshelf/placement/RunnerRecord.h"
 #include "chiveshelf/placement/TransferSpeed.h"
 
@@ -111,6 +112,10 @@
     TimePoint pauseEnd() const { return m_pauseEnd; }
     bool isPaused(TimePoint now) const { return now < m_pauseEnd; }
 
+    // Limit of requests that the runner states.
+    RequestLimit& requestLimit() { return m_requestLimit; }
+    const RequestLimit& requestLimit() const { return m_requestLimit; }
+
     // Returns whether the runner may get new work.
     bool isUsable(TimePoint now) const { return !isLeaving() && !isPaused(now) && m_health.isUsable(now); }
 
@@ -151,6 +156,7 @@
     double m_tokensPerMs = 0;
     bool m_isLeaving = false;
     TimePoint m_pauseEnd {};
+    RequestLimit m_requestLimit;
     BackendHealth m_health;
     TransferSpeed m_transferSpeed;
     PartCacheModel m_cachedParts;
--- a/tests/unit/platform/PlatformFormatsTest.cpp
+++ b/tests/unit/platform/PlatformFormatsTest.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(fetchAddressesAreWrittenAsOneEntryPerPart);
     CPPUNIT_TEST(runnerHeadersAreDecoded);
     CPPUNIT_TEST(loadWithAdditionalNumbersIsDecoded);
+    CPPUNIT_TEST(requestLimitIsDecodedAndUnreadableOneIsNeitherSetNorAbsent);
     CPPUNIT_TEST(leavingAndRetryAfterAreDecoded);
     CPPUNIT_TEST(weightReportIsDecodedAndVersionOrderIsEncoded);
     CPPUNIT_TEST(onlyValidCacheChangesAreDecoded);
@@ -212,6 +213,23 @@
         CPPUNIT_ASSERT(!decodeRunnerHeaders(fields).load);
     }
 
+    // Guards against lifting a limit because its value can't be read.
+    void requestLimitIsDecodedAndUnreadableOneIsNeitherSetNorAbsent()
+    {
+        Fields fields;
+        CPPUNIT_ASSERT(!decodeRunnerHeaders(fields).requestLimit);
+        CPPUNIT_ASSERT(!decodeRunnerHeaders(fields).isRequestLimitUnreadable);
+        fields.set("Server-Limit", " 3.6 ");
+        CPPUNIT_ASSERT(decodeRunnerHeaders(fields).requestLimit == 3.6);
+        fields.set("Server-Limit", "0");
+        CPPUNIT_ASSERT(decodeRunnerHeaders(fields).requestLimit == 0.0);
+        for (const auto* text : { "", "-1", "nan", "inf", "1e999", "3,6", "3 per s" }) {
+            fields.set("Server-Limit", text);
+            CPPUNIT_ASSERT_MESSAGE(text, !decodeRunnerHeaders(fields).requestLimit);
+            CPPUNIT_ASSERT_MESSAGE(text, decodeRunnerHeaders(fields).isRequestLimitUnreadable);
+        }
+    }
+
     void leavingAndRetryAfterAreDecoded()
     {
         Fields fields;
