--- a/tests/support/FakePlatform.cpp
+++ b/tests/support/FakePlatform.cpp
@@ -73,8 +73,11 @@
         if (revision != condition["rev"].get<std::uint64_t>())
             return http::makeResponse(http::Status::precondition_failed, "{\"items\":[]}");
     }
-    for (const auto& row : request["setKeys"])
-        put(row["key"].get<std::string>(), cereal::base64::decode(row["value"].get<std::string>()));
+    for (const auto& row : request["setKeys"]) {
+        const auto key = row["key"].get<std::string>();
+        const auto value = cereal::base64::decode(row["value"].get<std::string>());
+        put(key, m_writeFilter ? m_writeFilter(key, value) : value);
+    }
     return http::makeResponse(http::Status::ok, json { { "rev", m_revision } }.dump());
 }
 
@@ -118,13 +121,18 @@
 asio::awaitable<void> Store::handle(http::Exchange& exchange)
 {
     const auto target = http::parseTarget({ exchange.request().target().data(), exchange.request().target().size() });
-    auto response = http::makeResponse(http::Status::ok, R"({"lease":7,"ttlMs":9000})");
+    if (target.path == "/kv-lease")
+        ++m_lastLease;
+    auto response = http::makeResponse(http::Status::ok, json { { "lease", m_lastLease }, { "ttlMs", 9'000 } }.dump());
     if (m_overrideBody.second > 0 && (target.path == "/kv-watch" || target.path == "/kv-range")) {
         --m_overrideBody.second;
         response = http::makeResponse(http::Status::ok, m_overrideBody.first);
         co_await exchange.respond(std::move(response));
         co_return;
     }
+    const std::string keepPrefix = "/kv-keep/";
+    if (target.path.starts_with(keepPrefix) && std::stoull(target.path.substr(keepPrefix.size())) <= m_lastExpiredLease)
+        response = http::makeResponse(http::Status::not_found, "{}");
     if (target.path.starts_with("/kv-lease-end/")) {
         ++m_leaseEnds;
         asio::steady_timer timer(m_context, m_leaseEndDelay);
--- a/tests/support/FakePlatform.h
+++ b/tests/support/FakePlatform.h
@@ -14,7 +14,7 @@
 // Fakes of the platform for tests of the gateway: its store, and backend servers that write scripted responses.
 namespace fakeplatform {
 
-// The store: items by key with revisions, reads, watches, conditional writes, and leases that never expire.
+// The store: items by key with revisions, reads, watches, conditional writes, and leases that expire only by expireLeases().
 class Store {
 public:
     explicit Store(boost::asio::io_context&);
@@ -22,8 +22,14 @@
     chiveshelf::Result<void> start(const chiveshelf::Address&);
 
     void put(const std::string& key, const std::string& value);
+
+    // Replaces the values that hosts write by the result of this function, which gets key and value.
+    void setWriteFilter(std::function<std::string(const std::string&, const std::string&)> filter) { m_writeFilter = std::move(filter); }
     void remove(const std::string& key);
 
+    // Ends all leases. Their keys are removed with remove().
+    void expireLeases() { m_lastExpiredLease = m_lastLease; }
+
     // Aborts the pending watches. Later watches from an earlier revision report no changes, wait until their end and then get
     // status 410, like those of a store that dropped its history.
     void abortWatches();
@@ -53,8 +59,11 @@
     boost::asio::io_context& m_context;
     chiveshelf::http::Server m_server;
     std::map<std::string, Item> m_items;
+    std::function<std::string(const std::string&, const std::string&)> m_writeFilter;
     std::uint64_t m_revision = 1;
     std::uint64_t m_historyStart = 0;
+    std::uint64_t m_lastLease = 0;
+    std::uint64_t m_lastExpiredLease = 0;
     std::size_t m_reads = 0;
     std::size_t m_watches = 0;
     std::size_t m_watchAborts = 0;
