--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -54,6 +54,10 @@
     // reports it.
     constexpr std::chrono::milliseconds assumedLoadingTime { 2'500 };
 
+    // A host whose registration is missing counts for this time after its last notice, which allows for two lost ones.
+    constexpr std::chrono::milliseconds minHeardTime { 2'000 };
+    constexpr int heardIntervals = 3;
+
     // Returns the interval of load notices to `hosts` receivers.
     std::chrono::milliseconds noticeIntervalFor(std::size_t hosts)
     {
@@ -142,11 +146,25 @@
 void HostExchange::setHosts(std::map<std::string, Address> hosts)
 {
     hosts.erase(m_settings.hostName);
+    m_registeredHosts = std::move(hosts);
+    updateHosts(std::chrono::steady_clock::now());
+}
+
+void HostExchange::updateHosts(TimePoint now)
+{
+    const auto lifetime = std::max<std::chrono::milliseconds>(minHeardTime, heardIntervals * remoteNoticeInterval());
+    auto hosts = m_registeredHosts;
+    for (const auto& [name, address] : m_hosts) {
+        const auto heard = m_heardAt.find(hash64(name));
+        if (heard != m_heardAt.end() && now - heard->second <= lifetime)
+            hosts.emplace(name, address);
+    }
     m_hosts = std::move(hosts);
     std::set<std::uint64_t> hostHashes;
     for (const auto& [name, address] : m_hosts)
         hostHashes.insert(hash64(name));
     std::erase_if(m_peerRunners, [&](const auto& entry) { return !hostHashes.contains(entry.first); });
+    std::erase_if(m_heardAt, [&](const auto& entry) { return !hostHashes.contains(entry.first); });
     updateReceivers();
 }
 
@@ -268,6 +286,7 @@
 void HostExchange::onLoad(const Address& from, const LoadNotice& notice)
 {
     const auto now = std::chrono::steady_clock::now();
+    m_heardAt[notice.host] = now;
     if (notice.dataCentre == hash64(m_settings.dataCentre) && m_dataCentreHostHashes.insert(notice.host).second)
         updateReceivers();
     // Allows for two lost notices.
@@ -381,6 +400,8 @@
         boost::system::error_code ec;
         timer.expires_after(noticeInterval());
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        if (m_hosts.size() != m_registeredHosts.size())
+            updateHosts(std::chrono::steady_clock::now());
         sendNotices();
     }
 }
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -51,7 +51,8 @@
     Result<void> start();
     void stop();
 
-    // Sets the peer addresses of the other hosts, from their registrations.
+    // Sets the peer addresses of the other hosts, from their registrations. A host whose registration is missing still counts while
+    // its notices arrive: the store may have lost the registrations of hosts that are well.
     void setHosts(std::map<std::string, Address> hosts);
 
     // Number of hosts, including this one.
@@ -107,6 +108,7 @@
     void onRollout(const RolloutNotice&);
     void onLeaving(const LeavingNotice&);
     void onPlacement(const PlacementNotice&);
+    void updateHosts(TimePoint now);
     void updateReceivers();
     // Takes placement notices for `receivers` hosts from the budget and returns whether it allows them. Prompts without a long
     // prefill may use only half of the budget.
@@ -134,6 +136,10 @@
     std::function<void(const CacheNotice&)> m_cacheHandler;
     StoreNoticeHandler m_storeNoticeHandler;
     ChangeSource m_changeSource;
+    std::map<std::string, Address> m_registeredHosts;
+    // Time of the last load notice, by the hash of the host's name.
+    std::unordered_map<std::uint64_t, TimePoint> m_heardAt;
+    // The registered hosts, and others that are still heard from.
     std::map<std::string, Address> m_hosts;
     // Hashes of the names of hosts that have sent a load notice from this data centre.
     std::set<std::uint64_t> m_dataCentreHostHashes;
--- a/tests/unit/gateway/HostExchangeTest.cpp
+++ b/tests/unit/gateway/HostExchangeTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(announcedPlacementInLoadNoticeIsCountedOnce);
     CPPUNIT_TEST(measuredStoreSlownessIsReportedOnce);
     CPPUNIT_TEST(workInLargeFleetReachesOwnDataCentreFirst);
+    CPPUNIT_TEST(hostThatLostItsRegistrationCountsWhileItsNoticesArrive);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -128,6 +129,18 @@
         CPPUNIT_ASSERT_EQUAL(3, runner(m_remote)->totalWork(std::chrono::steady_clock::now()).requests);
     }
 
+    // Guards against hosts that each take the whole of a bound for the fleet after the store has lost all registrations.
+    void hostThatLostItsRegistrationCountsWhileItsNoticesArrive()
+    {
+        runFor(milliseconds(400));
+        m_first.exchange.setHosts({});
+        runFor(milliseconds(3'000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_first.exchange.hostCount());
+        m_second.exchange.stop();
+        runFor(milliseconds(2'500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_first.exchange.hostCount());
+    }
+
 private:
     struct Host {
         Host(boost::asio::io_context& context, std::string name, std::string dataCentre, std::string ip)
