--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/FleetLimits.cpp
@@ -0,0 +1,130 @@
+#include "chiveshelf/gateway/FleetLimits.h"
+
+#include "chiveshelf/core/Log.h"
+
+namespace chiveshelf {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    // Entries per notice, so that a datagram fits into one Ethernet frame.
+    constexpr std::size_t entriesPerNotice = 40;
+    // A host counts as heard from for this many intervals after its last notice, plus a margin for delays.
+    constexpr int heardIntervals = 3;
+    constexpr milliseconds heardMargin { 300 };
+
+    std::string formatLimit(std::optional<double> perSecond)
+    {
+        return perSecond ? std::to_string(*perSecond) : "none";
+    }
+
+}
+
+FleetLimits::FleetLimits(BackendDirectory& directory, std::uint64_t host, std::uint64_t incarnation, std::function<double()> random)
+    : m_directory(directory)
+    , m_host(host)
+    , m_incarnation(incarnation)
+    , m_random(std::move(random))
+{
+}
+
+void FleetLimits::setHosts(std::set<std::uint64_t> hosts, milliseconds noticeInterval)
+{
+    m_hosts = std::move(hosts);
+    m_noticeInterval = noticeInterval;
+    std::erase_if(m_heardAt, [this](const auto& entry) { return !m_hosts.contains(entry.first); });
+}
+
+void FleetLimits::updateHosts(RequestLimit& limit, TimePoint now) const
+{
+    const auto lifetime = heardIntervals * m_noticeInterval + heardMargin;
+    const auto heard = std::count_if(m_heardAt.begin(), m_heardAt.end(), [&](const auto& entry) { return now - entry.second <= lifetime && m_hosts.contains(entry.first); });
+    limit.setHosts(m_hosts.size() + 1, static_cast<std::size_t>(heard) + 1, now);
+}
+
+bool FleetLimits::applyAnswer(BackendState& runner, std::optional<double> perSecond, TimePoint sentAt, TimePoint now)
+{
+    auto& limit = runner.requestLimit();
+    const auto former = limit.statement();
+    const auto sent = limit.sentSinceChange();
+    updateHosts(limit, now);
+    if (!limit.applyAnswer(perSecond, sentAt, now))
+        return false;
+    logChange(runner, former, sent, "answer");
+    return true;
+}
+
+bool FleetLimits::recordSend(BackendState& runner, TimePoint now)
+{
+    auto& limit = runner.requestLimit();
+    limit.recordSend(now, m_random());
+    return limit.perSecond().has_value();
+}
+
+bool FleetLimits::isAnnounced(const BackendState& runner, TimePoint now) const
+{
+    const auto& statement = runner.requestLimit().statement();
+    if (statement.perSecond || (statement.receivedAt != TimePoint {} && now - statement.receivedAt < endAnnouncementTime))
+        return true;
+    const auto repeated = m_repeatedEnds.find(runner.number());
+    return repeated != m_repeatedEnds.end() && now < repeated->second;
+}
+
+LimitEntry FleetLimits::entryFor(const BackendState& runner, TimePoint now) const
+{
+    const auto& limit = runner.requestLimit();
+    const auto& statement = limit.statement();
+    const auto age = std::chrono::duration_cast<milliseconds>(now - statement.receivedAt);
+    return { runner.number(), statement.perSecond.has_value(), statement.perSecond.value_or(0), static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0)), limit.sent() };
+}
+
+LimitNotice FleetLimits::noticeFor(const BackendState& runner, TimePoint now) const
+{
+    return { m_host, m_incarnation, { entryFor(runner, now) } };
+}
+
+std::vector<LimitNotice> FleetLimits::takeNotices(TimePoint now)
+{
+    std::vector<LimitNotice> out;
+    std::erase_if(m_repeatedEnds, [&](const auto& entry) { return now >= entry.second; });
+    for (const auto& [id, runner] : m_directory.all()) {
+        if (!isAnnounced(*runner, now))
+            continue;
+        updateHosts(runner->requestLimit(), now);
+        if (out.empty() || out.back().entries.size() == entriesPerNotice)
+            out.push_back({ m_host, m_incarnation, {} });
+        out.back().entries.push_back(entryFor(*runner, now));
+    }
+    return out;
+}
+
+void FleetLimits::applyNotice(const LimitNotice& notice, TimePoint now)
+{
+    if (notice.host == m_host)
+        return;
+    m_heardAt[notice.host] = now;
+    for (const auto& entry : notice.entries) {
+        const auto runner = m_directory.findByNumber(entry.runner);
+        if (!runner)
+            continue;
+        auto& limit = runner->requestLimit();
+        const auto former = limit.statement();
+        const auto sent = limit.sentSinceChange();
+        const LimitStatement statement { entry.hasLimit ? std::optional(entry.perSecond) : std::nullopt, now - milliseconds(entry.ageMs) };
+        updateHosts(limit, now);
+        if (limit.applyStatement(statement, now))
+            logChange(*runner, former, sent, "host");
+        else if (statement.perSecond && !former.perSecond)
+            m_repeatedEnds[entry.runner] = now + endAnnouncementTime;
+        limit.recordPeerSends(notice.host, notice.incarnation, entry.sent, now, m_random());
+    }
+}
+
+void FleetLimits::logChange(const BackendState& runner, const LimitStatement& former, std::uint64_t sent, std::string_view source)
+{
+    const auto& record = runner.record();
+    logEvent(LogLevel::Info, "runner_limit_changed", { { "runner", record.id }, { "pool", record.pool }, { "per_second", formatLimit(runner.requestLimit().perSecond()) }, { "previous", formatLimit(former.perSecond) }, { "sent", sent }, { "source", source } });
+}
+
+}
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -83,11 +83,6 @@
         return status >= 200 && status < 300;
     }
 
-    std::string formatLimit(std::optional<double> perSecond)
-    {
-        return perSecond ? std::to_string(*perSecond) : "none";
-    }
-
     // Whether the status implies that the request was not run.
     bool isNotRunStatus(unsigned status)
     {
@@ -417,20 +412,37 @@
     co_return true;
 }
 
+asio::awaitable<bool> ForwardTask::reachRunner(const Placement& placement)
+{
+    auto& runner = *placement.runner;
+    // Counted before the connection is established, so that requests which arrive meanwhile don't use the same permit.
+    const bool isCounted = m_context.exchange.countSend(runner);
+    const bool isConnected = co_await connect(placement) && !isInterrupted();
+    const auto now = std::chrono::steady_clock::now();
+    const bool isTaken = !isCounted && !runner.requestLimit().hasPermit(now);
+    if (!isConnected || runner.isLeaving() || runner.isPaused(now) || isTaken) {
+        if (isCounted)
+            runner.requestLimit().undoSend();
+        closeRunnerConnection();
+        co_return false;
+    }
+    if (isCounted || m_context.exchange.countSend(runner)) {
+        m_context.exchange.announceSend(runner);
+        ++m_context.metrics.limitedSends[runner.record().id];
+    }
+    co_return true;
+}
+
 asio::awaitable<ForwardTask::SendResult> ForwardTask::send(const Placement& placement)
 {
     const auto runner = placement.runner;
     m_excludedRunners.push_back(runner->record().id);
-    if (!co_await connect(placement) || isInterrupted()) {
+    if (!co_await reachRunner(placement)) {
         m_history->record(Verdict::NotRun);
         co_return SendResult::Failed;
     }
     RunnerUse use(placement, std::chrono::steady_clock::now());
     m_hasReachedRunner = true;
-    if (runner->requestLimit().perSecond()) {
-        runner->requestLimit().recordSend();
-        ++m_context.metrics.limitedSends[runner->record().id];
-    }
     auto& engine = m_context.state.policies(m_pool).engine;
     if (m_headers.prompt && engine) {
         const auto request = engineRequest();
@@ -474,16 +486,6 @@
     }
 }
 
-void ForwardTask::updateRequestLimit(const platform::RunnerHeaders& headers, BackendState& runner)
-{
-    auto& limit = runner.requestLimit();
-    if (headers.isRequestLimitUnreadable || headers.requestLimit == limit.perSecond())
-        return;
-    const auto& record = runner.record();
-    logEvent(LogLevel::Info, "runner_limit_changed", { { "runner", record.id }, { "pool", record.pool }, { "per_second", formatLimit(headers.requestLimit) }, { "previous", formatLimit(limit.perSecond()) }, { "sent", limit.sent() }, { "source", "answer" } });
-    limit.set(headers.requestLimit);
-}
-
 asio::awaitable<bool> ForwardTask::readResponseHeader(std::unique_ptr<Parser>& parser, RunnerUse& use)
 {
     const auto connection = m_connection;
@@ -619,8 +621,8 @@
         runner.setLoadReport(*headers.load, now);
     if (headers.weightVersion && m_headers.prompt && status != statusMisdirected)
         runner.setVersion(m_headers.prompt->model, *headers.weightVersion);
-    if (isFromRunner(headers, status, runner))
-        updateRequestLimit(headers, runner);
+    if (isFromRunner(headers, status, runner) && !headers.isRequestLimitUnreadable)
+        m_context.exchange.applyLimit(runner, headers.requestLimit, use.sentAt());
     if (provesNotRun(headers, status)) {
         const auto result = recordRefusal(use, headers, status);
         m_connection->close();
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -70,6 +70,9 @@
     PlacementResult choose(TimePoint now);
     EngineRequest engineRequest() const;
     boost::asio::awaitable<SendResult> send(const Placement&);
+    // Connects to the chosen runner and counts the request against the limit that the runner states. Returns false if the runner can't
+    // be reached, or has announced its shutdown, a pause or a limit meanwhile.
+    boost::asio::awaitable<bool> reachRunner(const Placement&);
     boost::asio::awaitable<bool> connect(const Placement&);
     boost::asio::awaitable<bool> writeRequest(const Placement&);
     boost::asio::awaitable<bool> readResponseHeader(std::unique_ptr<Parser>&, RunnerUse&);
@@ -93,8 +96,6 @@
     bool isFromRunner(const platform::RunnerHeaders&, unsigned status, const BackendState&) const;
     // Applies the leaving flag and the Retry-After of a response to the state of its runner.
     void updateRunnerState(const platform::RunnerHeaders&, unsigned status, BackendState&);
-    // Applies the limit that a response of the chosen runner to this request states, or that it states none.
-    void updateRequestLimit(const platform::RunnerHeaders&, BackendState&);
     // Records the error text, and whether the error means that the runner's connection was lost.
     void recordReadError(const boost::system::error_code&);
     SendResult recordFailure(RunnerUse&, Verdict, bool isBroken, std::string_view reason);
--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -193,7 +193,7 @@
             { "prompts", total.prompts }, { "memory_tokens", total.memoryTokens }, { "failure_share", runner->health().failureShare(now) },
             { "tokens_per_ms", runner->tokensPerMs(0) }, { "cached_tokens", runner->cachedParts().tokens() } };
         if (const auto limit = runner->requestLimit().perSecond())
-            out["runners"][id]["limit"] = { { "per_second", *limit }, { "sent", runner->requestLimit().sent() } };
+            out["runners"][id]["limit"] = { { "per_second", *limit }, { "sent", runner->requestLimit().sentSinceChange() }, { "has_permit", runner->requestLimit().hasPermit(now) } };
     }
     return out.dump(2) + "\n";
 }
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -78,10 +78,11 @@
     : m_context(context)
     , m_settings(settings)
     , m_state(state)
+    , m_hostHash(hash64(settings.hostName))
     , m_datagrams(context)
     , m_server(context)
     , m_client(context)
-    , m_hostHash(hash64(settings.hostName))
+    , m_limits(state.backendDirectory(), m_hostHash, static_cast<std::uint64_t>(bootTime().count()), [&state] { return state.random(); })
 {
 }
 
@@ -108,6 +109,7 @@
     });
     m_datagrams.handle<RolloutNotice>([this](const Address&, RolloutNotice notice) { onRollout(notice); });
     m_datagrams.handle<LeavingNotice>([this](const Address&, LeavingNotice notice) { onLeaving(notice); });
+    m_datagrams.handle<LimitNotice>([this](const Address&, LimitNotice notice) { m_limits.applyNotice(notice, std::chrono::steady_clock::now()); });
     m_datagrams.handle<CacheNotice>([this](const Address&, CacheNotice notice) {
         if (m_cacheHandler)
             m_cacheHandler(notice);
@@ -165,6 +167,7 @@
         hostHashes.insert(hash64(name));
     std::erase_if(m_peerRunners, [&](const auto& entry) { return !hostHashes.contains(entry.first); });
     std::erase_if(m_heardAt, [&](const auto& entry) { return !hostHashes.contains(entry.first); });
+    m_limits.setHosts(std::move(hostHashes), noticeIntervalFor(m_hosts.size()));
     updateReceivers();
 }
 
@@ -265,6 +268,27 @@
     logEvent(LogLevel::Info, "runner_leaving", { { "runner", runner->record().id }, { "pool", runner->record().pool }, { "source", "host" } });
 }
 
+void HostExchange::applyLimit(BackendState& runner, std::optional<double> perSecond, TimePoint sentAt)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (m_limits.applyAnswer(runner, perSecond, sentAt, now))
+        sendToAll(m_limits.noticeFor(runner, now));
+}
+
+void HostExchange::announceSend(const BackendState& runner)
+{
+    sendToAll(m_limits.noticeFor(runner, std::chrono::steady_clock::now()));
+}
+
+void HostExchange::sendLimits(TimePoint now)
+{
+    if (now - m_lastLimitNoticeAt < noticeIntervalFor(m_hosts.size()))
+        return;
+    m_lastLimitNoticeAt = now;
+    for (const auto& notice : m_limits.takeNotices(now))
+        sendToAll(notice);
+}
+
 void HostExchange::announceRollout(const RunnerRecord& runner, const std::string& model, std::uint64_t version, bool isDone)
 {
     const RolloutNotice notice { runnerNumber(runner), model, version, isDone };
@@ -400,8 +424,10 @@
         boost::system::error_code ec;
         timer.expires_after(noticeInterval());
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+        const auto now = std::chrono::steady_clock::now();
         if (m_hosts.size() != m_registeredHosts.size())
-            updateHosts(std::chrono::steady_clock::now());
+            updateHosts(now);
+        sendLimits(now);
         sendNotices();
     }
 }
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chiveshelf/gateway/FleetLimits.h"
 #include "chiveshelf/gateway/HostMessages.h"
 #include "chiveshelf/gateway/ServingState.h"
 #include "chiveshelf/peer/PeerClient.h"
@@ -11,7 +12,7 @@
 namespace chiveshelf {
 
 // Exchanges state with the other hosts: outstanding work, prompt placements, requests that crash runners, weights being loaded,
-// the contents of stores of cached parts, and changes of the key-value store. Hosts that can't read the key-value store get its
+// the limits of runners, the contents of stores of cached parts, and changes of the key-value store. Hosts that can't read the key-value store get its
 // tables from here. Messages may be lost: that makes decisions less precise, but never wrong.
 class HostExchange {
 public:
@@ -70,6 +71,14 @@
     void announceLeaving(const RunnerRecord&);
     void announceRollout(const RunnerRecord&, const std::string& model, std::uint64_t version, bool isDone);
 
+    // Applies the limit that an answer of a runner states, or that it states none, and tells all hosts if it changed. The request was
+    // sent at `sentAt`.
+    void applyLimit(BackendState&, std::optional<double> perSecond, TimePoint sentAt);
+    // Counts a request that is about to be sent to a runner. Returns whether the runner states a limit.
+    bool countSend(BackendState& runner) { return m_limits.recordSend(runner, std::chrono::steady_clock::now()); }
+    // Tells all hosts that a counted request reaches its runner.
+    void announceSend(const BackendState&);
+
     // Sends changes in the contents of a store of cached parts to all other hosts.
     void announceCache(const CacheNotice& notice) { sendToAll(notice); }
 
@@ -110,6 +119,7 @@
     void onPlacement(const PlacementNotice&);
     void updateHosts(TimePoint now);
     void updateReceivers();
+    void sendLimits(TimePoint now);
     // Takes placement notices for `receivers` hosts from the budget and returns whether it allows them. Prompts without a long
     // prefill may use only half of the budget.
     bool reserveNotices(std::size_t receivers, bool isLongPrefill);
@@ -127,6 +137,7 @@
     boost::asio::io_context& m_context;
     const GatewaySettings& m_settings;
     ServingState& m_state;
+    std::uint64_t m_hostHash;
     peer::DatagramChannel m_datagrams;
     peer::PeerServer m_server;
     peer::PeerClient m_client;
@@ -136,6 +147,8 @@
     std::function<void(const CacheNotice&)> m_cacheHandler;
     StoreNoticeHandler m_storeNoticeHandler;
     ChangeSource m_changeSource;
+    FleetLimits m_limits;
+    TimePoint m_lastLimitNoticeAt {};
     std::map<std::string, Address> m_registeredHosts;
     // Time of the last load notice, by the hash of the host's name.
     std::unordered_map<std::uint64_t, TimePoint> m_heardAt;
@@ -157,7 +170,6 @@
     std::vector<PlacedPart> m_remoteParts;
     std::vector<StoreSpeedEntry> m_remoteStoreSpeeds;
     TimePoint m_lastRemoteNoticeAt {};
-    std::uint64_t m_hostHash;
     // Newest version of the tables that a pull was started for.
     std::uint64_t m_pulledTablesVersion = 0;
     bool m_isStopped = false;
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -227,6 +227,41 @@
     }
 };
 
+// The limit of requests that a runner states, and the requests that the sending host sent it.
+struct LimitEntry {
+    std::uint32_t runner = 0;
+    // Whether the runner states a limit. If not, the sending host announces the end of one.
+    bool hasLimit = false;
+    double perSecond = 0;
+    // Time in ms since a host received this statement of the runner.
+    std::uint64_t ageMs = 0;
+    // Requests that the sending host sent while the runner stated a limit, since the start of its process.
+    std::uint64_t sent = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(runner, hasLimit, perSecond, ageMs, sent);
+    }
+};
+
+// Limits of requests that runners state. Sent to all hosts at an interval while there are limits, and at once when a limit changes or
+// a request is sent to a limited runner.
+struct LimitNotice {
+    static constexpr peer::DatagramType datagramType = peer::DatagramType::LimitNotice;
+
+    std::uint64_t host = 0;
+    // Identifies the start of the sending process, at which its counts of requests begin.
+    std::uint64_t incarnation = 0;
+    std::vector<LimitEntry> entries;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(host, incarnation, entries);
+    }
+};
+
 // A change in the key-value store, relayed from one host to another.
 struct RelayedChange {
     std::string key;
--- a/packages/gateway/chiveshelf/gateway/RunnerUse.h
+++ b/packages/gateway/chiveshelf/gateway/RunnerUse.h
@@ -22,6 +22,8 @@
     // abandoned.
     void end(bool isFailure, TimePoint now);
 
+    TimePoint sentAt() const { return m_sentAt; }
+
     BackendState& runner() { return *m_placement.runner; }
     const Placement& placement() const { return m_placement; }
 
--- a/packages/peer/chiveshelf/peer/DatagramChannel.h
+++ b/packages/peer/chiveshelf/peer/DatagramChannel.h
@@ -28,6 +28,7 @@
     PlacementNotice = 9,
     LeavingNotice = 10,
     StoreNotice = 11,
+    LimitNotice = 12,
 };
 
 // Message that is sent as a single datagram, without a reply.
--- a/packages/placement/chiveshelf/placement/BackendState.h
+++ b/packages/placement/chiveshelf/placement/BackendState.h
@@ -112,13 +112,16 @@
     TimePoint pauseEnd() const { return m_pauseEnd; }
     bool isPaused(TimePoint now) const { return now < m_pauseEnd; }
 
-    // Limit of requests that the runner states.
+    // Limit of requests that the runner states for all hosts together.
     RequestLimit& requestLimit() { return m_requestLimit; }
     const RequestLimit& requestLimit() const { return m_requestLimit; }
 
     // Returns whether the runner may get new work.
     bool isUsable(TimePoint now) const { return !isLeaving() && !isPaused(now) && m_health.isUsable(now); }
 
+    // Returns whether this host may send the runner a request now, also within the limit that the runner states.
+    bool mayReceive(TimePoint now) const { return isUsable(now) && m_requestLimit.hasPermit(now); }
+
     BackendHealth& health() { return m_health; }
     const BackendHealth& health() const { return m_health; }
     // Speed of transfers to the runner.
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -244,7 +244,7 @@
 
 bool EnginePlacement::isCandidate(const EngineRequest& request, const PlacementContext& context, const BackendState& runner) const
 {
-    if (context.isExcluded(runner.record().id) || runner.isLoading(context.now) || !runner.isUsable(context.now))
+    if (context.isExcluded(runner.record().id) || runner.isLoading(context.now) || !runner.mayReceive(context.now))
         return false;
     return request.requiredVersion == 0 || runner.version(request.prompt->model).value_or(0) >= request.requiredVersion;
 }
--- a/packages/placement/chiveshelf/placement/Placement.cpp
+++ b/packages/placement/chiveshelf/placement/Placement.cpp
@@ -18,13 +18,25 @@
 PlacementRefusal refuseWithoutRunner(const PlacementContext& context, const std::vector<std::shared_ptr<BackendState>>& runners, double random)
 {
     std::optional<TimePoint> end;
+    bool isFirstLimited = false;
+    double permitsPerSecond = 0;
     for (const auto& runner : runners) {
-        if (!runner->isLeaving() && runner->isPaused(context.now))
-            end = std::min(end.value_or(TimePoint::max()), runner->pauseEnd());
+        const auto& limit = runner->requestLimit();
+        const bool isLimited = runner->health().isUsable(context.now) && !limit.hasPermit(context.now);
+        if (runner->isLeaving() || (!runner->isPaused(context.now) && !isLimited))
+            continue;
+        permitsPerSecond += isLimited ? limit.permitsPerSecond() : 0;
+        const auto runnerEnd = isLimited ? std::max(runner->pauseEnd(), limit.nextPermitAt()) : runner->pauseEnd();
+        if (end && runnerEnd >= *end)
+            continue;
+        end = runnerEnd;
+        isFirstLimited = isLimited;
     }
     if (!end)
         return { RefusalReason::NoRunner, jitteredRetryAfter(context.goal, context.timeLeft, random), {} };
     const auto wait = std::chrono::ceil<std::chrono::milliseconds>(*end - context.now);
+    if (isFirstLimited)
+        return { RefusalReason::Limited, wait, wait, permitsPerSecond };
     return { RefusalReason::Paused, jitteredRetryAfter(wait, context.timeLeft, random), wait };
 }
 
--- a/packages/placement/chiveshelf/placement/Placement.h
+++ b/packages/placement/chiveshelf/placement/Placement.h
@@ -85,12 +85,16 @@
     Overloaded,
     // Runners of the pool requested a pause, and no other one is usable.
     Paused,
+    // Runners of the pool are at the limit of requests that they state, and no other one is usable.
+    Limited,
 };
 
 constexpr std::string_view refusalReasonName(RefusalReason reason)
 {
     if (reason == RefusalReason::Paused)
         return "runners_paused";
+    if (reason == RefusalReason::Limited)
+        return "runners_limited";
     return reason == RefusalReason::NoRunner ? "no_runner" : "overloaded";
 }
 
@@ -100,14 +104,16 @@
     std::chrono::milliseconds retryAfter { 0 };
     // Predicted time that led to the refusal.
     std::chrono::milliseconds predicted { 0 };
+    // With RefusalReason::Limited, the requests per second that the limited runners of the pool take from all hosts together.
+    double permitsPerSecond = 0;
 };
 
 using PlacementResult = tl::expected<Placement, PlacementRefusal>;
 
-// Returns the refusal for a pool without usable runners. Callers retry when the first of the requested pauses ends, or after the
-// goal if no runner is paused. `random` is uniform in 0 to 1.
+// Returns the refusal for a pool without usable runners. Callers retry when the first of the requested pauses ends or the first limited
+// runner takes a request again, or after the goal if no runner is paused or limited. `random` is uniform in 0 to 1.
 //
-// Handles the load pattern "all runners of a pool request a pause at the same time".
+// Handles the load patterns "all runners of a pool request a pause at the same time" and "all runners of a pool are at their limit".
 PlacementRefusal refuseWithoutRunner(const PlacementContext&, const std::vector<std::shared_ptr<BackendState>>& runners, double random);
 
 // Returns the number from 0 to 1 that follows `previous` in a pseudo-random sequence. The first `previous` is the seed.
--- a/packages/placement/chiveshelf/placement/ServicePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/ServicePlacement.cpp
@@ -27,7 +27,7 @@
     double bestWaitMs = 0;
     double jitter = random;
     for (const auto& runner : runners) {
-        if (context.isExcluded(runner->record().id) || !runner->isUsable(context.now))
+        if (context.isExcluded(runner->record().id) || !runner->mayReceive(context.now))
             continue;
         const auto slots = std::max<double>(runner->record().slots, 1);
         const auto requests = runner->requests(context.now);
