--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -66,7 +66,6 @@
     constexpr int eventTimeoutPauses = 4;
 
     constexpr unsigned statusMisdirected = 421;
-    constexpr unsigned statusUnavailable = 503;
 
     std::string_view view(beast::string_view text)
     {
@@ -473,17 +472,10 @@
 
 void ForwardTask::updateRunnerState(const platform::RunnerHeaders& headers, unsigned status, BackendState& runner)
 {
-    const auto& record = runner.record();
-    if (headers.isLeaving && !runner.isLeaving()) {
-        runner.setLeaving();
-        m_context.backends.drop(record);
-        m_context.exchange.announceLeaving(record);
-        logEvent(LogLevel::Info, "runner_leaving", { { "runner", record.id }, { "pool", record.pool }, { "source", "answer" } });
-    }
-    if (status == statusUnavailable && headers.retryAfter) {
-        runner.pauseUntil(std::chrono::steady_clock::now() + *headers.retryAfter);
-        logEvent(LogLevel::Info, "runner_paused", { { "runner", record.id }, { "pool", record.pool }, { "pause_ms", headers.retryAfter->count() } });
-    }
+    const bool wasLeaving = runner.isLeaving();
+    m_context.exchange.applyAnswer(runner, headers, status);
+    if (runner.isLeaving() && !wasLeaving)
+        m_context.backends.drop(runner.record());
 }
 
 asio::awaitable<bool> ForwardTask::readResponseHeader(std::unique_ptr<Parser>& parser, RunnerUse& use)
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -43,6 +43,7 @@
     constexpr std::size_t versionsPerNotice = 3;
     constexpr std::size_t storeSpeedsPerNotice = 16;
     constexpr double percentPerFactor = 100;
+    constexpr unsigned statusUnavailable = 503;
     // Older versions are already loaded everywhere, or their time limit has passed.
     constexpr std::chrono::milliseconds maxAnnouncedVersionAge { 20'000 };
     // Parts beyond this number are not announced with the next notice.
@@ -254,9 +255,19 @@
     sendToAll(CrashNotice { fingerprint, runner });
 }
 
-void HostExchange::announceLeaving(const RunnerRecord& runner)
+void HostExchange::applyAnswer(BackendState& runner, const platform::RunnerHeaders& headers, unsigned status)
 {
-    sendToAll(LeavingNotice { runnerNumber(runner) });
+    const auto& record = runner.record();
+    if (headers.isLeaving && !runner.isLeaving()) {
+        runner.setLeaving();
+        // Other hosts don't need an answer of the runner then to learn it.
+        sendToAll(LeavingNotice { runner.number() });
+        logEvent(LogLevel::Info, "runner_leaving", { { "runner", record.id }, { "pool", record.pool }, { "source", "answer" } });
+    }
+    if (status == statusUnavailable && headers.retryAfter) {
+        runner.pauseUntil(std::chrono::steady_clock::now() + *headers.retryAfter);
+        logEvent(LogLevel::Info, "runner_paused", { { "runner", record.id }, { "pool", record.pool }, { "pause_ms", headers.retryAfter->count() } });
+    }
 }
 
 void HostExchange::onLeaving(const LeavingNotice& notice)
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -5,6 +5,7 @@
 #include "chiveshelf/gateway/ServingState.h"
 #include "chiveshelf/peer/PeerClient.h"
 #include "chiveshelf/peer/PeerServer.h"
+#include "platform/RequestHeaders.h"
 
 #include <set>
 #include <unordered_map>
@@ -66,9 +67,10 @@
     // Whether the fleet is small enough for placement notices to go to all hosts instead of only those of this data centre.
     bool isSmallFleet() const;
 
+    // Applies what an answer of a runner with this status states of its shutdown and of a pause, and tells all hosts of the shutdown.
+    void applyAnswer(BackendState&, const platform::RunnerHeaders&, unsigned status);
+
     void announceCrash(const std::string& fingerprint, const std::string& runner);
-    // Reports to all hosts that a runner has announced its shutdown, so that they don't need an answer of the runner to learn it.
-    void announceLeaving(const RunnerRecord&);
     void announceRollout(const RunnerRecord&, const std::string& model, std::uint64_t version, bool isDone);
 
     // Applies the limit that an answer of a runner states, or that it states none, and tells all hosts if it changed. The request was
--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
@@ -31,6 +31,8 @@
     constexpr std::chrono::milliseconds orderDelay { 60 };
     // Interval of calls to a runner that loads weights.
     constexpr std::chrono::milliseconds pollInterval { 50 };
+    // Longest such interval for a runner that limits its requests.
+    constexpr std::chrono::milliseconds maxPollInterval { 1'000 };
     // How often an order may be repeated to find out whether the load has finished. Reports are some 100 ms old, while the answer
     // to a repeated order is current but more expensive.
     constexpr int maxConfirmations = 6;
@@ -133,7 +135,7 @@
 asio::awaitable<bool> RolloutLeader::order(std::shared_ptr<BackendState> runner, std::string model, std::uint64_t version)
 {
     const auto record = runner->record();
-    const auto report = co_await platform::readWeightReport(m_client, record.address);
+    const auto report = co_await platform::readWeightReport(m_client, record.address, countCall(runner));
     if (!report || (report->bornMs != 0 && record.bornMs != 0 && report->bornMs != record.bornMs)) {
         co_await sleep(retryDelay);
         co_return false;
@@ -158,7 +160,7 @@
         if (!isLeading() || runner->isLeaving())
             co_return false;
         command.fencingToken = m_lease.fencingToken();
-        const auto outcome = co_await platform::orderVersion(m_client, record, command, isAllowed);
+        const auto outcome = co_await platform::orderVersion(m_client, record, command, countCall(runner), isAllowed);
         logEvent(LogLevel::Info, "order_sent", { { "runner", record.id }, { "version", version }, { "fence", command.fencingToken }, { "outcome", static_cast<int>(outcome) } });
         if (outcome == platform::OrderOutcome::AlreadyInPlace)
             co_return true;
@@ -174,6 +176,29 @@
     co_return false;
 }
 
+std::chrono::milliseconds RolloutLeader::pollIntervalOf(const BackendState& runner)
+{
+    const auto& limit = runner.requestLimit();
+    if (!limit.perSecond())
+        return pollInterval;
+    return std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(limit.interval()), pollInterval, maxPollInterval);
+}
+
+platform::AnswerHandler RolloutLeader::countCall(const std::shared_ptr<BackendState>& runner)
+{
+    const auto sentAt = std::chrono::steady_clock::now();
+    if (m_exchange.countSend(*runner))
+        m_exchange.announceSend(*runner);
+    return [this, runner, sentAt](const platform::RunnerHeaders& headers, unsigned status) {
+        if (!headers.runnerId.empty() && headers.runnerId != runner->record().id)
+            return;
+        m_exchange.applyAnswer(*runner, headers, status);
+        // Only some answers to these calls may state the limit, so that its absence lifts none.
+        if (headers.requestLimit)
+            m_exchange.applyLimit(*runner, headers.requestLimit, sentAt);
+    };
+}
+
 // Polls a runner that has accepted an order by repeating the order, which has no further effect. Starts after the expected load time.
 asio::awaitable<bool> RolloutLeader::confirm(std::shared_ptr<BackendState> runner, platform::VersionOrder command)
 {
@@ -183,13 +208,13 @@
     co_await sleep(m_loadTime);
     const std::function<bool()> isAllowed = [this] { return isLeading(); };
     for (int i = 0; i < maxConfirmations && isLeading() && !runner->isLeaving(); ++i) {
-        const auto outcome = co_await platform::orderVersion(m_client, record, command, isAllowed);
+        const auto outcome = co_await platform::orderVersion(m_client, record, command, countCall(runner), isAllowed);
         if (outcome == platform::OrderOutcome::AlreadyInPlace) {
             const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start);
             m_loadTime = std::clamp(elapsed - pollInterval / 2, pollInterval, m_settings.orderGap);
             co_return true;
         }
-        co_await sleep(pollInterval);
+        co_await sleep(pollIntervalOf(*runner));
     }
     co_return false;
 }
@@ -202,12 +227,12 @@
     const auto address = runner->record().address;
     const auto start = std::chrono::steady_clock::now();
     while (std::chrono::steady_clock::now() - start < loadTimeout && !m_isStopped) {
-        co_await sleep(pollInterval);
+        co_await sleep(pollIntervalOf(*runner));
         if (runner->isLeaving())
             co_return false;
         if (runner->isPaused(std::chrono::steady_clock::now()))
             continue;
-        const auto report = co_await platform::readWeightReport(m_client, address);
+        const auto report = co_await platform::readWeightReport(m_client, address, countCall(runner));
         if (!report)
             continue;
         const auto present = report->modelVersions.find(model);
--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.h
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.h
@@ -26,6 +26,10 @@
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> update(std::shared_ptr<BackendState>, std::string model, std::uint64_t version);
+    // Counts a call against the limit of a runner. Returns the handler of its answer.
+    platform::AnswerHandler countCall(const std::shared_ptr<BackendState>&);
+    // Returns the interval of calls to a runner that loads weights, which leaves a limited runner its requests.
+    static std::chrono::milliseconds pollIntervalOf(const BackendState&);
     boost::asio::awaitable<bool> order(std::shared_ptr<BackendState>, std::string model, std::uint64_t version);
     boost::asio::awaitable<bool> confirm(std::shared_ptr<BackendState>, platform::VersionOrder);
     boost::asio::awaitable<bool> awaitVersion(std::shared_ptr<BackendState>, std::string model, std::uint64_t version, std::uint64_t orderCount);
--- a/tests/unit/gateway/BackendFaultsTest.cpp
+++ b/tests/unit/gateway/BackendFaultsTest.cpp
@@ -31,6 +31,9 @@
     CPPUNIT_TEST(runnerAfterResponseWithLeavingHeaderReceivesNoMoreRequests);
     CPPUNIT_TEST(runnerAfterRefusalWithLeavingHeaderReceivesNoMoreRequests);
     CPPUNIT_TEST(runnerAfterStrayResponseWithLeavingHeaderReceivesNoMoreRequests);
+    CPPUNIT_TEST(runnerAfterReportWithLeavingHeaderReceivesNoMoreRequests);
+    CPPUNIT_TEST(limitInReportIsKept);
+    CPPUNIT_TEST(limitLearntWhileConnectingIsKept);
     CPPUNIT_TEST(runnerAfterRetryAfterReceivesNoRequestsDuringPause);
     CPPUNIT_TEST(poolWithAllRunnersPausedRefusesWithFirstPauseEndAsRetryAfter);
     CPPUNIT_TEST(callerDisconnectBehindUnreadBytesClosesRunnerConnectionWithin500Ms);
@@ -230,6 +233,43 @@
         expectNoMoreRequestsToLeavingRunner();
     }
 
+    // Guards against acting on what a runner states only if the answer is one to a caller's request.
+    void runnerAfterReportWithLeavingHeaderReceivesNoMoreRequests()
+    {
+        startRolloutOfFirstRunner("Server-Leaving: 1\r\n");
+        for (int i = 0; i < 40; ++i)
+            CPPUNIT_ASSERT_EQUAL(200U, fetch(post("/book/1")).status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), requestsOfFirstRunner("/book/1"));
+    }
+
+    void limitInReportIsKept()
+    {
+        startRolloutOfFirstRunner("Server-Limit: 0.5\r\n");
+        for (int i = 0; i < 40; ++i)
+            CPPUNIT_ASSERT_EQUAL(200U, fetch(post("/book/1")).status);
+        CPPUNIT_ASSERT(requestsOfFirstRunner("/book/1") <= 1);
+    }
+
+    // Guards against requests that were placed before the host knew of the limit and are sent after it.
+    void limitLearntWhileConnectingIsKept()
+    {
+        addRunner([](const auto& request) { return Script { fakeplatform::sealedResponse(request, 200, "x", "Server-Limit: 0.5\r\n") }; });
+        startGateway();
+        CPPUNIT_ASSERT_EQUAL(200U, fetch(post("/book/1")).status);
+        std::vector<std::shared_ptr<std::optional<fakeplatform::ReceivedResponse>>> responses;
+        for (int i = 0; i < 30; ++i) {
+            responses.push_back(std::make_shared<std::optional<fakeplatform::ReceivedResponse>>());
+            asio::co_spawn(*m_context, fetchInto(post("/book/2"), { m_network + ".1", 7'001 }, responses.back()), asio::detached);
+        }
+        runUntil([&] { return std::all_of(responses.begin(), responses.end(), [](const auto& it) { return it->has_value(); }); }, milliseconds(1'000));
+        for (const auto& response : responses) {
+            CPPUNIT_ASSERT(response->has_value());
+            CPPUNIT_ASSERT_EQUAL(503U, (*response)->status);
+            CPPUNIT_ASSERT(std::stod((*response)->retryAfter) >= 1.5);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), requestsTo("/book/2"));
+    }
+
     // Guards against requests to a runner during the pause that it asked for with Retry-After. From 0.5 s after the start of the
     // pause until its end, the runner may get no more than two requests.
     void runnerAfterRetryAfterReceivesNoRequestsDuringPause()
@@ -409,6 +449,31 @@
         addRunner([](const auto& request) { return Script { fakeplatform::sealedResponse(request, 200, "x") }; });
     }
 
+    // Adds a runner whose reports have these headers and a healthy one, and announces weights that both have to load.
+    void startRolloutOfFirstRunner(const std::string& headers)
+    {
+        const std::string models = R"(,"models":[{"name":"m","version":1}])";
+        addRunner([headers](const auto& request) {
+            const std::string report = R"({"busy":false,"sequence":0,"models":[{"name":"m","version":2}]})";
+            return request.target() == "/report"
+                ? Script { "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + std::to_string(report.size()) + "\r\n\r\n" + report }
+                : Script { fakeplatform::sealedResponse(request, 200, "x") };
+        },
+            models);
+        addRunner([](const auto& request) { return Script { fakeplatform::sealedResponse(request, 200, "x") }; }, models);
+        startGateway(milliseconds(200));
+        runFor(milliseconds(500));
+        m_store->put("op/version/m", R"({"model":"m","version":2})");
+        runUntil([&] { return requestsOfFirstRunner("/report") > 0; });
+        runFor(milliseconds(50));
+    }
+
+    std::size_t requestsOfFirstRunner(const std::string& path) const
+    {
+        const auto& requests = m_runners[0]->requests();
+        return static_cast<std::size_t>(std::count_if(requests.begin(), requests.end(), [&](const auto& it) { return it.target() == path; }));
+    }
+
     void expectNoMoreRequestsToLeavingRunner()
     {
         startGateway();
