--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -825,8 +825,14 @@
         co_await fail();
         co_return;
     }
+    auto retryAfter = refusal.retryAfter;
+    if (refusal.reason == RefusalReason::Limited) {
+        const auto now = std::chrono::steady_clock::now();
+        const auto perSecond = refusal.permitsPerSecond / static_cast<double>(m_context.exchange.hostCount());
+        retryAfter = m_context.state.policies(m_pool).returns.next(retryAfter, perSecond, longestRetryWait(timeLeft(now)), now);
+    }
     const auto message = "no runner can serve the request in time; predicted wait " + std::to_string(refusal.predicted.count()) + " ms";
-    co_await respond(503, refusalReasonName(refusal.reason), message, refusal.retryAfter);
+    co_await respond(503, refusalReasonName(refusal.reason), message, retryAfter);
 }
 
 asio::awaitable<void> ForwardTask::fail()
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -134,7 +134,7 @@
     if (it != m_policies.end())
         return it->second;
     const auto* row = m_routes ? m_routes->findPool(pool) : nullptr;
-    PoolPolicies policies { std::nullopt, {}, FleetRetryBudget(m_settings.retryShare, m_settings.retryReserve, m_settings.retryWindow) };
+    PoolPolicies policies { std::nullopt, {}, FleetRetryBudget(m_settings.retryShare, m_settings.retryReserve, m_settings.retryWindow), {} };
     if (row && row->engine) {
         policies.engine.emplace(*row->engine, m_settings.mechanisms);
     }
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -4,6 +4,7 @@
 #include "chiveshelf/placement/ContactHistory.h"
 #include "chiveshelf/placement/EnginePlacement.h"
 #include "chiveshelf/placement/FleetRetryBudget.h"
+#include "chiveshelf/placement/ReturnSchedule.h"
 #include "chiveshelf/placement/RunnerClock.h"
 #include "chiveshelf/placement/RunnerRegistry.h"
 #include "chiveshelf/placement/ServicePlacement.h"
@@ -16,11 +17,12 @@
 
 namespace chiveshelf {
 
-// Placement policies and retry budget of one pool.
+// Placement policies, retry budget and schedule of refused callers of one pool.
 struct PoolPolicies {
     std::optional<EnginePlacement> engine;
     ServicePlacement service;
     FleetRetryBudget retries;
+    ReturnSchedule returns;
 };
 
 // This host's view of tables, runners, versions and stores, and the policies that use it. Used only by the single thread of the
--- a/packages/placement/chiveshelf/placement/Placement.cpp
+++ b/packages/placement/chiveshelf/placement/Placement.cpp
@@ -46,11 +46,15 @@
     return std::fmod(previous * 7.31 + 0.137, 1.0);
 }
 
+std::chrono::milliseconds longestRetryWait(std::chrono::milliseconds timeLeft)
+{
+    return std::chrono::milliseconds(std::max<std::int64_t>(static_cast<std::int64_t>(static_cast<double>(timeLeft.count()) * maxWaitShare), 0));
+}
+
 std::chrono::milliseconds jitteredRetryAfter(std::chrono::milliseconds wait, std::chrono::milliseconds timeLeft, double random)
 {
     const auto base = static_cast<double>(std::max(wait, minRetryAfter).count());
-    const auto longest = static_cast<double>(timeLeft.count()) * maxWaitShare;
-    return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(base * (1 + jitterShare * random), std::max(longest, 0.0))));
+    return std::min(std::chrono::milliseconds(static_cast<std::int64_t>(base * (1 + jitterShare * random))), longestRetryWait(timeLeft));
 }
 
 }
--- a/packages/placement/chiveshelf/placement/Placement.h
+++ b/packages/placement/chiveshelf/placement/Placement.h
@@ -119,6 +119,9 @@
 // Returns the number from 0 to 1 that follows `previous` in a pseudo-random sequence. The first `previous` is the seed.
 double nextRandom(double previous);
 
+// Returns the longest time that a caller with this time left waits before it retries.
+std::chrono::milliseconds longestRetryWait(std::chrono::milliseconds timeLeft);
+
 // Returns the delay after which a refused caller should retry: `wait` plus a jitter of up to half of it, so that callers do not
 // retry at the same time, and at most about a third of `timeLeft`, since callers do not wait longer. `random` is uniform in 0 to 1.
 std::chrono::milliseconds jitteredRetryAfter(std::chrono::milliseconds wait, std::chrono::milliseconds timeLeft, double random);
