--- a/packages/gateway/chiveshelf/gateway/FleetLimits.cpp
+++ b/packages/gateway/chiveshelf/gateway/FleetLimits.cpp
@@ -34,13 +34,32 @@
     m_hosts = std::move(hosts);
     m_noticeInterval = noticeInterval;
     std::erase_if(m_heardAt, [this](const auto& entry) { return !m_hosts.contains(entry.first); });
+    m_heardHosts = std::min(m_heardHosts, m_heardAt.size());
+}
+
+milliseconds FleetLimits::heardTime() const
+{
+    return heardIntervals * m_noticeInterval + heardMargin;
+}
+
+void FleetLimits::recordHeard(std::uint64_t host, TimePoint now)
+{
+    if (!m_hosts.contains(host))
+        return;
+    const auto [it, isNew] = m_heardAt.try_emplace(host, now);
+    if (isNew || now - it->second > heardTime())
+        ++m_heardHosts;
+    it->second = now;
+}
+
+void FleetLimits::countHeardHosts(TimePoint now)
+{
+    m_heardHosts = static_cast<std::size_t>(std::count_if(m_heardAt.begin(), m_heardAt.end(), [&](const auto& entry) { return now - entry.second <= heardTime(); }));
 }
 
 void FleetLimits::updateHosts(RequestLimit& limit, TimePoint now) const
 {
-    const auto lifetime = heardIntervals * m_noticeInterval + heardMargin;
-    const auto heard = std::count_if(m_heardAt.begin(), m_heardAt.end(), [&](const auto& entry) { return now - entry.second <= lifetime && m_hosts.contains(entry.first); });
-    limit.setHosts(m_hosts.size() + 1, static_cast<std::size_t>(heard) + 1, now);
+    limit.setHosts(m_hosts.size() + 1, std::min(m_heardHosts, m_hosts.size()) + 1, now);
 }
 
 bool FleetLimits::applyAnswer(BackendState& runner, std::optional<double> perSecond, TimePoint sentAt, TimePoint now)
@@ -87,6 +106,7 @@
 std::vector<LimitNotice> FleetLimits::takeNotices(TimePoint now)
 {
     std::vector<LimitNotice> out;
+    countHeardHosts(now);
     std::erase_if(m_repeatedEnds, [&](const auto& entry) { return now >= entry.second; });
     for (const auto& [id, runner] : m_directory.all()) {
         if (!isAnnounced(*runner, now))
@@ -103,7 +123,7 @@
 {
     if (notice.host == m_host)
         return;
-    m_heardAt[notice.host] = now;
+    recordHeard(notice.host, now);
     for (const auto& entry : notice.entries) {
         const auto runner = m_directory.findByNumber(entry.runner);
         if (!runner)
--- a/packages/gateway/chiveshelf/gateway/FleetLimits.h
+++ b/packages/gateway/chiveshelf/gateway/FleetLimits.h
@@ -41,6 +41,10 @@
     void applyNotice(const LimitNotice&, TimePoint now);
 
 private:
+    // Time after its last notice for which a host counts as heard from.
+    std::chrono::milliseconds heardTime() const;
+    void recordHeard(std::uint64_t host, TimePoint now);
+    void countHeardHosts(TimePoint now);
     void updateHosts(RequestLimit&, TimePoint now) const;
     bool isAnnounced(const BackendState&, TimePoint now) const;
     LimitEntry entryFor(const BackendState&, TimePoint now) const;
@@ -54,6 +58,8 @@
     std::chrono::milliseconds m_noticeInterval { 0 };
     // Time of the last notice of each host.
     std::unordered_map<std::uint64_t, TimePoint> m_heardAt;
+    // Number of other hosts that are heard from. Counted at the interval of notices.
+    std::size_t m_heardHosts = 0;
     // Runners whose ended limit another host still announces, and until when the end is announced again.
     std::unordered_map<std::uint32_t, TimePoint> m_repeatedEnds;
 };
