--- a/packages/gateway/chiveshelf/gateway/BackendPool.cpp
+++ b/packages/gateway/chiveshelf/gateway/BackendPool.cpp
@@ -90,11 +90,18 @@
     co_return Result<void> {};
 }
 
-void BackendPool::putBack(const RunnerRecord& runner, std::shared_ptr<BackendConnection> connection, TimePoint now)
+std::size_t BackendPool::maxIdle(unsigned maxConnections, std::size_t hosts)
+{
+    if (maxConnections == 0)
+        return maxIdlePerServer;
+    return std::clamp<std::size_t>(maxConnections / 2 / std::max<std::size_t>(hosts, 1), 1, maxIdlePerServer);
+}
+
+void BackendPool::putBack(const RunnerRecord& runner, std::shared_ptr<BackendConnection> connection, std::size_t maxIdle, TimePoint now)
 {
     auto& idle = m_idle[keyOf(runner)];
     connection->idleSince = now;
-    if (idle.size() >= maxIdlePerServer) {
+    while (!idle.empty() && idle.size() >= maxIdle) {
         idle.front()->close();
         idle.erase(idle.begin());
     }
--- a/packages/gateway/chiveshelf/gateway/BackendPool.h
+++ b/packages/gateway/chiveshelf/gateway/BackendPool.h
@@ -61,8 +61,12 @@
     // Fails with Unavailable; `slot` is empty then.
     boost::asio::awaitable<Result<void>> connect(Address, std::shared_ptr<BackendConnection>& slot);
 
-    // Returns a connection to the pool. Closes the oldest idle one if the server already has the maximum.
-    void putBack(const RunnerRecord&, std::shared_ptr<BackendConnection>, TimePoint now);
+    // Returns the number of idle connections that one of `hosts` hosts keeps to a server which accepts `maxConnections` from all of
+    // them, 0 if that is unknown. Half of the server's connections are left for requests.
+    static std::size_t maxIdle(unsigned maxConnections, std::size_t hosts);
+
+    // Returns a connection to the pool. Closes the oldest idle ones if the server has more than `maxIdle` then.
+    void putBack(const RunnerRecord&, std::shared_ptr<BackendConnection>, std::size_t maxIdle, TimePoint now);
 
     // Closes the idle connections to a server, for instance after one of its connections stopped responding.
     void drop(const RunnerRecord&);
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -803,7 +803,9 @@
     }
     const auto keepAliveTime = headers.keepAlive ? std::chrono::milliseconds(*headers.keepAlive) : defaultKeepAlive;
     m_connection->idleLimit = std::max(keepAliveTime - keepAliveMargin, std::chrono::milliseconds(0));
-    m_context.backends.putBack(use.placement().runner->record(), std::move(m_connection), std::chrono::steady_clock::now());
+    const auto* pool = m_index->findPool(m_pool);
+    const auto maxIdle = BackendPool::maxIdle(pool ? pool->maxConnections : 0, m_context.exchange.hostCount());
+    m_context.backends.putBack(use.placement().runner->record(), std::move(m_connection), maxIdle, std::chrono::steady_clock::now());
 }
 
 asio::awaitable<void> ForwardTask::respond(unsigned status, std::string_view code, std::string message, std::optional<std::chrono::milliseconds> retryAfter)
