--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -351,7 +351,13 @@
 
 std::vector<std::pair<std::string, std::string>> StoreFollower::relayItems() const
 {
-    return { m_relayItems.begin(), m_relayItems.end() };
+    std::vector<std::pair<std::string, std::string>> out { m_relayItems.begin(), m_relayItems.end() };
+    // A host that starts without the store needs the other hosts to keep the fleet's bounds with them.
+    for (const auto& [key, item] : m_hostItems) {
+        if (key.starts_with(hostKeyPrefix))
+            out.emplace_back(key, item.value);
+    }
+    return out;
 }
 
 void StoreFollower::applyRelayedItems(const std::vector<std::pair<std::string, std::string>>& items)
--- a/tests/integration/RequestLimitTest.cpp
+++ b/tests/integration/RequestLimitTest.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST_SUITE(RequestLimitTest);
     CPPUNIT_TEST(limitedRunnersUnderUnevenLoadGetAboutTheirLimit);
     CPPUNIT_TEST(limitIsKeptWhileHostsStartFreezeAreCutOffAndLeave);
+    CPPUNIT_TEST(hostThatStartsWithoutStoreKeepsLimitWithOthers);
     CPPUNIT_TEST(limitIsFollowedWhileItRisesFallsAndEnds);
     CPPUNIT_TEST(poolAtItsLimitRefusesAtOnceWithRetryAfter);
     CPPUNIT_TEST(limitIsKeptThroughSeededFaults);
@@ -90,6 +91,20 @@
         expectLimitsKept();
     }
 
+    // Guards against a host that knows no other host and uses the whole limit beside them.
+    void hostThatStartsWithoutStoreKeepsLimitWithOthers()
+    {
+        addRunner("desk-1", "desk", { { milliseconds(0), 10 } });
+        addRunner("desk-2", "desk", {});
+        startHosts();
+        m_fleet->startHostWithoutStore(hostCount + 1);
+        awaitReady(hostCount + 1);
+        startLoad({ 30, 15, 10, 10, 40 }, { "/book/", "/look/", "/open/" });
+        m_fleet->runFor(seconds(9));
+        expectLimitsKept();
+        expectUsedShare("desk-1", seconds(3), seconds(9), 0.7);
+    }
+
     // Guards against acting on a limit that the runner no longer states.
     void limitIsFollowedWhileItRisesFallsAndEnds()
     {
@@ -224,14 +239,18 @@
         });
     }
 
+    void awaitReady(int host)
+    {
+        const auto end = std::chrono::steady_clock::now() + seconds(10);
+        while (!m_fleet->isReady(host) && std::chrono::steady_clock::now() < end) { }
+    }
+
     void startHosts()
     {
         for (int i = 1; i <= hostCount; ++i)
             m_fleet->startHost(i);
-        for (int i = 1; i <= hostCount; ++i) {
-            const auto end = std::chrono::steady_clock::now() + seconds(10);
-            while (!m_fleet->isReady(i) && std::chrono::steady_clock::now() < end) { }
-        }
+        for (int i = 1; i <= hostCount; ++i)
+            awaitReady(i);
         m_fleet->runFor(milliseconds(500));
         m_start = std::chrono::steady_clock::now();
     }
--- a/tests/support/GatewayFleet.cpp
+++ b/tests/support/GatewayFleet.cpp
@@ -81,6 +81,17 @@
 }
 
 void GatewayFleet::startHost(int number)
+{
+    start(number, { "--store=" + toString(address(storeGroup, 1, storePort)) });
+}
+
+void GatewayFleet::startHostWithoutStore(int number)
+{
+    // Nothing listens at this address.
+    start(number, { "--store=" + toString(address(storeGroup, 2, storePort)), "--contacts=" + toString(peerAddress(1)) });
+}
+
+void GatewayFleet::start(int number, const std::vector<std::string>& moreArguments)
 {
     auto& host = m_hosts[number];
     if (!host.relay) {
@@ -89,9 +100,9 @@
         host.relay = std::make_shared<asio::ip::udp::socket>(m_context, endpoint);
         asio::co_spawn(m_context, relay(number, host.relay), asio::detached);
     }
-    const std::vector<std::string> arguments { "gateway", "--host-name=" + hostName(number), "--data-centre=z", "--listen=" + toString(address(hostGroup, number, callerPort)),
-        "--admin-listen=" + toString(address(hostGroup, number, adminPort)), "--peer-listen=" + toString(peerAddress(number)),
-        "--store=" + toString(address(storeGroup, 1, storePort)) };
+    std::vector<std::string> arguments { "gateway", "--host-name=" + hostName(number), "--data-centre=z", "--listen=" + toString(address(hostGroup, number, callerPort)),
+        "--admin-listen=" + toString(address(hostGroup, number, adminPort)), "--peer-listen=" + toString(peerAddress(number)) };
+    arguments.insert(arguments.end(), moreArguments.begin(), moreArguments.end());
     host.process = std::make_unique<ChildProcess>("chiveshelfd", arguments, m_logFolder + "/" + hostName(number) + ".log");
 }
 
--- a/tests/support/GatewayFleet.h
+++ b/tests/support/GatewayFleet.h
@@ -36,6 +36,8 @@
 
     // Starts a host, or starts it again. Host numbers begin at 1.
     void startHost(int number);
+    // Starts a host that can't reach the store and has the first host as its contact.
+    void startHostWithoutStore(int number);
     ChildProcess& process(int number) { return *m_hosts.at(number).process; }
     bool isReady(int number);
     // Kills a host and leaves its registration in the store.
@@ -62,6 +64,7 @@
         std::shared_ptr<boost::asio::ip::udp::socket> relay;
     };
 
+    void start(int number, const std::vector<std::string>& moreArguments);
     chiveshelf::Address address(int group, int number, int port) const;
     chiveshelf::Address peerAddress(int number) const { return address(1, number, 7'003); }
     boost::asio::awaitable<void> relay(int number, std::shared_ptr<boost::asio::ip::udp::socket>);
--- a/tests/support/UnitTestMain.cpp
+++ b/tests/support/UnitTestMain.cpp
@@ -8,7 +8,8 @@
 #include <csignal>
 #include <iostream>
 
-int main()
+// Runs all tests of the binary, or only the suite or case with the full name in the first argument.
+int main(int argc, char** argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
     CppUnit::TestResult result;
@@ -18,7 +19,7 @@
     result.addListener(&progress);
     CppUnit::TestRunner runner;
     runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
-    runner.run(result);
+    runner.run(result, argc > 1 ? argv[1] : "");
     CppUnit::CompilerOutputter(&collector, std::cerr).write();
     return collector.wasSuccessful() && collector.runTests() > 0 ? 0 : 1;
 }
