--- a/tests/unit/gateway/BackendFaultsTest.cpp
+++ b/tests/unit/gateway/BackendFaultsTest.cpp
@@ -33,7 +33,7 @@
     CPPUNIT_TEST(runnerAfterStrayResponseWithLeavingHeaderReceivesNoMoreRequests);
     CPPUNIT_TEST(runnerAfterReportWithLeavingHeaderReceivesNoMoreRequests);
     CPPUNIT_TEST(limitInReportIsKept);
-    CPPUNIT_TEST(limitLearntWhileConnectingIsKept);
+    CPPUNIT_TEST(requestsAtLimitAreRefusedAtOnceWithTimeOfNextPermit);
     CPPUNIT_TEST(runnerAfterRetryAfterReceivesNoRequestsDuringPause);
     CPPUNIT_TEST(poolWithAllRunnersPausedRefusesWithFirstPauseEndAsRetryAfter);
     CPPUNIT_TEST(callerDisconnectBehindUnreadBytesClosesRunnerConnectionWithin500Ms);
@@ -250,8 +250,8 @@
         CPPUNIT_ASSERT(requestsOfFirstRunner("/book/1") <= 1);
     }
 
-    // Guards against requests that were placed before the host knew of the limit and are sent after it.
-    void limitLearntWhileConnectingIsKept()
+    // Guards against requests that wait for a permit until their deadline, or come back before there is one.
+    void requestsAtLimitAreRefusedAtOnceWithTimeOfNextPermit()
     {
         addRunner([](const auto& request) { return Script { fakeplatform::sealedResponse(request, 200, "x", "Server-Limit: 0.5\r\n") }; });
         startGateway();
