Log and count the era and the revisions of the store

Neither the era of the store's answers nor a revision could be seen, so that no log told a restored store from one that was away. No decision changes.

--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -140,6 +140,7 @@
         after = page->items.back().key;
     }
     onContact();
+    logEvent(LogLevel::Info, "store_read", { { "era", m_store.era() }, { "revision", *first }, { "previous_revision", m_revision }, { "items", items.size() } });
     applyAll(items);
     m_hasRead = true;
     co_return first;
@@ -320,6 +321,8 @@
     if (const auto* target = std::get_if<ModelTarget>(&decoded)) {
         m_state.acceptVersion(*target, bootTime());
     } else if (auto* runner = std::get_if<platform::RunnerItem>(&decoded)) {
+        if (runner->record)
+            logRunner(*runner->record);
         if (runner->record && runners)
             runners->push_back(std::move(*runner->record));
         else if (runner->record)
@@ -331,6 +334,15 @@
     }
 }
 
+void StoreFollower::logRunner(const RunnerRecord& record) const
+{
+    const auto& records = m_state.registry().records();
+    const auto it = records.find(record.id);
+    if (it != records.end() && it->second.isSameIncarnation(record) && it->second.isLeaving == record.isLeaving)
+        return;
+    logEvent(LogLevel::Info, "runner_listed", { { "runner", record.id }, { "pool", record.pool }, { "born", record.bornMs }, { "sequence", record.sequence }, { "leaving", record.isLeaving ? "yes" : "no" } });
+}
+
 void StoreFollower::finishChanges()
 {
     m_state.refreshRunners();
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.h
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.h
@@ -45,6 +45,9 @@
     // Applies tables received from a peer if they are newer than the current ones.
     void applyRelayedTables(const std::string& text);
 
+    // All changes up to this revision are known.
+    Revision revision() const { return m_revision; }
+
     // Whether the last call to the store succeeded.
     bool isInContact() const { return m_isInContact; }
 
@@ -69,6 +72,8 @@
     void applyAll(const std::vector<StoredItem>&);
     void applyDecoded(const ItemChange&, std::vector<RunnerRecord>* runners);
     void finishChanges();
+    // Logs a runner that is new, has restarted or leaves.
+    void logRunner(const RunnerRecord&) const;
     void onContact();
     void onFailure(const Error&, std::string_view call);
 
@@ -82,7 +87,6 @@
     TimePoint m_leaderKeyFreeSince {};
     WatcherElection m_election;
     ChangeLog m_log;
-    // All changes up to this revision are known.
     Revision m_revision = 0;
     // Whether a full read is needed because changes may have been missed.
     bool m_mustRead = true;
--- a/packages/keyvalue/chiveshelf/keyvalue/keyvalue.h
+++ b/packages/keyvalue/chiveshelf/keyvalue/keyvalue.h
@@ -8,3 +8,4 @@
 #include "chiveshelf/keyvalue/HttpPlatform.h"
 #include "chiveshelf/keyvalue/ItemStore.h"
 #include "chiveshelf/keyvalue/KeyValueStore.h"
+#include "chiveshelf/keyvalue/StorePosition.h"
--- a/packages/placement/chiveshelf/placement/RunnerRecord.h
+++ b/packages/placement/chiveshelf/placement/RunnerRecord.h
@@ -21,6 +21,8 @@
     bool isLeaving = false;
     // Unix time of its start in ms. Together with the id it identifies one incarnation, since a runner can restart under its old id.
     std::int64_t bornMs = 0;
+    // Counts the reports of the incarnation, so that the later of two entries has the higher number.
+    std::int64_t sequence = 0;
     // Remaining warm-up time after its start, during which it is slower.
     std::chrono::milliseconds coldLeft { 0 };
     // Loaded version of the weights, by model.
