--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -39,9 +39,10 @@
     target_precompile_headers(${TARGET} REUSE_FROM chiveshelf_pch)
 endfunction()
 
-# chiveshelf_add_unit_test(NAME DEPENDS ...) builds tests/unit/NAME/*.cpp and adds them as the CTest test unit_NAME.
+# chiveshelf_add_unit_test(NAME DEPENDS ... [NETWORK N]) builds tests/unit/NAME/*.cpp and adds them as the CTest test unit_NAME. Tests
+# that open sockets need a NETWORK of their own, so that they can run in parallel: they use the loopback addresses 127.N.0.0/16.
 function(chiveshelf_add_unit_test NAME)
-    cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES" ${ARGN})
+    cmake_parse_arguments(ARG "" "NETWORK" "DEPENDS;LIBRARIES" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/unit/${NAME}/*.cpp)
     add_executable(unit_${NAME} ${sources} ${CMAKE_SOURCE_DIR}/tests/support/UnitTestMain.cpp)
     target_link_libraries(unit_${NAME} PRIVATE chiveshelf_options cppunit ${ARG_LIBRARIES})
@@ -51,6 +52,9 @@
     chiveshelf_use_pch(unit_${NAME})
     add_test(NAME unit_${NAME} COMMAND unit_${NAME})
     set_tests_properties(unit_${NAME} PROPERTIES TIMEOUT 120)
+    if(ARG_NETWORK)
+        set_tests_properties(unit_${NAME} PROPERTIES ENVIRONMENT "CHIVESHELF_TEST_NETWORK=${ARG_NETWORK}")
+    endif()
 endfunction()
 
 # chiveshelf_add_integration_test(NAME NETWORK N [TIMEOUT S] [PROCESSORS N]) builds tests/integration/NAME.cpp and adds the CTest
--- a/tests/support/FakePlatform.cpp
+++ b/tests/support/FakePlatform.cpp
@@ -40,26 +40,66 @@
 
 void Store::put(const std::string& key, const std::string& value)
 {
-    m_items[key] = { value, ++m_revision, false };
+    m_state.items[key] = { value, ++m_state.revision, false, 0 };
 }
 
 void Store::remove(const std::string& key)
 {
-    m_items[key] = { "", ++m_revision, true };
+    m_state.items[key] = { "", ++m_state.revision, true, 0 };
+}
+
+bool Store::contains(const std::string& key) const
+{
+    const auto it = m_state.items.find(key);
+    return it != m_state.items.end() && !it->second.isRemoved;
 }
 
 void Store::abortWatches()
 {
     ++m_watchAborts;
-    m_historyStart = m_revision;
+    m_historyStart = m_state.revision;
+}
+
+void Store::restore(Watches watches)
+{
+    m_state = m_copy;
+    m_historyStart = 0;
+    ++m_era;
+    if (watches == Watches::Cut)
+        ++m_watchAborts;
+}
+
+std::uint64_t Store::grantLease(const std::string& key)
+{
+    m_state.leases.insert(++m_state.lastLease);
+    put(key, "value");
+    m_state.items[key].lease = m_state.lastLease;
+    return m_state.lastLease;
+}
+
+http::Response Store::renewLease(std::uint64_t lease) const
+{
+    const bool isKnown = m_state.leases.contains(lease);
+    return http::makeResponse(isKnown ? http::Status::ok : http::Status::not_found, "{}");
+}
+
+void Store::endLease(std::uint64_t lease)
+{
+    ++m_leaseEnds;
+    if (m_state.leases.erase(lease) == 0)
+        return;
+    for (auto& [key, item] : m_state.items) {
+        if (item.lease == lease && !item.isRemoved)
+            item = { "", ++m_state.revision, true, 0 };
+    }
 }
 
 http::Response Store::read() const
 {
-    json body { { "items", json::array() }, { "hasMore", false }, { "storeRevision", m_revision } };
-    for (const auto& [key, item] : m_items) {
+    json body { { "items", json::array() }, { "hasMore", false }, { "storeRevision", m_state.revision } };
+    for (const auto& [key, item] : m_state.items) {
         if (!item.isRemoved)
-            body["items"].push_back({ { "key", key }, { "value", encode64(item.value) }, { "rev", item.revision }, { "lease", 0 } });
+            body["items"].push_back({ { "key", key }, { "value", encode64(item.value) }, { "rev", item.revision }, { "lease", item.lease } });
     }
     return http::makeResponse(http::Status::ok, body.dump());
 }
@@ -68,23 +108,48 @@
 {
     const auto request = json::parse(text);
     for (const auto& condition : request["expected"]) {
-        const auto it = m_items.find(condition["key"].get<std::string>());
-        const auto revision = it == m_items.end() || it->second.isRemoved ? 0 : it->second.revision;
+        const auto it = m_state.items.find(condition["key"].get<std::string>());
+        const auto revision = it == m_state.items.end() || it->second.isRemoved ? 0 : it->second.revision;
         if (revision != condition["rev"].get<std::uint64_t>())
             return http::makeResponse(http::Status::precondition_failed, "{\"items\":[]}");
     }
+    for (const auto& row : request["setKeys"]) {
+        const auto lease = row["lease"].get<std::uint64_t>();
+        if (lease != 0 && !m_state.leases.contains(lease))
+            return http::makeResponse(http::Status::not_found, "{}");
+    }
     for (const auto& row : request["setKeys"]) {
         const auto key = row["key"].get<std::string>();
         const auto value = cereal::base64::decode(row["value"].get<std::string>());
         put(key, m_writeFilter ? m_writeFilter(key, value) : value);
+        m_state.items[key].lease = row["lease"].get<std::uint64_t>();
+    }
+    for (const auto& key : request["remove"])
+        remove(key.get<std::string>());
+    return http::makeResponse(http::Status::ok, json { { "rev", m_state.revision } }.dump());
+}
+
+asio::awaitable<void> Store::respond(http::Exchange& exchange, http::Response response)
+{
+    response.set("Store-Era", std::to_string(m_era));
+    const std::string target(exchange.request().target());
+    if (!m_answerDelay.first.empty() && target.starts_with(m_answerDelay.first)) {
+        asio::steady_timer timer(m_context, std::exchange(m_answerDelay, {}).second);
+        boost::system::error_code ec;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     }
-    return http::makeResponse(http::Status::ok, json { { "rev", m_revision } }.dump());
+    co_await exchange.respond(std::move(response));
 }
 
 asio::awaitable<void> Store::watch(http::Exchange& exchange, std::uint64_t after, std::chrono::milliseconds wait)
 {
     const auto end = std::chrono::steady_clock::now() + wait;
     const auto watchAborts = m_watchAborts;
+    if (after > m_state.revision) {
+        auto gone = http::makeResponse(http::Status::gone, "{}");
+        co_await respond(exchange, std::move(gone));
+        co_return;
+    }
     const bool isHistoryLost = after < m_historyStart;
     asio::steady_timer timer(m_context);
     while (std::chrono::steady_clock::now() < end) {
@@ -92,7 +157,7 @@
             exchange.abort();
             co_return;
         }
-        if (!isHistoryLost && m_revision > after)
+        if (!isHistoryLost && m_state.revision > after)
             break;
         boost::system::error_code ec;
         timer.expires_after(watchPollInterval);
@@ -100,11 +165,11 @@
     }
     if (isHistoryLost) {
         auto gone = http::makeResponse(http::Status::gone, "{}");
-        co_await exchange.respond(std::move(gone));
+        co_await respond(exchange, std::move(gone));
         co_return;
     }
-    json body { { "events", json::array() }, { "storeRevision", m_revision } };
-    for (const auto& [key, item] : m_items) {
+    json body { { "events", json::array() }, { "storeRevision", m_state.revision } };
+    for (const auto& [key, item] : m_state.items) {
         if (item.revision <= after)
             continue;
         json event { { "key", key }, { "rev", item.revision } };
@@ -115,42 +180,50 @@
         body["events"].push_back(std::move(event));
     }
     auto response = http::makeResponse(http::Status::ok, body.dump());
-    co_await exchange.respond(std::move(response));
+    co_await respond(exchange, std::move(response));
+}
+
+asio::awaitable<http::Response> Store::answer(http::Exchange& exchange, const std::string& path)
+{
+    const std::string keepPrefix = "/kv-keep/";
+    const std::string endPrefix = "/kv-lease-end/";
+    if (path == "/kv-range") {
+        ++m_reads;
+        co_return read();
+    }
+    if (path == "/kv-txn")
+        co_return write(exchange.request().body());
+    if (path == "/kv-lease") {
+        m_state.leases.insert(++m_state.lastLease);
+        co_return http::makeResponse(http::Status::ok, json { { "lease", m_state.lastLease }, { "ttlMs", 9'000 } }.dump());
+    }
+    if (path.starts_with(keepPrefix))
+        co_return renewLease(std::stoull(path.substr(keepPrefix.size())));
+    if (path.starts_with(endPrefix)) {
+        endLease(std::stoull(path.substr(endPrefix.size())));
+        asio::steady_timer timer(m_context, m_leaseEndDelay);
+        boost::system::error_code ec;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    co_return http::makeResponse(http::Status::ok, "{}");
 }
 
 asio::awaitable<void> Store::handle(http::Exchange& exchange)
 {
     const auto target = http::parseTarget({ exchange.request().target().data(), exchange.request().target().size() });
-    if (target.path == "/kv-lease")
-        ++m_lastLease;
-    auto response = http::makeResponse(http::Status::ok, json { { "lease", m_lastLease }, { "ttlMs", 9'000 } }.dump());
     if (m_overrideBody.second > 0 && (target.path == "/kv-watch" || target.path == "/kv-range")) {
         --m_overrideBody.second;
-        response = http::makeResponse(http::Status::ok, m_overrideBody.first);
-        co_await exchange.respond(std::move(response));
+        auto response = http::makeResponse(http::Status::ok, m_overrideBody.first);
+        co_await respond(exchange, std::move(response));
         co_return;
     }
-    const std::string keepPrefix = "/kv-keep/";
-    if (target.path.starts_with(keepPrefix) && std::stoull(target.path.substr(keepPrefix.size())) <= m_lastExpiredLease)
-        response = http::makeResponse(http::Status::not_found, "{}");
-    if (target.path.starts_with("/kv-lease-end/")) {
-        ++m_leaseEnds;
-        asio::steady_timer timer(m_context, m_leaseEndDelay);
-        boost::system::error_code ec;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    }
     if (target.path == "/kv-watch") {
         ++m_watches;
         co_await watch(exchange, static_cast<std::uint64_t>(target.number("after", 0)), std::chrono::milliseconds(target.number("waitMs", 0)));
         co_return;
     }
-    if (target.path == "/kv-range") {
-        ++m_reads;
-        response = read();
-    } else if (target.path == "/kv-txn") {
-        response = write(exchange.request().body());
-    }
-    co_await exchange.respond(std::move(response));
+    auto response = co_await answer(exchange, std::string(target.path));
+    co_await respond(exchange, std::move(response));
 }
 
 Runner::Runner(asio::io_context& context, Handler handler)
--- a/tests/support/FakePlatform.h
+++ b/tests/support/FakePlatform.h
@@ -16,7 +16,8 @@
 // Fakes of the platform for tests of the gateway: its store, and backend servers that write scripted responses.
 namespace fakeplatform {
 
-// The store: items by key with revisions, reads, watches, conditional writes, and leases that expire only by expireLeases().
+// The store: items by key with revisions, reads, watches, conditional writes, leases that end only by expireLeases() or by a call, and
+// restores from an older copy. All its answers tell its era.
 class Store {
 public:
     explicit Store(boost::asio::io_context&);
@@ -30,7 +31,32 @@
     void remove(const std::string& key);
 
     // Ends all leases. Their keys are removed with remove().
-    void expireLeases() { m_lastExpiredLease = m_lastLease; }
+    void expireLeases() { m_state.leases.clear(); }
+
+    // What happens to the pending watches when the store is restored.
+    enum class Watches {
+        // They are aborted.
+        Cut,
+        // They wait on and are answered by the restored store.
+        Kept,
+    };
+
+    // Keeps a copy of the present state for restore().
+    void takeCopy() { m_copy = m_state; }
+
+    // Goes back to the copy: later items and leases are gone, and revisions and lease numbers are given out again.
+    void restore(Watches = Watches::Cut);
+    std::uint64_t era() const { return m_era; }
+
+    // Grants a lease to another process, which writes `key` under it.
+    std::uint64_t grantLease(const std::string& key);
+
+    bool contains(const std::string& key) const;
+    std::uint64_t revision() const { return m_state.revision; }
+
+    // Delays the next answer to a call whose path begins with `path`. It is made up before the delay, also if the store is restored
+    // meanwhile.
+    void delayNextAnswer(std::string path, std::chrono::milliseconds delay) { m_answerDelay = { std::move(path), delay }; }
 
     // Aborts the pending watches. Later watches from an earlier revision report no changes, wait until their end and then get
     // status 410, like those of a store that dropped its history.
@@ -51,21 +77,35 @@
         std::string value;
         std::uint64_t revision = 0;
         bool isRemoved = false;
+        std::uint64_t lease = 0;
+    };
+
+    // All that a restore takes back.
+    struct State {
+        std::map<std::string, Item> items;
+        std::uint64_t revision = 1;
+        std::set<std::uint64_t> leases;
+        std::uint64_t lastLease = 0;
     };
 
+    boost::asio::awaitable<void> respond(chiveshelf::http::Exchange&, chiveshelf::http::Response);
+    chiveshelf::http::Response renewLease(std::uint64_t) const;
+    void endLease(std::uint64_t);
+
     boost::asio::awaitable<void> handle(chiveshelf::http::Exchange&);
+    boost::asio::awaitable<chiveshelf::http::Response> answer(chiveshelf::http::Exchange&, const std::string& path);
     boost::asio::awaitable<void> watch(chiveshelf::http::Exchange&, std::uint64_t after, std::chrono::milliseconds wait);
     chiveshelf::http::Response read() const;
     chiveshelf::http::Response write(const std::string& body);
 
     boost::asio::io_context& m_context;
     chiveshelf::http::Server m_server;
-    std::map<std::string, Item> m_items;
+    State m_state;
+    State m_copy;
+    std::uint64_t m_era = 1;
+    std::pair<std::string, std::chrono::milliseconds> m_answerDelay;
     std::function<std::string(const std::string&, const std::string&)> m_writeFilter;
-    std::uint64_t m_revision = 1;
     std::uint64_t m_historyStart = 0;
-    std::uint64_t m_lastLease = 0;
-    std::uint64_t m_lastExpiredLease = 0;
     std::size_t m_reads = 0;
     std::size_t m_watches = 0;
     std::size_t m_watchAborts = 0;
--- a/tests/support/GatewayFixture.h
+++ b/tests/support/GatewayFixture.h
@@ -27,6 +27,14 @@
 {"name":"open","host":"desk.example","pathPrefix":"/open/","kind":"idempotent","timeoutMs":1500,"goalMs":300,"priority":2,"service":"desk","attempts":1,"public":true}],
 "services":[{"name":"desk","maxConns":50}],"tenants":[{"name":"gallery","apiKeys":["key1"]}]})";
 
+// Returns the tables with another version, in which the route "book" has the path /sell/.
+inline std::string sellTables(int version)
+{
+    auto out = std::string(tables);
+    out.replace(out.find("/book/"), 6, "/sell/").replace(out.find(":3"), 2, ":" + std::to_string(version));
+    return out;
+}
+
 // A response as received by a caller.
 struct ReceivedResponse {
     unsigned status = 0;
@@ -36,7 +44,7 @@
     bool isBroken = false;
 };
 
-// Runs a gateway in this process with a fake store and fake backend servers.
+// Runs one or more gateways in this process with a fake store and fake backend servers.
 class GatewayFixture : public CppUnit::TestFixture {
 public:
     void setUp() override
@@ -54,6 +62,7 @@
     void tearDown() override
     {
         m_gateway.reset();
+        m_hosts.clear();
         m_runners.clear();
         m_store.reset();
         m_context.reset();
@@ -66,6 +75,13 @@
         const chiveshelf::Address address { m_network + ".2", static_cast<std::uint16_t>(8'000 + i) };
         m_runners.push_back(std::make_unique<Runner>(*m_context, std::move(handler)));
         CPPUNIT_ASSERT(m_runners.back()->start(address));
+        registerRunner(i, moreFields);
+    }
+
+    // Writes the entry of a runner. Fields in `moreFields` replace those of the same name.
+    void registerRunner(std::size_t i, const std::string& moreFields)
+    {
+        const chiveshelf::Address address { m_network + ".2", static_cast<std::uint16_t>(8'000 + i) };
         m_store->put("servers/r" + std::to_string(i),
             R"({"service":"desk","zone":"z","version":"v1","capacity":6,"state":"ready","coldLeftMs":0,"sequence":1,"address":")" + toString(address) + "\"" + moreFields + "}");
     }
@@ -86,6 +102,35 @@
         runFor(std::chrono::milliseconds(150));
     }
 
+    // Starts a host of a fleet. The first `contacts` hosts are its contacts.
+    void startHost(int number, int contacts = 0)
+    {
+        chiveshelf::GatewaySettings settings;
+        settings.hostName = "host-" + std::to_string(number);
+        settings.dataCentre = "z";
+        settings.callerAddress = { hostIp(number), 7'001 };
+        settings.adminAddress = { hostIp(number), 7'002 };
+        settings.peerAddress = { hostIp(number), 7'003 };
+        settings.storeAddress = { m_network + ".1", 7'000 };
+        for (int i = 0; i < contacts; ++i)
+            settings.contacts.push_back({ hostIp(i), 7'003 });
+        m_hosts[number] = std::make_unique<chiveshelf::Gateway>(*m_context, settings);
+        CPPUNIT_ASSERT(m_hosts[number]->start());
+    }
+
+    void startHosts(int n)
+    {
+        for (int i = 0; i < n; ++i)
+            startHost(i);
+    }
+
+    ReceivedResponse fetchFrom(int host, const std::string& bytes)
+    {
+        return fetch(bytes, 7'001, hostIp(host));
+    }
+
+    std::string hostIp(int number) const { return m_network + "." + std::to_string(10 + number); }
+
     static std::string post(const std::string& path, const std::string& key = "key1", const std::string& moreHeaders = {})
     {
         return "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: id1\r\nX-Deadline-Ms: 3000\r\n" + (key.empty() ? "" : "Api-Key: " + key + "\r\n")
@@ -173,6 +218,8 @@
     std::unique_ptr<Store> m_store;
     std::vector<std::unique_ptr<Runner>> m_runners;
     std::unique_ptr<chiveshelf::Gateway> m_gateway;
+    // The hosts of a fleet by number.
+    std::map<int, std::unique_ptr<chiveshelf::Gateway>> m_hosts;
 };
 
 }
--- a/tests/unit/gateway/StoreRelayTest.cpp
+++ b/tests/unit/gateway/StoreRelayTest.cpp
@@ -228,15 +228,9 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void tearDown() override
-    {
-        m_hosts.clear();
-        GatewayFixture::tearDown();
-    }
-
     void changesReachAllHostsWithTwoWatchers()
     {
-        startHosts();
+        startFleet();
         const auto before = m_store->watchCount();
         constexpr int changeCount = 10;
         for (int i = 0; i < changeCount; ++i) {
@@ -254,7 +248,7 @@
 
     void tablesReachAllHostsAfterLostHistory()
     {
-        startHosts();
+        startFleet();
         m_store->abortWatches();
         runFor(milliseconds(1'500));
         expectTablesEverywhere(9);
@@ -266,39 +260,19 @@
     // Changes the tables and expects each host to apply them within a second.
     void expectTablesEverywhere(int version)
     {
-        auto newer = std::string(fakeplatform::tables);
-        newer.replace(newer.find("/book/"), 6, "/sell/").replace(newer.find(":3"), 2, ":" + std::to_string(version));
-        m_store->put("op/config", newer);
+        m_store->put("op/config", fakeplatform::sellTables(version));
         runFor(milliseconds(1'000));
         for (int i = 0; i < hostCount; ++i)
             CPPUNIT_ASSERT_EQUAL(200U, fetchFrom(i, post("/sell/1")).status);
     }
 
-    void startHosts()
+    void startFleet()
     {
         addRunner([](const auto& request) { return Script { fakeplatform::sealedResponse(request, 200, "x") }; });
-        for (int i = 0; i < hostCount; ++i) {
-            GatewaySettings settings;
-            settings.hostName = "host-" + std::to_string(i);
-            settings.dataCentre = "z";
-            const auto ip = m_network + "." + std::to_string(10 + i);
-            settings.callerAddress = { ip, 7'001 };
-            settings.adminAddress = { ip, 7'002 };
-            settings.peerAddress = { ip, 7'003 };
-            settings.storeAddress = { m_network + ".1", 7'000 };
-            m_hosts.push_back(std::make_unique<Gateway>(*m_context, settings));
-            CPPUNIT_ASSERT(m_hosts.back()->start());
-        }
+        startHosts(hostCount);
         // By then all hosts know each other, and the first watches have ended.
         runFor(seconds(6));
     }
-
-    fakeplatform::ReceivedResponse fetchFrom(int host, const std::string& bytes)
-    {
-        return fetch(bytes, 7'001, m_network + "." + std::to_string(10 + host));
-    }
-
-    std::vector<std::unique_ptr<Gateway>> m_hosts;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WatcherElectionTest);
