Order answers and notices of the store by era before revision

Callers could miss what the operator and the runners wrote after the store came back from an older copy. Revisions of before and after were compared as one count: a host whose watch went on and hosts that hear of the store from others dropped all changes at or below their old revision, without a sign once the new revisions had overtaken it, and a late answer of the time before counted as news.

A StorePosition holds era and revision and orders by era first. StoreCursor, free of I/O, decides by it what to do with each answer and notice: those of an earlier era are ignored, one of a later era means a full read, also while a watch is pending. Pages, notices, the log of changes and requests between hosts carry positions.

--- a/packages/gateway/chiveshelf/gateway/ChangeLog.cpp
+++ b/packages/gateway/chiveshelf/gateway/ChangeLog.cpp
@@ -11,36 +11,36 @@
 
 }
 
-void ChangeLog::add(Revision from, Revision to, const std::vector<ItemChange>& changes)
+void ChangeLog::add(StorePosition from, StorePosition to, const std::vector<ItemChange>& changes)
 {
-    if (from > m_to || m_to == 0) {
+    if (from.era != m_to.era || from > m_to || m_to.revision == 0) {
         m_changes.clear();
         m_bytes = 0;
         m_from = from;
         m_to = from;
     }
     for (const auto& change : changes) {
-        if (change.item.revision <= m_to)
+        if (change.item.revision <= m_to.revision)
             continue;
         m_changes.push_back(change);
         m_bytes += sizeOf(change);
     }
     m_to = std::max(m_to, to);
     while (m_bytes > maxBytes) {
-        m_from = m_changes.front().item.revision;
+        m_from.revision = m_changes.front().item.revision;
         m_bytes -= sizeOf(m_changes.front());
         m_changes.pop_front();
     }
 }
 
-std::optional<ChangeBatch> ChangeLog::since(Revision after) const
+std::optional<ChangeBatch> ChangeLog::since(StorePosition after) const
 {
-    if (m_to == 0 || after < m_from || after > m_to)
+    if (m_to.revision == 0 || after < m_from || after > m_to)
         return std::nullopt;
     ChangeBatch out;
-    out.revision = m_to;
+    out.position = m_to;
     for (const auto& change : m_changes) {
-        if (change.item.revision > after)
+        if (change.item.revision > after.revision)
             out.changes.push_back(change);
     }
     return out;
--- a/packages/gateway/chiveshelf/gateway/ChangeLog.h
+++ b/packages/gateway/chiveshelf/gateway/ChangeLog.h
@@ -15,18 +15,19 @@
     // host with a slow link would take seconds to send them to all hosts of the data centre.
     static constexpr std::size_t maxBytes = 64 * 1024;
 
-    // Adds the changes after `from` up to `to`. If there is a gap after the changes added before, those are dropped.
-    void add(Revision from, Revision to, const std::vector<ItemChange>&);
+    // Adds the changes after `from` up to `to`, which are of one era. If there is a gap after the changes added before, or those are
+    // of another era, they are dropped.
+    void add(StorePosition from, StorePosition to, const std::vector<ItemChange>&);
 
-    // Returns the changes after a revision, in order, or nothing if not all of them are known.
-    std::optional<ChangeBatch> since(Revision) const;
+    // Returns the changes after a position, in order, or nothing if not all of them are known.
+    std::optional<ChangeBatch> since(StorePosition) const;
 
 private:
     std::deque<ItemChange> m_changes;
     std::size_t m_bytes = 0;
     // The changes after `m_from` up to `m_to` are complete.
-    Revision m_from = 0;
-    Revision m_to = 0;
+    StorePosition m_from;
+    StorePosition m_to;
 };
 
 }
--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -183,7 +183,7 @@
     const auto now = std::chrono::steady_clock::now();
     nlohmann::json out { { "host", m_settings.hostName }, { "ready", isReady() }, { "tables_version", m_state.tablesVersion() },
         { "store_reached", m_storeFollower.isInContact() }, { "store_era", m_store.era() },
-        { "store_revision", m_storeFollower.revision() }, { "leading", m_rolloutLeader.isLeading() }, { "hosts", m_exchange.hostCount() },
+        { "store_revision", m_storeFollower.position().revision }, { "leading", m_rolloutLeader.isLeading() }, { "hosts", m_exchange.hostCount() },
         { "active", m_server.activeRequests() }, { "connections", m_server.connectionCount() } };
     for (const auto& [model, history] : m_state.versions())
         out["versions"][model] = history.newest();
@@ -206,7 +206,7 @@
         { { "active_requests", static_cast<double>(m_server.activeRequests()) }, { "connections", static_cast<double>(m_server.connectionCount()) },
             { "idle_backend_connections", static_cast<double>(m_backends.idleCount()) },
             { "backend_connects", static_cast<double>(m_backends.connectCount()) }, { "store_calls", static_cast<double>(m_store.callCount()) },
-            { "store_era", static_cast<double>(m_store.era()) }, { "store_revision", static_cast<double>(m_storeFollower.revision()) },
+            { "store_era", static_cast<double>(m_store.era()) }, { "store_revision", static_cast<double>(m_storeFollower.position().revision) },
             { "tables_version", static_cast<double>(m_state.tablesVersion()) }, { "runners", static_cast<double>(m_state.backendDirectory().all().size()) },
             { "hosts", static_cast<double>(m_exchange.hostCount()) }, { "store_reached", m_storeFollower.isInContact() ? 1.0 : 0.0 },
             { "leading", m_rolloutLeader.isLeading() ? 1.0 : 0.0 } });
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -377,7 +377,7 @@
         m_pulledTablesVersion = m_state.tablesVersion();
 }
 
-asio::awaitable<Result<StoreChangesReply>> HostExchange::pullStoreChanges(Address from, std::uint64_t after)
+asio::awaitable<Result<StoreChangesReply>> HostExchange::pullStoreChanges(Address from, StorePosition after)
 {
     PullStoreChanges request;
     request.after = after;
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -32,7 +32,7 @@
 
     // Handles a notice of the key-value store sent by a host of this data centre.
     using StoreNoticeHandler = std::function<void(const Address& from, const StoreNotice&)>;
-    using ChangeSource = std::function<StoreChangesReply(std::uint64_t after)>;
+    using ChangeSource = std::function<StoreChangesReply(StorePosition after)>;
 
     // Sets the handler for notices of the key-value store, and the source of the changes that other hosts request. Call before
     // start().
@@ -41,8 +41,8 @@
     // Sends a notice of the key-value store to the hosts of this data centre.
     void announceStore(const StoreNotice& notice) { m_datagrams.sendToAll(m_dataCentreHosts, notice); }
 
-    // Requests the changes in the key-value store after a revision from a host.
-    boost::asio::awaitable<Result<StoreChangesReply>> pullStoreChanges(Address, std::uint64_t after);
+    // Requests the changes in the key-value store after a position from a host.
+    boost::asio::awaitable<Result<StoreChangesReply>> pullStoreChanges(Address, StorePosition after);
 
     // Number of hosts known to be in this data centre, including this one.
     std::size_t dataCentreHostCount() const { return m_dataCentreHosts.size() + 1; }
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chiveshelf/keyvalue/StorePosition.h"
 #include "chiveshelf/peer/DatagramChannel.h"
 #include "chiveshelf/peer/MessageType.h"
 #include "chiveshelf/placement/OutstandingWork.h"
@@ -331,13 +332,13 @@
 };
 
 // Sent by a host that watches the key-value store to the other hosts of its data centre after each answer of the store: the
-// store's revision, and the changes since an earlier revision if they fit.
+// store's position, and the changes since an earlier position if they fit.
 struct StoreNotice {
     static constexpr peer::DatagramType datagramType = peer::DatagramType::StoreNotice;
 
     std::uint64_t host = 0;
-    std::uint64_t fromRevision = 0;
-    std::uint64_t toRevision = 0;
+    StorePosition from;
+    StorePosition to;
     // If false, receivers request the changes with PullStoreChanges.
     bool hasChanges = false;
     std::vector<RelayedChange> changes;
@@ -345,29 +346,29 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(host, fromRevision, toRevision, hasChanges, changes);
+        archive(host, from, to, hasChanges, changes);
     }
 };
 
 // The requested changes; incomplete if the answering host no longer has all of them.
 struct StoreChangesReply {
     bool isComplete = false;
-    std::uint64_t revision = 0;
+    StorePosition position;
     std::vector<RelayedChange> changes;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(isComplete, revision, changes);
+        archive(isComplete, position, changes);
     }
 };
 
-// Requests the changes in the key-value store after a revision.
+// Requests the changes in the key-value store after a position.
 struct PullStoreChanges {
     static constexpr peer::MessageType messageType = peer::MessageType::PullStoreChanges;
     using Reply = StoreChangesReply;
 
-    std::uint64_t after = 0;
+    StorePosition after;
 
     template <typename Archive>
     void serialize(Archive& archive)
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -28,7 +28,8 @@
     constexpr std::chrono::milliseconds maxAnswerDelay { 600 };
     // Interval at which a host that doesn't watch checks whether it has to.
     constexpr std::chrono::milliseconds electionCheckInterval { 50 };
-    // Hosts that missed changes request them after a random delay up to this.
+    // Hosts that missed changes request them after a random delay up to this. Hosts that learn from others that the store was restored
+    // read it after such a delay.
     constexpr std::chrono::milliseconds maxPullDelay { 80 };
     constexpr std::size_t largeFleetHosts = 20;
     // Delays after failed calls. Failed calls count against the rate limit of the store, but hosts must be up to date within seconds
@@ -58,7 +59,8 @@
 void StoreFollower::start()
 {
     m_exchange.setStoreHandlers([this](const Address& from, const StoreNotice& notice) { onStoreNotice(from, notice); },
-        [this](std::uint64_t after) { return changesAfter(after); });
+        [this](StorePosition after) { return changesAfter(after); });
+    m_store.setEraHandler([this](StoreEra era) { onRestored(era); });
     spawnLoop(m_context, "store_follower.run", [this] { return run(); });
     spawnLoop(m_context, "store_follower.expire_loop", [this] { return expireLoop(); });
 }
@@ -77,26 +79,25 @@
 {
     m_isReadingAll = false;
     while (!m_isStopped) {
-        if (m_mustRead) {
-            m_isReadingAll = true;
-            const auto revision = co_await readAll();
-            m_isReadingAll = false;
-            if (revision) {
-                m_revision = *revision;
-                m_mustRead = false;
-            } else {
-                if (!m_hasRead && m_state.tablesVersion() == 0)
-                    co_await m_exchange.pullFromContacts();
-                co_await pauseBeforeRetry();
-            }
-        } else if (mustWatch()) {
+        if (!m_isReadingAll && m_cursor.mustRead())
+            co_await readOrPause();
+        else if (!m_isReadingAll && mustWatch())
             co_await follow();
-        } else {
+        else
             co_await sleep(electionCheckInterval);
-        }
     }
 }
 
+asio::awaitable<void> StoreFollower::readOrPause()
+{
+    const bool isDone = co_await readAll();
+    if (isDone)
+        co_return;
+    if (!m_hasRead && m_state.tablesVersion() == 0)
+        co_await m_exchange.pullFromContacts();
+    co_await pauseBeforeRetry();
+}
+
 asio::awaitable<void> StoreFollower::sleep(std::chrono::milliseconds duration)
 {
     asio::steady_timer timer(m_context, duration);
@@ -104,6 +105,11 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
+asio::awaitable<void> StoreFollower::sleepUpTo(std::chrono::milliseconds limit)
+{
+    return sleep(std::chrono::milliseconds(static_cast<std::int64_t>(m_state.random() * static_cast<double>(limit.count()))));
+}
+
 asio::awaitable<void> StoreFollower::expireLoop()
 {
     while (!m_isStopped) {
@@ -120,10 +126,25 @@
     m_retryDelay = std::min(m_retryDelay * 2, maxRetryDelay);
 }
 
-asio::awaitable<std::optional<Revision>> StoreFollower::readAll()
+asio::awaitable<bool> StoreFollower::readAll()
+{
+    m_isReadingAll = true;
+    const auto pages = co_await readPages();
+    m_isReadingAll = false;
+    const auto previous = m_cursor.position();
+    if (!pages || !m_cursor.finishRead(pages->first))
+        co_return false;
+    const auto& [position, items] = *pages;
+    onContact();
+    logEvent(LogLevel::Info, "store_read", { { "era", position.era }, { "revision", position.revision }, { "previous_era", previous.era }, { "previous_revision", previous.revision }, { "items", items.size() } });
+    applyAll(items);
+    m_hasRead = true;
+    co_return true;
+}
+
+asio::awaitable<std::optional<std::pair<StorePosition, std::vector<StoredItem>>>> StoreFollower::readPages()
 {
-    std::vector<StoredItem> items;
-    std::optional<Revision> first;
+    std::pair<StorePosition, std::vector<StoredItem>> out;
     std::string after;
     while (true) {
         const auto page = co_await m_store.read("", after);
@@ -131,19 +152,31 @@
             onFailure(page.error(), "read");
             co_return std::nullopt;
         }
-        // Later pages may hold newer items; the watch from the first page's revision returns these changes again.
-        if (!first)
-            first = page->revision;
-        items.insert(items.end(), page->items.begin(), page->items.end());
+        // Later pages may hold newer items; the watch from the first page's position returns these changes again.
+        if (after.empty())
+            out.first = page->position;
+        else if (page->position.era != out.first.era)
+            co_return std::nullopt;
+        out.second.insert(out.second.end(), page->items.begin(), page->items.end());
         if (!page->hasMore || page->items.empty())
-            break;
+            co_return out;
         after = page->items.back().key;
     }
-    onContact();
-    logEvent(LogLevel::Info, "store_read", { { "era", m_store.era() }, { "revision", *first }, { "previous_revision", m_revision }, { "items", items.size() } });
-    applyAll(items);
-    m_hasRead = true;
-    co_return first;
+}
+
+void StoreFollower::onRestored(StoreEra era)
+{
+    m_cursor.noteEra(era);
+    // A pending watch may outlast the restore by seconds.
+    if (m_hasRead && m_cursor.mustRead())
+        spawnTask(m_context, "store_follower.read_restored", readRestored());
+}
+
+asio::awaitable<void> StoreFollower::readRestored()
+{
+    co_await sleepUpTo(maxPullDelay);
+    if (!m_isStopped && !m_isReadingAll && m_cursor.mustRead())
+        co_await readAll();
 }
 
 // Watches the store until a call fails or this host no longer has to watch.
@@ -152,24 +185,27 @@
     // The first watch is short, so that the others soon learn that this host watches. A watch may report that the history was
     // lost only at its end.
     auto wait = isRelaying() ? firstWatchTimeout : watchTimeout;
-    while (!m_isStopped && !m_mustRead && mustWatch()) {
-        const auto from = m_revision;
+    while (!m_isStopped && !m_isReadingAll && !m_cursor.mustRead() && mustWatch()) {
+        const auto from = m_cursor.position();
         const auto before = bootTime();
         const auto batch = co_await m_store.watch("", from, wait);
         if (!batch) {
             if (batch.error().code == ErrorCode::NotFound)
-                logEvent(LogLevel::Info, "store_history_lost", { { "revision", from } });
+                logEvent(LogLevel::Info, "store_history_lost", { { "era", from.era }, { "revision", from.revision } });
             else
                 onFailure(batch.error(), "watch");
             // The history may be lost when a watch is interrupted; only a full read returns the missed changes at once.
-            m_mustRead = true;
+            if (m_cursor.position().era == from.era)
+                m_cursor.requireRead();
             if (batch.error().code != ErrorCode::NotFound)
                 co_await pauseBeforeRetry();
             co_return;
         }
         onContact();
+        if (!m_cursor.continues(from, batch->position))
+            continue;
         applyBatch(*batch);
-        m_log.add(from, batch->revision, batch->changes);
+        m_log.add(from, batch->position, batch->changes);
         // If this process was suspended, the answer may have been waiting for long and must not be announced as current.
         if (bootTime() - before <= wait + maxAnswerDelay)
             announce(from, *batch);
@@ -187,17 +223,17 @@
 {
     bool hasChanged = false;
     for (const auto& change : batch.changes) {
-        if (change.item.revision <= m_revision)
+        if (change.item.revision <= m_cursor.position().revision)
             continue;
         apply(change);
         hasChanged = true;
     }
-    m_revision = std::max(m_revision, batch.revision);
+    m_cursor.advance(batch.position);
     if (hasChanged)
         finishChanges();
 }
 
-void StoreFollower::announce(Revision from, const ChangeBatch& batch)
+void StoreFollower::announce(StorePosition from, const ChangeBatch& batch)
 {
     if (!isRelaying())
         return;
@@ -207,19 +243,23 @@
 
 void StoreFollower::onStoreNotice(const Address& from, const StoreNotice& notice)
 {
-    if (!m_hasRead || m_isReadingAll || notice.toRevision < m_revision)
+    const auto step = m_cursor.onNotice(notice.from, notice.to, notice.hasChanges);
+    if (!m_hasRead || m_isReadingAll || step == StoreCursor::Step::Ignore)
+        return;
+    if (step == StoreCursor::Step::Read) {
+        onRestored(notice.to.era);
         return;
-    const bool isNewer = notice.toRevision > m_revision;
-    if (isNewer && (!notice.hasChanges || notice.fromRevision > m_revision)) {
+    }
+    if (step == StoreCursor::Step::Request) {
         if (!std::exchange(m_isPullingChanges, true))
             spawnTask(m_context, "store_follower.pull_changes", pullChanges(from));
         return;
     }
     onCurrentNotice(notice.host);
-    if (!isNewer)
+    if (step == StoreCursor::Step::Confirm)
         return;
-    const ChangeBatch batch { toItemChanges(notice.changes), notice.toRevision };
-    m_log.add(notice.fromRevision, batch.revision, batch.changes);
+    const ChangeBatch batch { toItemChanges(notice.changes), notice.to };
+    m_log.add(notice.from, batch.position, batch.changes);
     applyBatch(batch);
 }
 
@@ -227,34 +267,34 @@
 {
     m_election.onNotice(host, now());
     onContact();
-    // The notice covers all changes up to its revision, even if this host's own calls failed.
-    m_mustRead = false;
+    // The notice covers all changes up to its position, even if this host's own calls failed.
+    m_cursor.confirm();
 }
 
-StoreChangesReply StoreFollower::changesAfter(Revision after) const
+StoreChangesReply StoreFollower::changesAfter(StorePosition after) const
 {
     const auto batch = m_log.since(after);
     if (!batch)
         return {};
-    return { true, batch->revision, toRelayedChanges(batch->changes) };
+    return { true, batch->position, toRelayedChanges(batch->changes) };
 }
 
 asio::awaitable<void> StoreFollower::pullChanges(Address from)
 {
     // Spreads the requests of hosts that missed the same changes.
-    co_await sleep(std::chrono::milliseconds(static_cast<std::int64_t>(m_state.random() * static_cast<double>(maxPullDelay.count()))));
-    const auto after = m_revision;
+    co_await sleepUpTo(maxPullDelay);
+    const auto after = m_cursor.position();
     const auto reply = co_await m_exchange.pullStoreChanges(std::move(from), after);
     m_isPullingChanges = false;
     // This host's own read or watch was faster.
-    if (m_isReadingAll || m_revision != after)
+    if (m_isReadingAll || m_cursor.position() != after)
         co_return;
-    if (!reply || !reply->isComplete) {
-        m_mustRead = true;
+    if (!reply || !reply->isComplete || !m_cursor.continues(after, reply->position)) {
+        m_cursor.requireRead();
         co_return;
     }
-    const ChangeBatch batch { toItemChanges(reply->changes), reply->revision };
-    m_log.add(after, batch.revision, batch.changes);
+    const ChangeBatch batch { toItemChanges(reply->changes), reply->position };
+    m_log.add(after, batch.position, batch.changes);
     applyBatch(batch);
 }
 
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.h
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.h
@@ -2,6 +2,7 @@
 
 #include "chiveshelf/gateway/ChangeLog.h"
 #include "chiveshelf/gateway/HostExchange.h"
+#include "chiveshelf/gateway/StoreCursor.h"
 #include "chiveshelf/gateway/WatcherElection.h"
 #include "platform/StoreClient.h"
 
@@ -12,7 +13,8 @@
 // Keeps the serving state up to date with the key-value store by a full read followed by long-polling watches. In a data centre
 // with enough hosts only a few watch and relay the changes to the others; see WatcherElection.
 //
-// Failed calls are retried with a growing delay. If the store's history is lost, everything is read again. Until the first read
+// Failed calls are retried with a growing delay. If the store's history is lost or the store was restored from an older copy, everything
+// is read again. Until the first read
 // succeeds, the contacts are asked for tables. A host that missed relayed changes requests them from the sender, and reads
 // everything if the sender no longer has them.
 class StoreFollower {
@@ -36,8 +38,8 @@
     // Applies a notice of a host that watches the store, or requests the changes that it lacks from that host.
     void onStoreNotice(const Address& from, const StoreNotice&);
 
-    // Returns the changes after a revision, for a host that missed them; incomplete if not all of them are known.
-    StoreChangesReply changesAfter(Revision) const;
+    // Returns the changes after a position, for a host that missed them; incomplete if not all of them are known.
+    StoreChangesReply changesAfter(StorePosition) const;
 
     // Applies items received from a peer, unless this host has already read the store.
     void applyRelayedItems(const std::vector<std::pair<std::string, std::string>>&);
@@ -45,8 +47,8 @@
     // Applies tables received from a peer if they are newer than the current ones.
     void applyRelayedTables(const std::string& text);
 
-    // All changes up to this revision are known.
-    Revision revision() const { return m_revision; }
+    // All changes up to this position are known.
+    StorePosition position() const { return m_cursor.position(); }
 
     // Whether the last call to the store succeeded.
     bool isInContact() const { return m_isInContact; }
@@ -54,17 +56,27 @@
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> expireLoop();
-    boost::asio::awaitable<std::optional<Revision>> readAll();
+    // Reads and applies all items. Returns whether that succeeded.
+    boost::asio::awaitable<bool> readAll();
+    // The same, and after a failure gets tables from a contact if there are none, and waits.
+    boost::asio::awaitable<void> readOrPause();
+    // Returns all items and the position of the first page, or nothing if a call failed.
+    boost::asio::awaitable<std::optional<std::pair<StorePosition, std::vector<StoredItem>>>> readPages();
+    // Handles the news that the store was restored from an older copy.
+    void onRestored(StoreEra);
+    boost::asio::awaitable<void> readRestored();
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<void> pullChanges(Address from);
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds);
+    // Sleeps for a random time below the limit.
+    boost::asio::awaitable<void> sleepUpTo(std::chrono::milliseconds limit);
     // Whether the data centre has enough hosts for only some of them to watch the store and relay its changes.
     bool isRelaying() const;
     bool mustWatch() const;
-    // Applies the changes newer than `m_revision` and raises it to the batch's revision.
+    // Applies the changes after the known position and moves it to the batch's.
     void applyBatch(const ChangeBatch&);
     // Sends the changes after `from`, or the absence of changes, to the other hosts of the data centre.
-    void announce(Revision from, const ChangeBatch&);
+    void announce(StorePosition from, const ChangeBatch&);
     // Handles a notice of `host` that leaves no gap after the changes already known.
     void onCurrentNotice(std::uint64_t host);
     boost::asio::awaitable<void> pauseBeforeRetry();
@@ -87,9 +99,7 @@
     TimePoint m_leaderKeyFreeSince {};
     WatcherElection m_election;
     ChangeLog m_log;
-    Revision m_revision = 0;
-    // Whether a full read is needed because changes may have been missed.
-    bool m_mustRead = true;
+    StoreCursor m_cursor;
     bool m_isReadingAll = false;
     bool m_isPullingChanges = false;
     bool m_isInContact = false;
--- a/packages/gateway/chiveshelf/gateway/StoreLease.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreLease.cpp
@@ -94,7 +94,7 @@
         co_return false;
     }
     m_lease = *lease;
-    m_fencingToken = *written;
+    m_fencingToken = written->revision;
     m_validUntil = before + m_options.timeToLive;
     m_heldSince = bootTime();
     m_hasKey = true;
--- a/packages/gateway/chiveshelf/gateway/StoreNotices.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreNotices.cpp
@@ -37,7 +37,7 @@
     return out;
 }
 
-std::vector<StoreNotice> makeStoreNotices(std::uint64_t host, Revision from, const ChangeBatch& batch)
+std::vector<StoreNotice> makeStoreNotices(std::uint64_t host, StorePosition from, const ChangeBatch& batch)
 {
     std::vector<StoreNotice> out;
     std::vector<ItemChange> pending;
@@ -48,7 +48,7 @@
         // Changes of one revision must not be split over two notices.
         const bool isFull = n + size > maxNoticeBytes && !pending.empty() && pending.back().item.revision < change.item.revision;
         if (isFull) {
-            const auto end = pending.back().item.revision;
+            const StorePosition end { from.era, pending.back().item.revision };
             out.push_back({ host, begin, end, true, toRelayedChanges(pending) });
             begin = end;
             pending.clear();
@@ -57,9 +57,9 @@
         pending.push_back(change);
         n += size;
         if (n > maxNoticeBytes || out.size() >= maxNotices)
-            return { StoreNotice { host, from, batch.revision, false, {} } };
+            return { StoreNotice { host, from, batch.position, false, {} } };
     }
-    out.push_back({ host, begin, batch.revision, true, toRelayedChanges(pending) });
+    out.push_back({ host, begin, batch.position, true, toRelayedChanges(pending) });
     return out;
 }
 
--- a/packages/gateway/chiveshelf/gateway/StoreNotices.h
+++ b/packages/gateway/chiveshelf/gateway/StoreNotices.h
@@ -10,9 +10,9 @@
 std::vector<RelayedChange> toRelayedChanges(const std::vector<ItemChange>&);
 std::vector<ItemChange> toItemChanges(const std::vector<RelayedChange>&);
 
-// Returns the notices for the changes after `from`: one without changes if there are none, otherwise as many as needed, each
-// starting at the revision where the one before ended. If the changes are too long or too many, returns a single notice with the
+// Returns the notices for the changes after `from`, which is of the batch's era: one without changes if there are none, otherwise as many as needed, each
+// starting at the position where the one before ended. If the changes are too long or too many, returns a single notice with the
 // revisions only, and receivers request the changes.
-std::vector<StoreNotice> makeStoreNotices(std::uint64_t host, Revision from, const ChangeBatch&);
+std::vector<StoreNotice> makeStoreNotices(std::uint64_t host, StorePosition from, const ChangeBatch&);
 
 }
--- a/packages/keyvalue/chiveshelf/keyvalue/ItemStore.h
+++ b/packages/keyvalue/chiveshelf/keyvalue/ItemStore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "chiveshelf/keyvalue/KeyValueStore.h"
+#include "chiveshelf/keyvalue/StorePosition.h"
 
 namespace chiveshelf {
 
@@ -8,7 +8,7 @@
 struct StoredItem {
     std::string key;
     std::string value;
-    // Revision of its last change.
+    // Revision of its last change, in the era of the answer that it came with.
     Revision revision = 0;
 
     auto operator<=>(const StoredItem&) const = default;
@@ -22,18 +22,18 @@
     auto operator<=>(const ItemChange&) const = default;
 };
 
-// One page of the items under a prefix. The pages together are not a consistent snapshot, so a watch has to start at the revision
-// of the first page.
+// One page of the items under a prefix. The pages together are not a consistent snapshot, so a watch has to start at the position of
+// the first page. Pages of different eras don't belong together.
 struct ItemPage {
     std::vector<StoredItem> items;
     bool hasMore = false;
-    Revision revision = 0;
+    StorePosition position;
 };
 
-// Ordered changes after a revision, and the revision at which to continue.
+// Ordered changes after a position, and the position at which to continue.
 struct ChangeBatch {
     std::vector<ItemChange> changes;
-    Revision revision = 0;
+    StorePosition position;
 };
 
 // Condition of a write: the key has this revision, or does not exist if the revision is 0.
@@ -54,21 +54,21 @@
 };
 
 // Key-value store with prefix reads, prefix watches, conditional writes and leases. watch() fails with NotFound if the store no
-// longer has the changes after the given revision. write() fails with Conflict and NotRun if a condition does not hold, with
+// longer has the changes after the given position, or was restored since. write() fails with Conflict and NotRun if a condition does not hold, with
 // NotFound if the lease has expired, and with MayHaveRun if the response was lost.
 template <typename T>
-concept ItemStore = requires(T& store, std::string text, Revision revision, LeaseId lease, std::chrono::milliseconds duration,
+concept ItemStore = requires(T& store, std::string text, StorePosition position, LeaseId lease, std::chrono::milliseconds duration,
     std::vector<KeyCondition> conditions, std::vector<KeyWrite> writes)
 {
     {
         store.read(text, text)
         } -> std::same_as<boost::asio::awaitable<Result<ItemPage>>>;
     {
-        store.watch(text, revision, duration)
+        store.watch(text, position, duration)
         } -> std::same_as<boost::asio::awaitable<Result<ChangeBatch>>>;
     {
         store.write(conditions, writes)
-        } -> std::same_as<boost::asio::awaitable<Result<Revision>>>;
+        } -> std::same_as<boost::asio::awaitable<Result<StorePosition>>>;
     {
         store.grantLease(duration)
         } -> std::same_as<boost::asio::awaitable<Result<LeaseId>>>;
--- a/tests/unit/gateway/StoreRelayTest.cpp
+++ b/tests/unit/gateway/StoreRelayTest.cpp
@@ -14,6 +14,11 @@
 
 const TimePoint start = TimePoint() + seconds(100);
 
+StorePosition at(Revision revision, StoreEra era = 1)
+{
+    return { era, revision };
+}
+
 ItemChange change(Revision revision, std::size_t bytes = 10)
 {
     return { StoredItem { "servers/r" + std::to_string(revision), std::string(bytes, 'x'), revision }, false };
@@ -141,6 +146,7 @@
     CPPUNIT_TEST(changesSinceRevisionAreReturnedInOrder);
     CPPUNIT_TEST(changesSinceUnknownRevisionAreNotReturned);
     CPPUNIT_TEST(gapInRevisionsDropsOlderChanges);
+    CPPUNIT_TEST(changesOfEarlierEraAreDropped);
     CPPUNIT_TEST(changesBeyondByteLimitAreDropped);
     CPPUNIT_TEST(noticesOfLargeBatchHaveContiguousRevisions);
     CPPUNIT_TEST(changeOverNoticeSizeIsAnnouncedWithoutContent);
@@ -150,11 +156,11 @@
     void changesSinceRevisionAreReturnedInOrder()
     {
         ChangeLog log;
-        log.add(10, 12, { change(11), change(12) });
-        log.add(12, 15, { change(15) });
-        const auto batch = log.since(11);
+        log.add(at(10), at(12), { change(11), change(12) });
+        log.add(at(12), at(15), { change(15) });
+        const auto batch = log.since(at(11));
         CPPUNIT_ASSERT(batch);
-        CPPUNIT_ASSERT_EQUAL(Revision(15), batch->revision);
+        CPPUNIT_ASSERT(at(15) == batch->position);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), batch->changes.size());
         CPPUNIT_ASSERT_EQUAL(Revision(12), batch->changes.front().item.revision);
     }
@@ -163,31 +169,42 @@
     void changesSinceUnknownRevisionAreNotReturned()
     {
         ChangeLog log;
-        CPPUNIT_ASSERT(!log.since(0));
-        log.add(10, 12, { change(11) });
-        CPPUNIT_ASSERT(!log.since(9));
-        CPPUNIT_ASSERT(!log.since(13));
-        CPPUNIT_ASSERT(log.since(10));
-        CPPUNIT_ASSERT(log.since(12));
+        CPPUNIT_ASSERT(!log.since(at(0)));
+        log.add(at(10), at(12), { change(11) });
+        CPPUNIT_ASSERT(!log.since(at(9)));
+        CPPUNIT_ASSERT(!log.since(at(13)));
+        CPPUNIT_ASSERT(log.since(at(10)));
+        CPPUNIT_ASSERT(log.since(at(12)));
     }
 
     void gapInRevisionsDropsOlderChanges()
     {
         ChangeLog log;
-        log.add(10, 12, { change(11) });
-        log.add(14, 15, { change(15) });
-        CPPUNIT_ASSERT(!log.since(11));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), log.since(14)->changes.size());
+        log.add(at(10), at(12), { change(11) });
+        log.add(at(14), at(15), { change(15) });
+        CPPUNIT_ASSERT(!log.since(at(11)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), log.since(at(14))->changes.size());
+    }
+
+    // The store gives out the same revisions again after it was restored.
+    void changesOfEarlierEraAreDropped()
+    {
+        ChangeLog log;
+        log.add(at(10), at(12), { change(11) });
+        log.add(at(10, 2), at(11, 2), { change(11) });
+        CPPUNIT_ASSERT(!log.since(at(10)));
+        CPPUNIT_ASSERT(!log.since(at(11)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), log.since(at(10, 2))->changes.size());
     }
 
     void changesBeyondByteLimitAreDropped()
     {
         ChangeLog log;
         for (Revision it = 1; it <= 10; ++it)
-            log.add(it - 1, it, { change(it, ChangeLog::maxBytes / 4) });
-        CPPUNIT_ASSERT(!log.since(0));
-        CPPUNIT_ASSERT(log.since(8));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), log.since(8)->changes.size());
+            log.add(at(it - 1), at(it), { change(it, ChangeLog::maxBytes / 4) });
+        CPPUNIT_ASSERT(!log.since(at(0)));
+        CPPUNIT_ASSERT(log.since(at(8)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), log.since(at(8))->changes.size());
     }
 
     void noticesOfLargeBatchHaveContiguousRevisions()
@@ -195,16 +212,16 @@
         ChangeBatch batch;
         for (Revision it = 11; it <= 30; ++it)
             batch.changes.push_back(change(it, 250));
-        batch.revision = 32;
-        const auto notices = makeStoreNotices(7, 10, batch);
+        batch.position = at(32);
+        const auto notices = makeStoreNotices(7, at(10), batch);
         CPPUNIT_ASSERT(notices.size() > 1);
         Revision expectedRevision = 10;
         std::size_t n = 0;
         for (const auto& notice : notices) {
-            CPPUNIT_ASSERT_EQUAL(expectedRevision, notice.fromRevision);
+            CPPUNIT_ASSERT(at(expectedRevision) == notice.from);
             CPPUNIT_ASSERT(notice.hasChanges);
             CPPUNIT_ASSERT(peer::encode(notice).size() < 1'400);
-            expectedRevision = notice.toRevision;
+            expectedRevision = notice.to.revision;
             n += notice.changes.size();
         }
         CPPUNIT_ASSERT_EQUAL(Revision(32), expectedRevision);
@@ -213,10 +230,10 @@
 
     void changeOverNoticeSizeIsAnnouncedWithoutContent()
     {
-        const auto notices = makeStoreNotices(7, 10, { { change(11), change(12, 5'000) }, 12 });
+        const auto notices = makeStoreNotices(7, at(10), { { change(11), change(12, 5'000) }, at(12) });
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), notices.size());
         CPPUNIT_ASSERT(!notices.front().hasChanges);
-        CPPUNIT_ASSERT_EQUAL(Revision(12), notices.front().toRevision);
+        CPPUNIT_ASSERT(at(12) == notices.front().to);
     }
 };
 
