Bind leases to the era in which they were granted

After the store came back from an older copy, a host could be missing in it for good, or lose its key to another host's stop: lease numbers are given out again, and a renewal of a number that is now another holder's succeeds, while an end of it removes that holder's keys.

A GrantedLease holds era and number. It is lost once the store tells a later era; its holder acquires its key anew. A key that was written under a lease of an earlier era is removed again.

--- a/packages/gateway/chiveshelf/gateway/StoreLease.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreLease.cpp
@@ -37,14 +37,14 @@
 asio::awaitable<void> StoreLease::stop()
 {
     m_isStopped = true;
-    if (m_lease != 0)
+    if (m_lease.number != 0)
         co_await m_store.endLease(m_lease);
     lose("stopped");
 }
 
 bool StoreLease::isHeld(std::chrono::milliseconds margin) const
 {
-    return m_hasKey && bootTime() + margin < m_validUntil;
+    return m_hasKey && m_lease.era == m_store.era() && bootTime() + margin < m_validUntil;
 }
 
 std::chrono::milliseconds StoreLease::heldFor() const
@@ -87,12 +87,16 @@
         conditions.push_back({ m_options.key, 0 });
     std::vector<KeyWrite> writes;
     writes.push_back({ m_options.key, m_options.value, *lease });
-    const auto written = co_await m_store.write(conditions, writes);
+    const auto written = co_await m_store.write(std::move(conditions), std::move(writes));
     if (!written) {
         // The store may still apply the write; ending the lease then removes the key.
         co_await m_store.endLease(*lease);
         co_return false;
     }
+    if (written->era != lease->era) {
+        co_await undoWrite(*written);
+        co_return false;
+    }
     m_lease = *lease;
     m_fencingToken = written->revision;
     m_validUntil = before + m_options.timeToLive;
@@ -102,6 +106,15 @@
     co_return true;
 }
 
+asio::awaitable<void> StoreLease::undoWrite(StorePosition written)
+{
+    std::vector<KeyCondition> conditions { { m_options.key, written.revision } };
+    std::vector<std::string> removals { m_options.key };
+    std::vector<KeyWrite> none;
+    const auto removed = co_await m_store.write(std::move(conditions), std::move(none), std::move(removals));
+    logEvent(LogLevel::Warning, "lease_of_earlier_era", { { "key", m_options.key }, { "removed", removed ? "yes" : "no" } });
+}
+
 asio::awaitable<bool> StoreLease::renew()
 {
     const auto before = bootTime();
@@ -111,7 +124,7 @@
         co_return true;
     }
     if (renewed.error().code == ErrorCode::NotFound)
-        lose("ended");
+        lose(m_lease.era < m_store.era() ? "store restored" : "ended");
     else if (m_options.isExclusive && bootTime() > m_validUntil)
         lose("not renewed in time");
     co_return false;
@@ -122,7 +135,7 @@
     if (m_hasKey)
         logEvent(LogLevel::Info, "lease_lost", { { "key", m_options.key }, { "reason", reason } });
     m_hasKey = false;
-    m_lease = 0;
+    m_lease = {};
 }
 
 }
--- a/packages/gateway/chiveshelf/gateway/StoreLease.h
+++ b/packages/gateway/chiveshelf/gateway/StoreLease.h
@@ -11,7 +11,8 @@
 
 namespace chiveshelf {
 
-// Holds one key of the key-value store under a lease, so that the store removes it soon after this process ends or hangs.
+// Holds one key of the key-value store under a lease, so that the store removes it soon after this process ends or hangs. A lease is
+// lost when the store is restored from an older copy: the copy may lack it, and its number may be another holder's.
 class StoreLease {
 public:
     struct Options {
@@ -49,13 +50,15 @@
     boost::asio::awaitable<bool> acquire();
     boost::asio::awaitable<bool> renew();
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds);
+    // Removes a key that was written under a lease of another era, and so perhaps under another holder's lease.
+    boost::asio::awaitable<void> undoWrite(StorePosition);
     void lose(std::string_view reason);
 
     boost::asio::io_context& m_context;
     platform::StoreClient& m_store;
     Options m_options;
     std::function<bool()> m_mayAcquire;
-    LeaseId m_lease = 0;
+    GrantedLease m_lease;
     Revision m_fencingToken = 0;
     // Times of bootTime(), which includes time in which the machine was suspended.
     std::chrono::nanoseconds m_validUntil { 0 };
--- a/packages/keyvalue/chiveshelf/keyvalue/ItemStore.h
+++ b/packages/keyvalue/chiveshelf/keyvalue/ItemStore.h
@@ -44,21 +44,23 @@
     auto operator<=>(const KeyCondition&) const = default;
 };
 
-// A write of one key. With `lease` 0 the item is not bound to a lease and exists until it is removed.
+// A write of one key. Without a lease the item exists until it is removed.
 struct KeyWrite {
     std::string key;
     std::string value;
-    LeaseId lease = 0;
+    GrantedLease lease {};
 
     auto operator<=>(const KeyWrite&) const = default;
 };
 
 // Key-value store with prefix reads, prefix watches, conditional writes and leases. watch() fails with NotFound if the store no
 // longer has the changes after the given position, or was restored since. write() fails with Conflict and NotRun if a condition does not hold, with
-// NotFound if the lease has expired, and with MayHaveRun if the response was lost.
+// NotFound if the lease has expired, and with MayHaveRun if the response was lost. A write that was executed in a later era than that of
+// its lease may have bound its keys to the lease of another holder; the returned position shows it. keepAlive() and endLease() fail with
+// NotFound if the lease has ended or is of an earlier era than the store.
 template <typename T>
-concept ItemStore = requires(T& store, std::string text, StorePosition position, LeaseId lease, std::chrono::milliseconds duration,
-    std::vector<KeyCondition> conditions, std::vector<KeyWrite> writes)
+concept ItemStore = requires(T& store, std::string text, StorePosition position, GrantedLease lease, std::chrono::milliseconds duration,
+    std::vector<KeyCondition> conditions, std::vector<KeyWrite> writes, std::vector<std::string> removals)
 {
     {
         store.read(text, text)
@@ -67,11 +69,11 @@
         store.watch(text, position, duration)
         } -> std::same_as<boost::asio::awaitable<Result<ChangeBatch>>>;
     {
-        store.write(conditions, writes)
+        store.write(conditions, writes, removals)
         } -> std::same_as<boost::asio::awaitable<Result<StorePosition>>>;
     {
         store.grantLease(duration)
-        } -> std::same_as<boost::asio::awaitable<Result<LeaseId>>>;
+        } -> std::same_as<boost::asio::awaitable<Result<GrantedLease>>>;
     {
         store.keepAlive(lease)
         } -> std::same_as<boost::asio::awaitable<Result<void>>>;
--- a/packages/keyvalue/chiveshelf/keyvalue/StorePosition.h
+++ b/packages/keyvalue/chiveshelf/keyvalue/StorePosition.h
@@ -25,4 +25,13 @@
     }
 };
 
+// A lease that an ItemStore granted. In a later era its number may belong to another holder.
+struct GrantedLease {
+    StoreEra era = 0;
+    // 0 means no lease.
+    LeaseId number = 0;
+
+    auto operator<=>(const GrantedLease&) const = default;
+};
+
 }
--- a/tests/support/FakePlatform.cpp
+++ b/tests/support/FakePlatform.cpp
@@ -54,6 +54,12 @@
     return it != m_state.items.end() && !it->second.isRemoved;
 }
 
+std::uint64_t Store::leaseOf(const std::string& key) const
+{
+    const auto it = m_state.items.find(key);
+    return it == m_state.items.end() ? 0 : it->second.lease;
+}
+
 void Store::abortWatches()
 {
     ++m_watchAborts;
--- a/tests/unit/restored/RestoredStoreTest.cpp
+++ b/tests/unit/restored/RestoredStoreTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(olderTablesOfTheCopyAreNotTaken);
     CPPUNIT_TEST(hostThatStartsIntoTheCopyTakesNewerTablesFromOthers);
     CPPUNIT_TEST(registrationWhoseLeaseNumberWasGivenOutAgainIsWrittenAnew);
+    CPPUNIT_TEST(keyIsNotLeftUnderLeaseThatWasGivenOutAgain);
     CPPUNIT_TEST(stopDoesNotEndLeaseThatWasGivenOutAgain);
     CPPUNIT_TEST(ordersAfterTheRestoreHaveHigherFencingTokens);
     CPPUNIT_TEST(ordersPauseAfterTheRestoreUntilFormerHolderIsSilent);
@@ -128,6 +129,20 @@
         CPPUNIT_ASSERT(m_store->contains("hosts/host"));
     }
 
+    // A lease may be granted before the restore and the key written after it, under what is now another holder's lease.
+    void keyIsNotLeftUnderLeaseThatWasGivenOutAgain()
+    {
+        addAnsweringRunner();
+        m_store->takeCopy();
+        m_store->delayNextAnswer("/kv-lease", milliseconds(400));
+        startGateway();
+        m_store->restore(Store::Watches::Kept);
+        const auto other = m_store->grantLease("hosts/other");
+        runFor(milliseconds(2'000));
+        CPPUNIT_ASSERT(m_store->contains("hosts/host"));
+        CPPUNIT_ASSERT(m_store->leaseOf("hosts/host") != other);
+    }
+
     void stopDoesNotEndLeaseThatWasGivenOutAgain()
     {
         addAnsweringRunner();
