Let fencing tokens rise and orders pause when the store is restored

Runners could get an order with a lower fencing token than before, and orders of two holders in turn: the token was the revision at which the lease was acquired, and revisions fall with a restore; and a successor could act while the former holder, who had not yet heard of the restore, still did.

The token is the position, era above revision. No host campaigns for the lease until a time to live has passed since it heard of the restore, after which no former holder acts by its own clock; the time between two holders follows as ever.

Failed before: ordersAfterTheRestoreHaveHigherFencingTokens, ordersPauseAfterTheRestoreUntilFormerHolderIsSilent. What remains: a host that has just started can't tell that the store was restored before its start; its pause is the time between two holders only.

--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
@@ -71,7 +71,7 @@
 
 bool RolloutLeader::mayCampaign() const
 {
-    if (m_isStopped || !m_follower.isInContact() || m_follower.hostItems().contains(std::string(leaderKey)))
+    if (m_isStopped || m_lease.mayHaveUnseenHolder() || !m_follower.isInContact() || m_follower.hostItems().contains(std::string(leaderKey)))
         return false;
     // The first host tries at once, the others only if none before them has acquired the lease.
     const auto position = static_cast<int>(std::min(m_exchange.rendezvousPosition(leaderKey), maxCampaignPosition));
--- a/packages/gateway/chiveshelf/gateway/StoreLease.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreLease.cpp
@@ -18,6 +18,9 @@
     constexpr std::chrono::milliseconds retryDelay { 400 };
     // Interval of checks whether the key may be acquired. A check makes no call to the store.
     constexpr std::chrono::milliseconds acquireCheckInterval { 60 };
+    // Bits of the revision in a fencing token. With the era above them it stays below 2^53, up to which JSON numbers are exact
+    // everywhere.
+    constexpr unsigned revisionBits = 40;
 
 }
 
@@ -47,6 +50,17 @@
     return m_hasKey && m_lease.era == m_store.era() && bootTime() + margin < m_validUntil;
 }
 
+std::uint64_t StoreLease::fencingToken() const
+{
+    return (m_acquiredAt.era << revisionBits) | m_acquiredAt.revision;
+}
+
+bool StoreLease::mayHaveUnseenHolder() const
+{
+    const auto restoredAt = m_store.restoredAt();
+    return restoredAt && bootTime() - *restoredAt < m_options.timeToLive;
+}
+
 std::chrono::milliseconds StoreLease::heldFor() const
 {
     if (!m_hasKey)
@@ -98,11 +112,11 @@
         co_return false;
     }
     m_lease = *lease;
-    m_fencingToken = written->revision;
+    m_acquiredAt = *written;
     m_validUntil = before + m_options.timeToLive;
     m_heldSince = bootTime();
     m_hasKey = true;
-    logEvent(LogLevel::Info, "lease_acquired", { { "key", m_options.key }, { "revision", m_fencingToken } });
+    logEvent(LogLevel::Info, "lease_acquired", { { "key", m_options.key }, { "era", m_acquiredAt.era }, { "revision", m_acquiredAt.revision } });
     co_return true;
 }
 
--- a/packages/gateway/chiveshelf/gateway/StoreLease.h
+++ b/packages/gateway/chiveshelf/gateway/StoreLease.h
@@ -39,8 +39,13 @@
     // renewal was sent and includes time in which the machine was suspended.
     bool isHeld(std::chrono::milliseconds margin) const;
 
-    // The revision of the store at which this host acquired the key. Each later holder has a higher one.
-    Revision fencingToken() const { return m_fencingToken; }
+    // The position of the store at which this host acquired the key, as a number. Each later holder has a higher one, also after the
+    // store was restored.
+    std::uint64_t fencingToken() const;
+
+    // Whether a holder from before a restore of the store may still act: it may not have heard of the restore, and goes on until its
+    // lease ends by its own clock.
+    bool mayHaveUnseenHolder() const;
 
     // How long the key has been held without interruption; 0 while it is not held.
     std::chrono::milliseconds heldFor() const;
@@ -59,7 +64,7 @@
     Options m_options;
     std::function<bool()> m_mayAcquire;
     GrantedLease m_lease;
-    Revision m_fencingToken = 0;
+    StorePosition m_acquiredAt;
     // Times of bootTime(), which includes time in which the machine was suspended.
     std::chrono::nanoseconds m_validUntil { 0 };
     std::chrono::nanoseconds m_heldSince { 0 };
