Never take back what is known of a runner when the store is restored

Requests went to runners that had left: a restored store lists the states of its copy, so that a runner whose leaving or removal was acknowledged was ready again. Runners that registered after the copy were dropped at once if the store was away for less than a second, though they register again within two.

After a restore missing entries get the grace time whatever the length of the outage. Hosts that started since the restore are told of the runners that left, for eight seconds.

--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -267,6 +267,12 @@
     }
 }
 
+void HostExchange::announceLeaving(const std::vector<std::uint32_t>& runners)
+{
+    for (const auto runner : runners)
+        sendToAll(LeavingNotice { runner });
+}
+
 void HostExchange::onLeaving(const LeavingNotice& notice)
 {
     const auto runner = m_state.backendDirectory().findByNumber(notice.runner);
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -71,6 +71,9 @@
     // Applies what an answer of a runner with this status states of its shutdown and of a pause, and tells all hosts of the shutdown.
     void applyAnswer(BackendState&, const platform::RunnerHeaders&, unsigned status);
 
+    // Tells all hosts that these runners leave or have left, by runnerNumber().
+    void announceLeaving(const std::vector<std::uint32_t>& runners);
+
     void announceRollout(const RunnerRecord&, const std::string& model, std::uint64_t version, bool isDone);
 
     // The evidence of crashed runners that the hosts share.
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -36,6 +36,10 @@
     // of its return.
     constexpr std::chrono::milliseconds minRetryDelay { 50 };
     constexpr std::chrono::milliseconds maxRetryDelay { 800 };
+    // How long and how often hosts that started after a restore are told of runners that have left. The store removes entries that are
+    // not renewed within seconds.
+    constexpr std::chrono::milliseconds leftRunnersTime { 8'000 };
+    constexpr std::chrono::milliseconds leftRunnersInterval { 800 };
     // Interval at which expired runners are removed.
     constexpr std::chrono::milliseconds expiryInterval { 200 };
 
@@ -117,9 +121,18 @@
         m_state.contactHistory().tick(bootTime());
         if (m_state.registry().expire(now()))
             m_state.refreshRunners();
+        announceLeftRunners();
     }
 }
 
+void StoreFollower::announceLeftRunners()
+{
+    if (m_leftRunners.empty() || now() > m_leftRunnersUntil || now() - m_leftRunnersToldAt < leftRunnersInterval)
+        return;
+    m_leftRunnersToldAt = now();
+    m_exchange.announceLeaving(m_leftRunners);
+}
+
 asio::awaitable<void> StoreFollower::pauseBeforeRetry()
 {
     co_await sleep(m_retryDelay);
@@ -136,6 +149,8 @@
         co_return false;
     const auto& [position, items] = *pages;
     onContact();
+    if (m_hasRead && previous.era < position.era)
+        m_state.registry().onRestored(now());
     logEvent(LogLevel::Info, "store_read", { { "era", position.era }, { "revision", position.revision }, { "previous_era", previous.era }, { "previous_revision", previous.revision }, { "items", items.size() } });
     applyAll(items);
     m_hasRead = true;
@@ -325,7 +340,11 @@
     m_relayItems.clear();
     for (const auto& item : items)
         applyDecoded(ItemChange { item, false }, &runners);
-    m_state.registry().replaceAll(runners, now());
+    const auto left = m_state.registry().replaceAll(runners, now());
+    m_leftRunners.clear();
+    for (const auto& record : left)
+        m_leftRunners.push_back(runnerNumber(record));
+    m_leftRunnersUntil = now() + leftRunnersTime;
     m_haveHostsChanged = true;
     finishChanges();
 }
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.h
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.h
@@ -82,6 +82,9 @@
     boost::asio::awaitable<void> pauseBeforeRetry();
     void apply(const ItemChange&);
     void applyAll(const std::vector<StoredItem>&);
+    // Tells all hosts of the runners that have left since the copy from which the store was restored. Hosts that started since then
+    // don't know of it.
+    void announceLeftRunners();
     void applyDecoded(const ItemChange&, std::vector<RunnerRecord>* runners);
     void finishChanges();
     // Logs a runner that is new, has restarted or leaves.
@@ -100,6 +103,10 @@
     WatcherElection m_election;
     ChangeLog m_log;
     StoreCursor m_cursor;
+    // Numbers of runners that the restored store lists although they leave or have left, and until when to tell other hosts.
+    std::vector<std::uint32_t> m_leftRunners;
+    TimePoint m_leftRunnersUntil {};
+    TimePoint m_leftRunnersToldAt {};
     bool m_isReadingAll = false;
     bool m_isPullingChanges = false;
     bool m_isInContact = false;
--- a/packages/keyvalue/chiveshelf/keyvalue/KeyValueStore.h
+++ b/packages/keyvalue/chiveshelf/keyvalue/KeyValueStore.h
@@ -15,7 +15,9 @@
 
 namespace chiveshelf {
 
-// Revision of the key-value service. Revisions are global and strictly increasing; 0 means that the key does not exist.
+// Revision of the key-value service. Revisions are global and strictly increasing; 0 means that the key does not exist. A KeyValueStore
+// never loses what it has acknowledged, and so never gives out a revision twice. An ItemStore may be restored from an older copy, after
+// which its revisions are only comparable within an era; see StorePosition.
 using Revision = std::uint64_t;
 using LeaseId = std::uint64_t;
 
--- a/packages/placement/chiveshelf/placement/RunnerRegistry.cpp
+++ b/packages/placement/chiveshelf/placement/RunnerRegistry.cpp
@@ -4,11 +4,42 @@
 
 namespace chiveshelf {
 
-void RunnerRegistry::put(RunnerRecord record)
+namespace {
+
+    // Whether an entry of a runner is older than another. Entries that don't tell their runner's start can't be compared.
+    bool isBefore(const RunnerRecord& record, const RunnerRecord& other)
+    {
+        return record.bornMs != 0 && other.bornMs != 0 && std::pair(record.bornMs, record.sequence) < std::pair(other.bornMs, other.sequence);
+    }
+
+}
+
+bool RunnerRegistry::isOutdated(const RunnerRecord& record) const
+{
+    const auto present = m_records.find(record.id);
+    if (present != m_records.end())
+        return isBefore(record, present->second);
+    // The last entry of a removed runner is no news either. One that is alive has counted on when it registers again.
+    const auto departed = m_departures.find(record.id);
+    return departed != m_departures.end() && record.bornMs != 0 && !isBefore(departed->second.record, record);
+}
+
+bool RunnerRegistry::put(RunnerRecord record)
 {
     m_pendingRemovals.erase(record.id);
+    if (isOutdated(record))
+        return false;
+    m_departures.erase(record.id);
     auto id = record.id;
     m_records.insert_or_assign(std::move(id), std::move(record));
+    return true;
+}
+
+void RunnerRegistry::erase(const std::string& id, TimePoint now)
+{
+    auto node = m_records.extract(id);
+    if (!node.empty())
+        m_departures.insert_or_assign(id, Departure { std::move(node.mapped()), now + departureMemory });
 }
 
 void RunnerRegistry::remove(const std::string& id, TimePoint now)
@@ -18,19 +49,24 @@
         return;
     // A runner that announced its shutdown does not register again.
     if (it->second.isLeaving || (now >= m_graceEnd && !m_lostAt)) {
-        m_records.erase(it);
         m_pendingRemovals.erase(id);
+        erase(it->first, now);
         return;
     }
     m_pendingRemovals.emplace(id, m_lostAt ? TimePoint::max() : m_graceEnd);
 }
 
-void RunnerRegistry::replaceAll(const std::vector<RunnerRecord>& records, TimePoint now)
+std::vector<RunnerRecord> RunnerRegistry::replaceAll(const std::vector<RunnerRecord>& records, TimePoint now)
 {
     std::set<std::string> listed;
+    std::vector<RunnerRecord> left;
     for (const auto& record : records) {
         listed.insert(record.id);
-        put(record);
+        if (put(record) || record.isLeaving)
+            continue;
+        const auto it = m_records.find(record.id);
+        if (it == m_records.end() || it->second.isLeaving)
+            left.push_back(record);
     }
     std::vector<std::string> missing;
     for (const auto& [id, record] : m_records) {
@@ -39,6 +75,7 @@
     }
     for (const auto& id : missing)
         remove(id, now);
+    return left;
 }
 
 void RunnerRegistry::onContactLost(TimePoint now)
@@ -60,13 +97,14 @@
 
 bool RunnerRegistry::expire(TimePoint now)
 {
+    std::erase_if(m_departures, [&](const auto& entry) { return entry.second.forgottenAt <= now; });
     bool hasExpired = false;
     for (auto it = m_pendingRemovals.begin(); it != m_pendingRemovals.end();) {
         if (it->second > now) {
             ++it;
             continue;
         }
-        m_records.erase(it->first);
+        erase(it->first, now);
         it = m_pendingRemovals.erase(it);
         hasExpired = true;
     }
--- a/tests/unit/placement/RunnerRegistryTest.cpp
+++ b/tests/unit/placement/RunnerRegistryTest.cpp
@@ -23,6 +23,13 @@
     CPPUNIT_TEST(entryRegisteredAgainWithinGraceIsKept);
     CPPUNIT_TEST(leavingRunnerRemovedAfterOutageIsRemovedImmediately);
     CPPUNIT_TEST(removalAfterShortOutageTakesEffectImmediately);
+    CPPUNIT_TEST(entryOfEarlierReportIsIgnored);
+    CPPUNIT_TEST(entryOfEarlierStartIsIgnored);
+    CPPUNIT_TEST(entryOfLaterStartReplacesHigherCountOfReports);
+    CPPUNIT_TEST(lastEntryOfRemovedRunnerIsIgnoredAndLaterReportAccepted);
+    CPPUNIT_TEST(entriesWithoutTimeOfStartAreAcceptedInAnyOrder);
+    CPPUNIT_TEST(listingFromBeforeDepartureReturnsTheRunnersThatLeft);
+    CPPUNIT_TEST(entryMissingInRestoredListingIsKeptUntilGraceEnds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,7 +76,76 @@
         CPPUNIT_ASSERT(m_registry.records().empty());
     }
 
+    // A store that was restored from an older copy lists former states.
+    void entryOfEarlierReportIsIgnored()
+    {
+        auto leaving = makeReport("a", 100, 8);
+        leaving.isLeaving = true;
+        m_registry.put(leaving);
+        CPPUNIT_ASSERT(!m_registry.put(makeReport("a", 100, 7)));
+        CPPUNIT_ASSERT(m_registry.records().at("a").isLeaving);
+    }
+
+    void entryOfEarlierStartIsIgnored()
+    {
+        m_registry.put(makeReport("a", 100, 1));
+        CPPUNIT_ASSERT(!m_registry.put(makeReport("a", 99, 50)));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(100), m_registry.records().at("a").bornMs);
+    }
+
+    void entryOfLaterStartReplacesHigherCountOfReports()
+    {
+        m_registry.put(makeReport("a", 100, 50));
+        CPPUNIT_ASSERT(m_registry.put(makeReport("a", 101, 1)));
+    }
+
+    void lastEntryOfRemovedRunnerIsIgnoredAndLaterReportAccepted()
+    {
+        m_registry.put(makeReport("a", 100, 8));
+        m_registry.remove("a", m_now);
+        CPPUNIT_ASSERT(!m_registry.put(makeReport("a", 100, 7)));
+        CPPUNIT_ASSERT(!m_registry.put(makeReport("a", 100, 8)));
+        CPPUNIT_ASSERT(m_registry.records().empty());
+        CPPUNIT_ASSERT(m_registry.put(makeReport("a", 100, 9)));
+    }
+
+    void entriesWithoutTimeOfStartAreAcceptedInAnyOrder()
+    {
+        m_registry.put(makeReport("a", 0, 8));
+        CPPUNIT_ASSERT(m_registry.put(makeReport("a", 0, 1)));
+        m_registry.remove("a", m_now);
+        CPPUNIT_ASSERT(m_registry.put(makeReport("a", 0, 1)));
+    }
+
+    void listingFromBeforeDepartureReturnsTheRunnersThatLeft()
+    {
+        m_registry.put(makeReport("a", 100, 8));
+        m_registry.remove("a", m_now);
+        m_registry.put(makeReport("b", 100, 4));
+        const auto left = m_registry.replaceAll({ makeReport("a", 100, 8), makeReport("b", 100, 3) }, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), left.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), left.front().id);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(4), m_registry.records().at("b").sequence);
+    }
+
+    void entryMissingInRestoredListingIsKeptUntilGraceEnds()
+    {
+        m_registry.put(makeReport("a", 100, 1));
+        m_registry.onRestored(m_now);
+        m_registry.replaceAll({}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_registry.records().size());
+        CPPUNIT_ASSERT(m_registry.expire(m_now + RunnerRegistry::reregistrationGrace));
+    }
+
 private:
+    static RunnerRecord makeReport(std::string id, std::int64_t bornMs, std::int64_t sequence)
+    {
+        auto record = makeRecord(std::move(id));
+        record.bornMs = bornMs;
+        record.sequence = sequence;
+        return record;
+    }
+
     void simulateOutage(milliseconds duration)
     {
         m_registry.put(makeRecord("a"));
