Log and count resumed streams with the software version of their runner

The logs named neither the software version of a runner nor that a request takes a stream up, so that resumptions within an answer and by callers could not be told apart. stream_resumed and stream_resumptions_total do; runner_listed has the version. A host logs whether it starts with the whole system for the first time (first-start). No decision changes.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -456,6 +456,7 @@
     }
     RunnerUse use(placement, std::chrono::steady_clock::now());
     m_hasReachedRunner = true;
+    logResumption(runner->record());
     m_context.exchange.crashNotices().onSend(m_crashSubjects, use.sentAt());
     auto& engine = m_context.state.policies(m_pool).engine;
     if (m_headers.prompt && engine) {
@@ -950,6 +951,15 @@
     m_caller->abort();
 }
 
+void ForwardTask::logResumption(const RunnerRecord& runner) const
+{
+    const bool isTakeUp = !m_headers.lastEventId.empty();
+    if (!mayResume() || (!isTakeUp && !m_hasResponseStarted))
+        return;
+    ++m_context.metrics.streamResumptions[m_hasResponseStarted ? "within_answer" : "by_caller"];
+    logEvent(LogLevel::Info, "stream_resumed", { { "request", m_headers.requestId }, { "first_attempt", m_headers.firstAttemptId }, { "by", m_hasResponseStarted ? "host" : "caller" }, { "runner", runner.id }, { "software", runner.softwareVersion } });
+}
+
 void ForwardTask::logOutcome(std::string_view outcome, std::string_view reason) const
 {
     const bool isDebugOnly = outcome == "answered" || reason == "overloaded" || reason == "caller_gone";
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -134,6 +134,8 @@
     std::chrono::milliseconds eventTimeout() const;
     // Takes one retry from the budget that all hosts share. Returns false if the budget is exhausted.
     bool takeFromRetryBudget();
+    // Logs and counts a send that continues a stream.
+    void logResumption(const RunnerRecord&) const;
     void logOutcome(std::string_view outcome, std::string_view reason) const;
     std::chrono::milliseconds timeLeft(TimePoint now) const;
     bool isInterrupted() const { return m_isCallerDisconnected || m_isDeadlineExceeded; }
--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -94,7 +94,7 @@
     m_rolloutLeader.start();
     m_cacheFollower.start();
     spawnLoop(m_context, "gateway.sweep_loop", [this] { return sweepLoop(); });
-    logEvent(LogLevel::Info, "started", { { "data_centre", m_settings.dataCentre }, { "listen", toString(m_settings.callerAddress) } });
+    logEvent(LogLevel::Info, "started", { { "data_centre", m_settings.dataCentre }, { "listen", toString(m_settings.callerAddress) }, { "first_start", m_settings.isFirstStart ? "yes" : "no" } });
     return {};
 }
 
--- a/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
+++ b/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
@@ -16,6 +16,8 @@
     std::map<std::string, std::uint64_t> limitedSends;
     // Responses whose body had neither a length nor chunks, by how their connection ended: "closed" or "failed".
     std::map<std::string, std::uint64_t> unframedAnswers;
+    // Sends to runners that continue a stream, by what made it necessary: "within_answer" (its runner broke off) or "by_caller".
+    std::map<std::string, std::uint64_t> streamResumptions;
     std::uint64_t repeats = 0;
     std::uint64_t resumes = 0;
     std::uint64_t strayResponses = 0;
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
@@ -64,6 +64,7 @@
         { "retry-share", "0.2", "Repeats per request that all hosts together may send to a pool.", false, false, checkDecimal(0, 10, "") },
         { "retry-reserve", "50", "Repeats in each window that all hosts together may send beside the share.", false, false, checkDecimal(0, 1'000'000, "") },
         { "retry-window-s", "10", "Window over which repeats are counted, in s.", false, false, checkDecimal(1, 3'600, "s") },
+        { "first-start", "false", "Whether the whole system starts for the first time: true or false.", false, false, checkOneOf({ "true", "false" }) },
         { "most-descriptors", "4096", "File descriptors that the process may use.", false, false, checkNumber(64, 10'000'000, "") },
         { "without", "", "Mechanisms of the choice of runners that are switched off, separated by commas, to measure what each is worth: " + listMechanismNames() + ".",
             false, false, checkMechanisms },
@@ -94,6 +95,7 @@
     out.retryShare = options.decimal("retry-share");
     out.retryReserve = options.decimal("retry-reserve");
     out.retryWindow = seconds(options, "retry-window-s");
+    out.isFirstStart = options.text("first-start") == "true";
     out.maxDescriptors = static_cast<std::size_t>(options.number("most-descriptors"));
     for (const auto& entry : splitList(options.text("without"))) {
         if (const auto mechanism = parseMechanism(entry))
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.h
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.h
@@ -31,6 +31,8 @@
     double retryShare = 0.2;
     double retryReserve = 50;
     std::chrono::milliseconds retryWindow { 10'000 };
+    // Whether the whole system starts for the first time, so that no request was served before this process started.
+    bool isFirstStart = false;
     std::size_t maxDescriptors = 4'096;
     std::string logLevel = "info";
     // Mechanisms that are enabled in the choice of runners.
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -399,7 +399,7 @@
     const auto it = records.find(record.id);
     if (it != records.end() && it->second.isSameIncarnation(record) && it->second.isLeaving == record.isLeaving)
         return;
-    logEvent(LogLevel::Info, "runner_listed", { { "runner", record.id }, { "pool", record.pool }, { "born", record.bornMs }, { "sequence", record.sequence }, { "leaving", record.isLeaving ? "yes" : "no" } });
+    logEvent(LogLevel::Info, "runner_listed", { { "runner", record.id }, { "pool", record.pool }, { "born", record.bornMs }, { "sequence", record.sequence }, { "software", record.softwareVersion }, { "leaving", record.isLeaving ? "yes" : "no" } });
 }
 
 void StoreFollower::finishChanges()
--- a/packages/placement/chiveshelf/placement/RunnerRecord.h
+++ b/packages/placement/chiveshelf/placement/RunnerRecord.h
@@ -23,6 +23,8 @@
     std::int64_t bornMs = 0;
     // Counts the reports of the incarnation, so that the later of two entries has the higher number.
     std::int64_t sequence = 0;
+    // Version of the runner's software, not of its weights.
+    std::string softwareVersion;
     // Remaining warm-up time after its start, during which it is slower.
     std::chrono::milliseconds coldLeft { 0 };
     // Loaded version of the weights, by model.
