--- a/tests/Tests.cmake
+++ b/tests/Tests.cmake
@@ -20,6 +20,7 @@
 chiveshelf_add_unit_test(restored DEPENDS gateway LIBRARIES chiveshelf_test_support NETWORK 75)
 chiveshelf_add_unit_test(routing DEPENDS routing)
 chiveshelf_add_unit_test(scheduling DEPENDS scheduling LIBRARIES rapidcheck)
+chiveshelf_add_unit_test(versions DEPENDS gateway LIBRARIES chiveshelf_test_support NETWORK 76)
 chiveshelf_add_unit_test(tables DEPENDS tables LIBRARIES rapidcheck)
 
 # Each integration test needs its own NETWORK number. FailoverPolicyTest uses three, 32 to 34.
--- a/tests/support/GatewayFixture.h
+++ b/tests/support/GatewayFixture.h
@@ -114,8 +114,17 @@
         settings.storeAddress = { m_network + ".1", 7'000 };
         for (int i = 0; i < contacts; ++i)
             settings.contacts.push_back({ hostIp(i), 7'003 });
-        m_hosts[number] = std::make_unique<chiveshelf::Gateway>(*m_context, settings);
-        CPPUNIT_ASSERT(m_hosts[number]->start());
+        settings.isFirstStart = m_isFirstStart;
+        auto& host = m_hosts[number];
+        host.context = std::make_unique<boost::asio::io_context>(1);
+        host.gateway = std::make_unique<chiveshelf::Gateway>(*host.context, settings);
+        CPPUNIT_ASSERT(host.gateway->start());
+    }
+
+    // Ends a host without notice: its connections are reset and its tasks are gone.
+    void killHost(int number)
+    {
+        m_hosts.erase(number);
     }
 
     void startHosts(int n)
@@ -163,7 +172,15 @@
 
     void runFor(std::chrono::milliseconds duration)
     {
-        m_context->run_for(duration);
+        if (m_hosts.empty()) {
+            m_context->run_for(duration);
+            return;
+        }
+        for (const auto end = std::chrono::steady_clock::now() + duration; std::chrono::steady_clock::now() < end;) {
+            m_context->run_for(std::chrono::milliseconds(1));
+            for (auto& [number, host] : m_hosts)
+                host.context->poll();
+        }
     }
 
     template <typename Condition>
@@ -171,7 +188,7 @@
     {
         const auto end = std::chrono::steady_clock::now() + limit;
         while (!condition() && std::chrono::steady_clock::now() < end && !m_context->stopped())
-            m_context->run_for(std::chrono::milliseconds(5));
+            runFor(std::chrono::milliseconds(m_hosts.empty() ? 5 : 1));
     }
 
     boost::asio::awaitable<void> sendOnly(std::shared_ptr<boost::asio::ip::tcp::socket> socket, std::string bytes)
@@ -213,13 +230,19 @@
 
     // GatewaySettings::retryReserve of the gateway.
     double m_retryReserve = 50;
+    // GatewaySettings::isFirstStart of the hosts of a fleet.
+    bool m_isFirstStart = false;
     std::string m_network;
     std::unique_ptr<boost::asio::io_context> m_context;
     std::unique_ptr<Store> m_store;
     std::vector<std::unique_ptr<Runner>> m_runners;
     std::unique_ptr<chiveshelf::Gateway> m_gateway;
-    // The hosts of a fleet by number.
-    std::map<int, std::unique_ptr<chiveshelf::Gateway>> m_hosts;
+    // A host of a fleet, with a context of its own so that it can be killed. Members are destroyed in reverse order.
+    struct FleetHost {
+        std::unique_ptr<boost::asio::io_context> context;
+        std::unique_ptr<chiveshelf::Gateway> gateway;
+    };
+    std::map<int, FleetHost> m_hosts;
 };
 
 }
