Bind a resumable stream to the software version that began it

Callers got streams whose first part was written by one software version and the rest by another, with status 200 and whole: no host knew the version of a runner or read which attempt a caller resumes, so that a stream went on at any runner.

The host that forwards a stream's first event records which software began it (StreamOrigins). While more than one version may serve, the record is sent to all hosts of a small fleet or to three by rendezvous hashing; a host that doesn't know asks these. A StreamBinding restricts placement to runners of that software, within an answer and for a caller's attempt to resume alike.

A stream that no host knows may only go on if one version has served for as long as a stream can last (SoftwareHistory). A host knows that from its own observation or from a record in the store, which the holder of the leader's lease writes when a version comes or goes and confirms after a restore, since what serves now says nothing of what served then. Otherwise the answer is 503 at once, without Retry-After: no host could continue it later.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -63,6 +63,10 @@
     constexpr std::chrono::milliseconds minEventTimeout { 1'000 };
     constexpr int eventTimeoutGoals = 2;
     constexpr int eventTimeoutPauses = 4;
+    // A stream that broke off waits up to this long since its last data for a runner of its software version that is full or paused,
+    // which leaves it time to go on before its caller gives up.
+    constexpr std::chrono::milliseconds maxResumeDelay { 1'200 };
+    constexpr std::chrono::milliseconds resumeCheckInterval { 50 };
 
     constexpr unsigned statusMisdirected = 421;
 
@@ -135,10 +139,15 @@
     m_priority = requestPriority(*m_route, m_organisation);
     const auto limit = m_headers.timeLeft ? std::min(m_route->timeLimit, *m_headers.timeLeft) : m_route->timeLimit;
     m_deadline = m_request.arrivedAt + limit;
-    m_pool = RouteIndex::choosePool(*m_route, hash64(m_headers.requestId));
+    // All attempts to resume a stream go to the pool that began it.
+    const bool isResumption = mayResume() && !m_headers.lastEventId.empty();
+    const auto& firstAttemptId = isResumption ? m_headers.firstAttemptId : m_headers.requestId;
+    m_pool = RouteIndex::choosePool(*m_route, hash64(firstAttemptId.empty() ? m_headers.requestId : firstAttemptId));
     m_history.emplace(m_route->mayRepeat(), m_route->runLimit);
     m_fingerprint = toHex(hash128(std::string(view(message.target())) + '\n' + m_headers.key + '\n' + message.body()));
     m_crashSubjects = crashSubjects();
+    if (mayResume())
+        m_binding.emplace(m_context.state, m_context.exchange, m_pool, m_fingerprint, firstAttemptId);
     return std::nullopt;
 }
 
@@ -168,6 +177,8 @@
     auto localResponse = resolveRoute();
     if (!localResponse && isStopping)
         localResponse = LocalResponse { 503, "stopping", "this host is shutting down", otherHostRetryAfter };
+    if (!localResponse && mayResume() && !m_headers.lastEventId.empty())
+        localResponse = co_await resumeStream();
     if (localResponse) {
         co_await respond(localResponse->status, localResponse->code, localResponse->message, localResponse->retryAfter);
         co_return;
@@ -190,6 +201,9 @@
         }
         const auto placement = choose(now);
         if (!placement) {
+            const bool isRetried = co_await awaitRunner();
+            if (isRetried)
+                continue;
             co_await refuse(placement.error());
             break;
         }
@@ -215,6 +229,47 @@
     stopRunnerTimers();
 }
 
+asio::awaitable<std::optional<LocalResponse>> ForwardTask::resumeStream()
+{
+    const auto origin = co_await m_binding->resume();
+    const auto name = origin != StreamBinding::Origin::Unknown && m_binding->candidates().empty() ? "version_gone" : streamOriginName(origin);
+    ++m_context.metrics.takeUps[std::string(name)];
+    logEvent(LogLevel::Info, "stream_taken_up", { { "request", m_headers.requestId }, { "first_attempt", m_headers.firstAttemptId }, { "pool", m_pool }, { "origin", name } });
+    // No Retry-After: no host could continue the stream later either.
+    if (origin == StreamBinding::Origin::Unknown)
+        co_return LocalResponse { 503, "stream_origin_unknown", "it is not known which software version began the stream; start it anew without Last-Event-Id", std::nullopt };
+    if (m_binding->candidates().empty())
+        co_return LocalResponse { 503, "stream_version_gone", "no runner has the software version that began the stream; start it anew without Last-Event-Id", std::nullopt };
+    co_return std::nullopt;
+}
+
+asio::awaitable<bool> ForwardTask::awaitRunner()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const bool mayWait = m_hasResponseStarted && isBound() && !m_binding->candidates().empty() && now - m_lastPieceAt < maxResumeDelay;
+    if (!mayWait)
+        co_return false;
+    asio::steady_timer timer(m_context.io, resumeCheckInterval);
+    boost::system::error_code ec;
+    co_await timer.async_wait(redirect_error(use_awaitable, ec));
+    co_return true;
+}
+
+asio::awaitable<bool> ForwardTask::isRightIncarnation(const Placement& placement)
+{
+    const auto& record = placement.runner->record();
+    const bool isEngine = m_context.state.policies(m_pool).engine.has_value();
+    if (!isBound() || !isEngine || record.bornMs == 0)
+        co_return true;
+    // The entry may be older than the runner. The connection was made before the report, so that the same process answers on both.
+    auto handler = m_context.exchange.countCall(placement.runner);
+    const auto report = co_await platform::readWeightReport(m_context.client, record.address, std::move(handler));
+    const bool isRight = report && (report->bornMs == 0 || report->bornMs == record.bornMs);
+    if (!isRight)
+        logOutcome("runner_not_confirmed", record.id);
+    co_return isRight;
+}
+
 bool ForwardTask::takeFromRetryBudget()
 {
     return m_context.state.policies(m_pool).retries.take(m_context.exchange.hostCount(), std::chrono::steady_clock::now());
@@ -338,7 +393,14 @@
     context.nearJitterMs = std::min(jitterMsPerHost * hosts, maxNearJitterMs);
     context.jitterMs = m_context.exchange.isSmallFleet() ? context.nearJitterMs : std::min(jitterMsPerHost * hosts, maxJitterMs);
     context.isRetry = state.isLikelyRetry(m_route->name, m_headers.timeLeft, m_route->goal);
-    const auto& runners = state.backendDirectory().runnersOf(m_pool);
+    const auto candidates = isBound() ? m_binding->candidates() : BackendDirectory::RunnerList();
+    const auto& runners = isBound() ? candidates : state.backendDirectory().runnersOf(m_pool);
+    // A runner that broke the stream off may be the only one left at which it can go on.
+    const bool areAllExcluded = isBound() && std::all_of(runners.begin(), runners.end(), [this](const auto& runner) {
+        return std::find(m_excludedRunners.begin(), m_excludedRunners.end(), runner->record().id) != m_excludedRunners.end();
+    });
+    if (areAllExcluded)
+        context.excluded = {};
     if (!policies.engine || !m_headers.prompt)
         return policies.service.choose(context, runners, state.random());
     const auto request = engineRequest();
@@ -430,7 +492,8 @@
     auto& runner = *placement.runner;
     // Counted before the connection is established, so that requests which arrive meanwhile don't use the same permit.
     const bool isCounted = m_context.exchange.countSend(runner);
-    const bool isConnected = co_await connect(placement) && !isInterrupted();
+    bool isConnected = co_await connect(placement);
+    isConnected = isConnected && !isInterrupted();
     const auto now = std::chrono::steady_clock::now();
     const bool isTaken = !isCounted && !runner.requestLimit().hasPermit(now);
     if (!isConnected || runner.isLeaving() || runner.isPaused(now) || isTaken) {
@@ -835,8 +898,10 @@
                 events.scan(bytes);
             auto whole = isTracked ? m_cursor.take(bytes) : std::string(bytes);
             hasEvents = isTracked && !whole.empty();
-            if (hasEvents)
+            if (hasEvents) {
                 m_lastEventAt = std::chrono::steady_clock::now();
+                m_binding->onEvents(use.runner());
+            }
             pending += applyFraming(std::move(whole), framing);
         }
         const bool isBroken = (ec && ec != beast::http::error::need_buffer) || m_cursor.isPartialTooLong();
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -8,6 +8,7 @@
 #include "chiveshelf/gateway/HostExchange.h"
 #include "chiveshelf/gateway/RunnerUse.h"
 #include "chiveshelf/gateway/ServingState.h"
+#include "chiveshelf/gateway/StreamBinding.h"
 #include "chiveshelf/placement/AttemptHistory.h"
 #include "chiveshelf/placement/RequestPriority.h"
 #include "platform/RequestHeaders.h"
@@ -24,6 +25,8 @@
     ServingState& state;
     BackendPool& backends;
     HostExchange& exchange;
+    // For calls to runners that are no requests of callers.
+    http::Client& client;
     GatewayMetrics& metrics;
 };
 
@@ -70,6 +73,13 @@
     // What the request has in common with others: its fingerprint and the parts of its prompt but the last, which no other request has.
     std::vector<CrashSubject> crashSubjects() const;
     PlacementResult choose(TimePoint now);
+    // Binds a stream that the caller resumes to the software that began it. Returns the refusal if it can't go on.
+    boost::asio::awaitable<std::optional<LocalResponse>> resumeStream();
+    // Waits a moment for a runner at which a stream that broke off can go on. Returns whether to try again.
+    boost::asio::awaitable<bool> awaitRunner();
+    bool isBound() const { return m_binding && m_binding->isBound(); }
+    // Whether the runner of a placement is the incarnation that its entry tells, as far as a bound stream depends on it.
+    boost::asio::awaitable<bool> isRightIncarnation(const Placement&);
     EngineRequest engineRequest() const;
     boost::asio::awaitable<SendResult> send(const Placement&);
     // Connects to the chosen runner and counts the request against the limit that the runner states. Returns false if the runner can't
@@ -154,6 +164,8 @@
     std::string m_fingerprint;
     std::vector<CrashSubject> m_crashSubjects;
     std::optional<AttemptHistory> m_history;
+    // Set for streams that may be resumed.
+    std::optional<StreamBinding> m_binding;
     std::vector<std::string> m_excludedRunners;
     std::shared_ptr<BackendConnection> m_connection;
     boost::asio::steady_timer m_deadlineTimer;
--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -67,8 +67,9 @@
           StoreLease::Options { std::string(hostKeyPrefix) + m_settings.hostName, toString(m_settings.peerAddress), registrationTimeToLive, registrationRenewInterval, false },
           [this] { return m_storeFollower.isInContact(); })
     , m_rolloutLeader(context, m_settings, m_client, m_store, m_state, m_storeFollower, m_exchange)
+    , m_softwareLedger(context, m_store, m_state, m_storeFollower, m_rolloutLeader)
     , m_cacheFollower(context, m_client, m_state, m_exchange, [this] { return m_rolloutLeader.isLeading(); })
-    , m_forwardContext { context, m_settings, m_state, m_backends, m_exchange, m_metrics }
+    , m_forwardContext { context, m_settings, m_state, m_backends, m_exchange, m_client, m_metrics }
     , m_server(
           context, (m_settings.maxDescriptors - std::min(reservedDescriptors, m_settings.maxDescriptors / 2)) / 2,
           [this] { return m_state.routes() ? m_state.routes()->tables().limits : CallerLimits {}; },
@@ -89,9 +90,11 @@
         started = m_exchange.start();
     if (!started)
         return started;
+    m_state.softwareHistory().start(std::chrono::steady_clock::now(), m_settings.isFirstStart);
     m_storeFollower.start();
     m_registration.start();
     m_rolloutLeader.start();
+    m_softwareLedger.start();
     m_cacheFollower.start();
     spawnLoop(m_context, "gateway.sweep_loop", [this] { return sweepLoop(); });
     logEvent(LogLevel::Info, "started", { { "data_centre", m_settings.dataCentre }, { "listen", toString(m_settings.callerAddress) }, { "first_start", m_settings.isFirstStart ? "yes" : "no" } });
@@ -191,7 +194,7 @@
         const auto total = runner->totalWork(now);
         out["runners"][id] = { { "pool", runner->record().pool }, { "address", toString(runner->record().address) },
             { "leaving", runner->isLeaving() }, { "usable", runner->isUsable(now) }, { "paused", runner->isPaused(now) }, { "loading", runner->isLoading(now) },
-            { "versions", runner->record().modelVersions }, { "requests", runner->requests(now) }, { "prefill_tokens", total.prefillTokens },
+            { "versions", runner->record().modelVersions }, { "software", runner->record().softwareVersion }, { "requests", runner->requests(now) }, { "prefill_tokens", total.prefillTokens },
             { "prompts", total.prompts }, { "memory_tokens", total.memoryTokens }, { "failure_share", runner->health().failureShare(now) },
             { "tokens_per_ms", runner->tokensPerMs(0) }, { "cached_tokens", runner->cachedParts().tokens() } };
         if (const auto limit = runner->requestLimit().perSecond())
@@ -208,7 +211,8 @@
             { "backend_connects", static_cast<double>(m_backends.connectCount()) }, { "store_calls", static_cast<double>(m_store.callCount()) },
             { "store_era", static_cast<double>(m_store.era()) }, { "store_revision", static_cast<double>(m_storeFollower.position().revision) },
             { "tables_version", static_cast<double>(m_state.tablesVersion()) }, { "runners", static_cast<double>(m_state.backendDirectory().all().size()) },
-            { "hosts", static_cast<double>(m_exchange.hostCount()) }, { "store_reached", m_storeFollower.isInContact() ? 1.0 : 0.0 },
+            { "hosts", static_cast<double>(m_exchange.hostCount()) },
+            { "stream_origins", static_cast<double>(m_state.streamOriginCount()) }, { "store_reached", m_storeFollower.isInContact() ? 1.0 : 0.0 },
             { "leading", m_rolloutLeader.isLeading() ? 1.0 : 0.0 } });
 }
 
--- a/packages/gateway/chiveshelf/gateway/Gateway.h
+++ b/packages/gateway/chiveshelf/gateway/Gateway.h
@@ -5,6 +5,7 @@
 #include "chiveshelf/gateway/ForwardTask.h"
 #include "chiveshelf/gateway/GatewayServer.h"
 #include "chiveshelf/gateway/RolloutLeader.h"
+#include "chiveshelf/gateway/SoftwareLedger.h"
 #include "chiveshelf/http/Server.h"
 
 namespace chiveshelf {
@@ -47,6 +48,7 @@
     StoreFollower m_storeFollower;
     StoreLease m_registration;
     RolloutLeader m_rolloutLeader;
+    SoftwareLedger m_softwareLedger;
     CacheFollower m_cacheFollower;
     ForwardContext m_forwardContext;
     GatewayServer m_server;
--- a/packages/gateway/chiveshelf/gateway/GatewayMetrics.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewayMetrics.cpp
@@ -23,6 +23,7 @@
     addCounters("chiveshelf_gateway_limited_sends_total", "Requests sent to runners while they stated a limit, by runner.", "runner", metrics.limitedSends);
     addCounters("chiveshelf_gateway_unframed_answers_total", "Answers with neither a length nor chunks, by how their connection ended.", "end", metrics.unframedAnswers);
     addCounters("chiveshelf_gateway_stream_resumptions_total", "Sends to runners that continue a stream, by what made it necessary.", "by", metrics.streamResumptions);
+    addCounters("chiveshelf_gateway_stream_take_ups_total", "Streams that callers resume, by how their origin is known.", "origin", metrics.takeUps);
     addCounter("chiveshelf_gateway_repeats_total", "Sends beyond the first of each request.", static_cast<double>(metrics.repeats));
     addCounter("chiveshelf_gateway_resumes_total", "Streams resumed at another runner.", static_cast<double>(metrics.resumes));
     addCounter("chiveshelf_gateway_stray_answers_total", "Answers that belonged to other requests.", static_cast<double>(metrics.strayResponses));
--- a/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
+++ b/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
@@ -18,6 +18,8 @@
     std::map<std::string, std::uint64_t> unframedAnswers;
     // Sends to runners that continue a stream, by what made it necessary: "within_answer" (its runner broke off) or "by_caller".
     std::map<std::string, std::uint64_t> streamResumptions;
+    // Streams that callers resume, by how their origin is known: "recorded", "only_version", "unknown" or "version_gone".
+    std::map<std::string, std::uint64_t> takeUps;
     std::uint64_t repeats = 0;
     std::uint64_t resumes = 0;
     std::uint64_t strayResponses = 0;
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -57,6 +57,9 @@
     // A host whose registration is missing counts for this time after its last notice, which allows for two lost ones.
     constexpr std::chrono::milliseconds minHeardTime { 2'000 };
     constexpr int heardIntervals = 3;
+    // Hosts beside the one that began a stream that hold its origin in larger fleets. All of them are lost together only if most of the
+    // fleet is.
+    constexpr std::size_t originHolderCount = 3;
 
     // Returns the interval of load notices to `hosts` receivers.
     std::chrono::milliseconds noticeIntervalFor(std::size_t hosts)
@@ -86,6 +89,11 @@
     , m_crashNotices(
           state.crashEvidence(), m_hostHash, [this](const CrashNotice& notice) { sendToAll(notice); }, [this](const AnswersNotice& notice) { sendToAll(notice); },
           [this](const TryNotice& notice) { sendToAll(notice); })
+    , m_origins(context, state.streamOrigins(),
+          OriginExchange::Port { [this](std::uint64_t stream) { return originHolders(stream); },
+              [this](const Address& to, const OriginNotice& notice) { m_datagrams.send(to, notice); },
+              [this](const Address& to, const OriginQuery& query) { m_datagrams.send(to, query); },
+              [this](const Address& to, const OriginAnswer& answer) { m_datagrams.send(Address { to.ip, m_settings.peerAddress.port }, answer); } })
 {
 }
 
@@ -113,6 +121,9 @@
     m_datagrams.handle<RolloutNotice>([this](const Address&, RolloutNotice notice) { onRollout(notice); });
     m_datagrams.handle<LeavingNotice>([this](const Address&, LeavingNotice notice) { onLeaving(notice); });
     m_datagrams.handle<LimitNotice>([this](const Address&, LimitNotice notice) { m_limits.applyNotice(notice, std::chrono::steady_clock::now()); });
+    m_datagrams.handle<OriginNotice>([this](const Address&, OriginNotice notice) { m_origins.onNotice(notice, std::chrono::steady_clock::now()); });
+    m_datagrams.handle<OriginQuery>([this](const Address& from, OriginQuery query) { m_origins.onQuery(from, query, std::chrono::steady_clock::now()); });
+    m_datagrams.handle<OriginAnswer>([this](const Address&, OriginAnswer answer) { m_origins.onAnswer(answer, std::chrono::steady_clock::now()); });
     m_datagrams.handle<CacheNotice>([this](const Address&, CacheNotice notice) {
         if (m_cacheHandler)
             m_cacheHandler(notice);
@@ -252,6 +263,34 @@
         std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto& host) { return hash64(host.first, seed) > own; }));
 }
 
+std::vector<Address> HostExchange::originHolders(std::uint64_t stream) const
+{
+    std::vector<std::pair<std::uint64_t, Address>> hosts;
+    for (const auto& [name, address] : m_hosts)
+        hosts.emplace_back(hash64(name, stream), address);
+    const auto n = isSmallFleet() ? hosts.size() : std::min(originHolderCount, hosts.size());
+    std::partial_sort(hosts.begin(), hosts.begin() + static_cast<std::ptrdiff_t>(n), hosts.end(), std::greater<>());
+    std::vector<Address> out;
+    for (std::size_t i = 0; i < n; ++i)
+        out.push_back(hosts[i].second);
+    return out;
+}
+
+platform::AnswerHandler HostExchange::countCall(const std::shared_ptr<BackendState>& runner)
+{
+    const auto sentAt = std::chrono::steady_clock::now();
+    if (countSend(*runner))
+        announceSend(*runner);
+    return [this, runner, sentAt](const platform::RunnerHeaders& headers, unsigned status) {
+        if (!headers.runnerId.empty() && headers.runnerId != runner->record().id)
+            return;
+        applyAnswer(*runner, headers, status);
+        // Only some answers to these calls may state the limit, so that its absence lifts none.
+        if (headers.requestLimit)
+            applyLimit(*runner, headers.requestLimit, sentAt);
+    };
+}
+
 void HostExchange::applyAnswer(BackendState& runner, const platform::RunnerHeaders& headers, unsigned status)
 {
     const auto& record = runner.record();
@@ -442,6 +481,8 @@
         if (m_hosts.size() != m_registeredHosts.size())
             updateHosts(now);
         sendLimits(now);
+        if (m_state.takeNewMixture())
+            m_origins.shareAll(now);
         m_crashNotices.sendRepetitions([this](std::uint32_t runner) { return rendezvousPosition(std::to_string(runner)) == 0; }, now);
         sendNotices();
     }
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -3,10 +3,12 @@
 #include "chiveshelf/gateway/CrashNotices.h"
 #include "chiveshelf/gateway/FleetLimits.h"
 #include "chiveshelf/gateway/HostMessages.h"
+#include "chiveshelf/gateway/OriginExchange.h"
 #include "chiveshelf/gateway/ServingState.h"
 #include "chiveshelf/peer/PeerClient.h"
 #include "chiveshelf/peer/PeerServer.h"
 #include "platform/RequestHeaders.h"
+#include "platform/RunnerOrders.h"
 
 #include <set>
 #include <unordered_map>
@@ -79,6 +81,12 @@
     // The evidence of crashed runners that the hosts share.
     CrashNotices& crashNotices() { return m_crashNotices; }
 
+    // The origins of streams that the hosts share.
+    OriginExchange& origins() { return m_origins; }
+
+    // Counts a call to a runner that is no request of a caller against the limit that it states. Returns the handler of its answer.
+    platform::AnswerHandler countCall(const std::shared_ptr<BackendState>&);
+
     // Applies the limit that an answer of a runner states, or that it states none, and tells all hosts if it changed. The request was
     // sent at `sentAt`.
     void applyLimit(BackendState&, std::optional<double> perSecond, TimePoint sentAt);
@@ -105,6 +113,8 @@
 
 private:
     boost::asio::awaitable<void> noticeLoop();
+    // Returns the other hosts that hold the record of a stream's origin.
+    std::vector<Address> originHolders(std::uint64_t stream) const;
     boost::asio::awaitable<void> pullTablesAfterDelay(Address);
     // Sends load notices to hosts that get the next ones after `interval`.
     template <typename Addresses>
@@ -157,6 +167,7 @@
     ChangeSource m_changeSource;
     FleetLimits m_limits;
     CrashNotices m_crashNotices;
+    OriginExchange m_origins;
     TimePoint m_lastLimitNoticeAt {};
     std::map<std::string, Address> m_registeredHosts;
     // Time of the last load notice, by the hash of the host's name.
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -317,6 +317,59 @@
     }
 };
 
+// Which software began a stream; see StreamOrigin.
+struct OriginEntry {
+    std::uint64_t stream = 0;
+    std::uint64_t software = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(stream, software);
+    }
+};
+
+// Origins of streams, sent to the hosts that hold their records.
+struct OriginNotice {
+    static constexpr peer::DatagramType datagramType = peer::DatagramType::OriginNotice;
+
+    std::vector<OriginEntry> entries;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(entries);
+    }
+};
+
+// Asks a host for the origin of a stream.
+struct OriginQuery {
+    static constexpr peer::DatagramType datagramType = peer::DatagramType::OriginQuery;
+
+    std::uint64_t stream = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(stream);
+    }
+};
+
+// Answers an OriginQuery.
+struct OriginAnswer {
+    static constexpr peer::DatagramType datagramType = peer::DatagramType::OriginAnswer;
+
+    std::uint64_t stream = 0;
+    bool isKnown = false;
+    std::uint64_t software = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(stream, isKnown, software);
+    }
+};
+
 // A change in the key-value store, relayed from one host to another.
 struct RelayedChange {
     std::string key;
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/OriginExchange.cpp
@@ -0,0 +1,129 @@
+#include "chiveshelf/gateway/OriginExchange.h"
+
+#include "chiveshelf/core/Tasks.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace chiveshelf {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // Records are collected for this time, so that several share a datagram. Streams that begin in it are lost with their host.
+    constexpr std::chrono::milliseconds flushDelay { 20 };
+    // Entries per datagram, so that a datagram fits into one Ethernet frame.
+    constexpr std::size_t originsPerNotice = 64;
+    // Longest search for an origin, and the time after which the question is repeated. Hosts answer within a few ms, also those of
+    // other data centres; a lost host never answers.
+    constexpr std::chrono::milliseconds searchLimit { 150 };
+    constexpr std::chrono::milliseconds repeatDelay { 50 };
+    constexpr std::chrono::milliseconds searchCheckInterval { 5 };
+
+}
+
+OriginExchange::OriginExchange(asio::io_context& context, StreamOrigins& origins, Port port)
+    : m_context(context)
+    , m_origins(origins)
+    , m_port(std::move(port))
+{
+}
+
+asio::awaitable<void> OriginExchange::sleep(std::chrono::milliseconds duration)
+{
+    asio::steady_timer timer(m_context, duration);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+void OriginExchange::record(StreamOrigin origin, bool isShared, TimePoint now)
+{
+    m_origins.record(origin, now);
+    const auto known = m_origins.recordOf(origin.stream, now);
+    if (isShared && known)
+        add(*known);
+}
+
+void OriginExchange::shareAll(TimePoint now)
+{
+    for (const auto& origin : m_origins.all(now))
+        add(origin);
+}
+
+void OriginExchange::add(const StreamOrigin& origin)
+{
+    for (const auto& holder : m_port.holders(origin.stream))
+        m_pending[holder].push_back(origin);
+    if (!std::exchange(m_isFlushing, true))
+        spawnTask(m_context, "origin_exchange.flush", flush());
+}
+
+asio::awaitable<void> OriginExchange::flush()
+{
+    co_await sleep(flushDelay);
+    m_isFlushing = false;
+    for (const auto& [holder, origins] : std::exchange(m_pending, {})) {
+        for (std::size_t i = 0; i < origins.size(); i += originsPerNotice) {
+            OriginNotice notice;
+            for (std::size_t j = i; j < std::min(i + originsPerNotice, origins.size()); ++j)
+                notice.entries.push_back({ origins[j].stream, origins[j].software });
+            m_port.sendNotice(holder, notice);
+        }
+    }
+}
+
+asio::awaitable<std::optional<SoftwareId>> OriginExchange::find(std::uint64_t stream)
+{
+    const auto start = std::chrono::steady_clock::now();
+    if (m_origins.recordOf(stream, start))
+        co_return m_origins.find(stream, start);
+    const auto holders = m_port.holders(stream);
+    auto& slot = m_searches[stream];
+    if (!slot)
+        slot = std::make_shared<Search>();
+    const auto search = slot;
+    search->unanswered = holders.size();
+    const OriginQuery query { stream };
+    bool isRepeated = false;
+    for (const auto& holder : holders)
+        m_port.sendQuery(holder, query);
+    while (!search->isFound && search->unanswered > 0 && std::chrono::steady_clock::now() - start < searchLimit) {
+        co_await sleep(searchCheckInterval);
+        if (search->isFound || std::chrono::steady_clock::now() - start < repeatDelay || std::exchange(isRepeated, true))
+            continue;
+        // Hosts that have answered already count once more then; the search only ends later for it.
+        search->unanswered = holders.size();
+        for (const auto& holder : holders)
+            m_port.sendQuery(holder, query);
+    }
+    m_searches.erase(stream);
+    co_return m_origins.find(stream, std::chrono::steady_clock::now());
+}
+
+void OriginExchange::onNotice(const OriginNotice& notice, TimePoint now)
+{
+    for (const auto& entry : notice.entries)
+        m_origins.record({ entry.stream, entry.software }, now);
+}
+
+void OriginExchange::onQuery(const Address& from, const OriginQuery& query, TimePoint now)
+{
+    const auto known = m_origins.recordOf(query.stream, now);
+    m_port.sendAnswer(from, OriginAnswer { query.stream, known.has_value(), known ? known->software : 0 });
+}
+
+void OriginExchange::onAnswer(const OriginAnswer& answer, TimePoint now)
+{
+    const auto it = m_searches.find(answer.stream);
+    if (answer.isKnown)
+        m_origins.record({ answer.stream, answer.software }, now);
+    if (it == m_searches.end())
+        return;
+    auto& search = *it->second;
+    search.isFound = search.isFound || answer.isKnown;
+    search.unanswered -= search.unanswered > 0 ? 1 : 0;
+}
+
+}
--- /dev/null
+++ b/packages/gateway/chiveshelf/gateway/OriginExchange.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "chiveshelf/core/Address.h"
+#include "chiveshelf/gateway/HostMessages.h"
+#include "chiveshelf/placement/StreamOrigins.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace chiveshelf {
+
+// Shares the origins of streams among the hosts, so that a stream can be resumed at any of them and after the loss of the one that
+// began it. Each record has the same few holders for all hosts: in a small fleet all, in a larger one those with the highest
+// rendezvous hashes of the stream. Records are only shared while more than one software version may serve.
+class OriginExchange {
+public:
+    // How messages reach other hosts.
+    struct Port {
+        // Returns the other hosts that hold the record of a stream.
+        std::function<std::vector<Address>(std::uint64_t stream)> holders;
+        std::function<void(const Address&, const OriginNotice&)> sendNotice;
+        std::function<void(const Address&, const OriginQuery&)> sendQuery;
+        std::function<void(const Address&, const OriginAnswer&)> sendAnswer;
+    };
+
+    OriginExchange(boost::asio::io_context&, StreamOrigins&, Port);
+
+    // Records the origin of a stream, and sends it to its holders soon after if `isShared` is set.
+    void record(StreamOrigin, bool isShared, TimePoint now);
+
+    // Returns this host's record of a stream, also if it is disputed.
+    std::optional<StreamOrigin> recordOf(std::uint64_t stream) const { return m_origins.recordOf(stream, std::chrono::steady_clock::now()); }
+
+    // Sends all records to their holders. To be called when a second software version appears.
+    void shareAll(TimePoint now);
+
+    // Returns the software that began a stream, asking other hosts if this one doesn't know. Returns nothing if no host answers that it
+    // knows within a fixed time, or if the origin is disputed.
+    boost::asio::awaitable<std::optional<SoftwareId>> find(std::uint64_t stream);
+
+    void onNotice(const OriginNotice&, TimePoint now);
+    void onQuery(const Address& from, const OriginQuery&, TimePoint now);
+    void onAnswer(const OriginAnswer&, TimePoint now);
+
+private:
+    // A search for the origin of a stream at other hosts.
+    struct Search {
+        std::size_t unanswered = 0;
+        bool isFound = false;
+    };
+
+    boost::asio::awaitable<void> flush();
+    boost::asio::awaitable<void> sleep(std::chrono::milliseconds);
+    void add(const StreamOrigin&);
+
+    boost::asio::io_context& m_context;
+    StreamOrigins& m_origins;
+    Port m_port;
+    // Records to be sent, by receiver.
+    std::map<Address, std::vector<StreamOrigin>> m_pending;
+    std::map<std::uint64_t, std::shared_ptr<Search>> m_searches;
+    bool m_isFlushing = false;
+};
+
+}
--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
@@ -135,7 +135,7 @@
 asio::awaitable<bool> RolloutLeader::order(std::shared_ptr<BackendState> runner, std::string model, std::uint64_t version)
 {
     const auto record = runner->record();
-    const auto report = co_await platform::readWeightReport(m_client, record.address, countCall(runner));
+    const auto report = co_await platform::readWeightReport(m_client, record.address, m_exchange.countCall(runner));
     if (!report || (report->bornMs != 0 && record.bornMs != 0 && report->bornMs != record.bornMs)) {
         co_await sleep(retryDelay);
         co_return false;
@@ -160,7 +160,7 @@
         if (!isLeading() || runner->isLeaving())
             co_return false;
         command.fencingToken = m_lease.fencingToken();
-        const auto outcome = co_await platform::orderVersion(m_client, record, command, countCall(runner), isAllowed);
+        const auto outcome = co_await platform::orderVersion(m_client, record, command, m_exchange.countCall(runner), isAllowed);
         logEvent(LogLevel::Info, "order_sent", { { "runner", record.id }, { "version", version }, { "fence", command.fencingToken }, { "outcome", static_cast<int>(outcome) } });
         if (outcome == platform::OrderOutcome::AlreadyInPlace)
             co_return true;
@@ -184,21 +184,6 @@
     return std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(limit.interval()), pollInterval, maxPollInterval);
 }
 
-platform::AnswerHandler RolloutLeader::countCall(const std::shared_ptr<BackendState>& runner)
-{
-    const auto sentAt = std::chrono::steady_clock::now();
-    if (m_exchange.countSend(*runner))
-        m_exchange.announceSend(*runner);
-    return [this, runner, sentAt](const platform::RunnerHeaders& headers, unsigned status) {
-        if (!headers.runnerId.empty() && headers.runnerId != runner->record().id)
-            return;
-        m_exchange.applyAnswer(*runner, headers, status);
-        // Only some answers to these calls may state the limit, so that its absence lifts none.
-        if (headers.requestLimit)
-            m_exchange.applyLimit(*runner, headers.requestLimit, sentAt);
-    };
-}
-
 // Polls a runner that has accepted an order by repeating the order, which has no further effect. Starts after the expected load time.
 asio::awaitable<bool> RolloutLeader::confirm(std::shared_ptr<BackendState> runner, platform::VersionOrder command)
 {
@@ -208,7 +193,7 @@
     co_await sleep(m_loadTime);
     const std::function<bool()> isAllowed = [this] { return isLeading(); };
     for (int i = 0; i < maxConfirmations && isLeading() && !runner->isLeaving(); ++i) {
-        const auto outcome = co_await platform::orderVersion(m_client, record, command, countCall(runner), isAllowed);
+        const auto outcome = co_await platform::orderVersion(m_client, record, command, m_exchange.countCall(runner), isAllowed);
         if (outcome == platform::OrderOutcome::AlreadyInPlace) {
             const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start);
             m_loadTime = std::clamp(elapsed - pollInterval / 2, pollInterval, m_settings.orderGap);
@@ -232,7 +217,7 @@
             co_return false;
         if (runner->isPaused(std::chrono::steady_clock::now()))
             continue;
-        const auto report = co_await platform::readWeightReport(m_client, address, countCall(runner));
+        const auto report = co_await platform::readWeightReport(m_client, address, m_exchange.countCall(runner));
         if (!report)
             continue;
         const auto present = report->modelVersions.find(model);
--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.h
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.h
@@ -23,11 +23,12 @@
 
     bool isLeading() const;
 
+    // Whether this host holds the lease, though it may have to wait before it sends orders.
+    bool holdsLease() const { return !m_isStopped && m_lease.isHeld(std::chrono::milliseconds(0)); }
+
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> update(std::shared_ptr<BackendState>, std::string model, std::uint64_t version);
-    // Counts a call against the limit of a runner. Returns the handler of its answer.
-    platform::AnswerHandler countCall(const std::shared_ptr<BackendState>&);
     // Returns the interval of calls to a runner that loads weights, which leaves a limited runner its requests.
     static std::chrono::milliseconds pollIntervalOf(const BackendState&);
     boost::asio::awaitable<bool> order(std::shared_ptr<BackendState>, std::string model, std::uint64_t version);
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -18,12 +18,19 @@
     constexpr double versionGraceShare = 0.7;
     // Remaining time for older weights that a newly started process assumes. Other hosts report the version's age within a second.
     constexpr std::chrono::milliseconds assumedRemainingTime { 2'500 };
+    // A stream and all its resumptions last at most as long as their caller waits, which is taken for up to twice the time limit of the
+    // route. The rest covers clocks that were stopped and entries that are removed late.
+    constexpr int streamLifetimeLimits = 2;
+    constexpr std::chrono::milliseconds streamLifetimeMargin { 5'000 };
+    constexpr std::chrono::milliseconds defaultStreamLifetime { 30'000 };
 
 }
 
 ServingState::ServingState(const GatewaySettings& settings)
     : m_settings(settings)
     , m_crashEvidence(crashLifetime, answerLifetime)
+    , m_streamOrigins(defaultStreamLifetime)
+    , m_softwareHistory(defaultStreamLifetime)
     , m_engine(hash64(settings.hostName + makeUniqueId()))
 {
 }
@@ -37,6 +44,7 @@
     m_tablesText = std::move(text);
     logEvent(LogLevel::Info, "tables_in_force", { { "version", version }, { "source", source }, { "routes", m_routes->tables().routes.size() }, { "organisations", m_routes->tables().organisations.size() } });
     updateCacheStores();
+    updateStreamLifetime();
     refreshRunners();
     return true;
 }
@@ -53,6 +61,30 @@
     m_cacheStores = std::move(stores);
 }
 
+void ServingState::updateStreamLifetime()
+{
+    std::chrono::milliseconds longest { 0 };
+    for (const auto& route : m_routes->tables().routes) {
+        if (route.kind == RequestKind::Stream && route.isResumable)
+            longest = std::max(longest, route.timeLimit);
+    }
+    const auto lifetime = longest * streamLifetimeLimits + streamLifetimeMargin;
+    m_streamOrigins.setLifetime(lifetime);
+    m_softwareHistory.setLifetime(lifetime);
+}
+
+void ServingState::observeSoftware()
+{
+    const auto now = std::chrono::steady_clock::now();
+    m_hasNewMixture = !m_softwareHistory.observe(m_registry.records(), now).empty() || m_hasNewMixture;
+    m_streamOrigins.expire(now);
+}
+
+std::optional<std::string> ServingState::onlySoftwareVersion(const std::string& pool) const
+{
+    return m_softwareHistory.onlyVersion(pool, m_storeEra, std::chrono::steady_clock::now());
+}
+
 std::shared_ptr<CacheContents> ServingState::findStore(std::uint32_t number) const
 {
     const auto it = std::find_if(m_cacheStores.begin(), m_cacheStores.end(), [&](const auto& store) { return store->number() == number; });
@@ -95,6 +127,7 @@
 
 void ServingState::refreshRunners()
 {
+    m_hasNewMixture = !m_softwareHistory.observe(m_registry.records(), std::chrono::steady_clock::now()).empty() || m_hasNewMixture;
     m_backendDirectory.update(m_registry.records(), [this](const std::string& pool) -> std::int64_t {
         const auto* row = m_routes ? m_routes->findPool(pool) : nullptr;
         return row && row->engine ? row->engine->memoryTokens : 0;
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chiveshelf/gateway/GatewaySettings.h"
+#include "chiveshelf/keyvalue/StorePosition.h"
 #include "chiveshelf/placement/ContactHistory.h"
 #include "chiveshelf/placement/CrashEvidence.h"
 #include "chiveshelf/placement/EnginePlacement.h"
@@ -9,6 +10,8 @@
 #include "chiveshelf/placement/RunnerClock.h"
 #include "chiveshelf/placement/RunnerRegistry.h"
 #include "chiveshelf/placement/ServicePlacement.h"
+#include "chiveshelf/placement/SoftwareHistory.h"
+#include "chiveshelf/placement/StreamOrigins.h"
 #include "chiveshelf/placement/VersionHistory.h"
 #include "chiveshelf/routing/RouteIndex.h"
 
@@ -58,6 +61,19 @@
     // The announced versions by model.
     const std::map<std::string, VersionHistory>& versions() const { return m_versions; }
 
+    // Origins of streams that may still be resumed, and the software versions that served lately.
+    StreamOrigins& streamOrigins() { return m_streamOrigins; }
+    std::size_t streamOriginCount() const { return m_streamOrigins.size(); }
+    SoftwareHistory& softwareHistory() { return m_softwareHistory; }
+    // Records the registered runners in the software history. To be called at least every few seconds.
+    void observeSoftware();
+    // Returns the only software version at which a stream of this pool that is still alive can have begun, or nothing.
+    std::optional<std::string> onlySoftwareVersion(const std::string& pool) const;
+    // Whether a pool has got a second software version since the last call.
+    bool takeNewMixture() { return std::exchange(m_hasNewMixture, false); }
+    // Sets the era of the store whose items this host knows.
+    void setStoreEra(StoreEra era) { m_storeEra = era; }
+
     // Returns the newest announced version of a model, or 0 if there is none.
     std::uint64_t newestVersion(const std::string& model) const;
     // Returns the oldest version of a model that new requests may use at `bootNow`, or 0 if none was announced.
@@ -89,6 +105,8 @@
 
 private:
     void updateCacheStores();
+    // Sets how long a stream can last with all its resumptions, by the tables.
+    void updateStreamLifetime();
     std::chrono::milliseconds versionGrace() const;
 
     const GatewaySettings& m_settings;
@@ -102,6 +120,10 @@
     CacheStores m_cacheStores;
     RunnerClock m_runnerClock;
     CrashEvidence m_crashEvidence;
+    StreamOrigins m_streamOrigins;
+    SoftwareHistory m_softwareHistory;
+    StoreEra m_storeEra = 0;
+    bool m_hasNewMixture = false;
     std::map<std::string, std::chrono::milliseconds> m_longestTimesLeft;
     std::mt19937_64 m_engine;
 };
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -2,6 +2,7 @@
 
 #include "chiveshelf/core/Log.h"
 #include "chiveshelf/core/Tasks.h"
+#include "chiveshelf/gateway/SoftwareLedger.h"
 #include "chiveshelf/gateway/StoreNotices.h"
 #include "platform/StoreFormat.h"
 
@@ -40,6 +41,8 @@
     // not renewed within seconds.
     constexpr std::chrono::milliseconds leftRunnersTime { 8'000 };
     constexpr std::chrono::milliseconds leftRunnersInterval { 800 };
+    // Runners of a software version don't come and go in less time, and two answers of the store are always closer in normal operation.
+    constexpr std::chrono::milliseconds maxUnseenTime { 8'000 };
     // Interval at which expired runners are removed.
     constexpr std::chrono::milliseconds expiryInterval { 200 };
 
@@ -62,6 +65,7 @@
 
 void StoreFollower::start()
 {
+    m_lastContactAt = bootTime();
     m_exchange.setStoreHandlers([this](const Address& from, const StoreNotice& notice) { onStoreNotice(from, notice); },
         [this](StorePosition after) { return changesAfter(after); });
     m_store.setEraHandler([this](StoreEra era) { onRestored(era); });
@@ -122,6 +126,7 @@
         if (m_state.registry().expire(now()))
             m_state.refreshRunners();
         announceLeftRunners();
+        m_state.observeSoftware();
     }
 }
 
@@ -151,6 +156,7 @@
     onContact();
     if (m_hasRead && previous.era < position.era)
         m_state.registry().onRestored(now());
+    m_state.setStoreEra(position.era);
     logEvent(LogLevel::Info, "store_read", { { "era", position.era }, { "revision", position.revision }, { "previous_era", previous.era }, { "previous_revision", previous.revision }, { "items", items.size() } });
     applyAll(items);
     m_hasRead = true;
@@ -316,6 +322,10 @@
 void StoreFollower::onContact()
 {
     m_retryDelay = minRetryDelay;
+    const auto bootNow = bootTime();
+    if (bootNow - m_lastContactAt > maxUnseenTime)
+        m_state.softwareHistory().onGap(now());
+    m_lastContactAt = bootNow;
     m_state.contactHistory().onAnswer(bootTime());
     m_state.registry().onContactRegained(now());
     if (!m_isInContact)
@@ -338,8 +348,13 @@
     m_hostItems.clear();
     m_leaderKeyFreeSince = now();
     m_relayItems.clear();
+    const auto formerSoftware = std::exchange(m_softwareRevisions, {});
     for (const auto& item : items)
         applyDecoded(ItemChange { item, false }, &runners);
+    for (const auto& [pool, revision] : formerSoftware) {
+        if (!m_softwareRevisions.contains(pool))
+            m_state.softwareHistory().setRecord(pool, std::nullopt, now());
+    }
     const auto left = m_state.registry().replaceAll(runners, now());
     m_leftRunners.clear();
     for (const auto& record : left)
@@ -377,7 +392,9 @@
         m_relayItems.erase(key);
     else
         m_relayItems[key] = change.item.value;
-    if (const auto* target = std::get_if<ModelTarget>(&decoded)) {
+    if (key.starts_with(softwareKeyPrefix)) {
+        applySoftwareRecord(change);
+    } else if (const auto* target = std::get_if<ModelTarget>(&decoded)) {
         m_state.acceptVersion(*target, bootTime());
     } else if (auto* runner = std::get_if<platform::RunnerItem>(&decoded)) {
         if (runner->record)
@@ -393,6 +410,25 @@
     }
 }
 
+Revision StoreFollower::softwareRevision(const std::string& pool) const
+{
+    const auto it = m_softwareRevisions.find(pool);
+    return it == m_softwareRevisions.end() ? 0 : it->second;
+}
+
+void StoreFollower::applySoftwareRecord(const ItemChange& change)
+{
+    const auto pool = change.item.key.substr(softwareKeyPrefix.size());
+    auto record = change.isRemoval ? std::nullopt : decodeSoftwareRecord(change.item.value);
+    if (!change.isRemoval && !record)
+        logEvent(LogLevel::Warning, "software_record_unreadable", { { "pool", pool } });
+    if (change.isRemoval)
+        m_softwareRevisions.erase(pool);
+    else
+        m_softwareRevisions[pool] = change.item.revision;
+    m_state.softwareHistory().setRecord(pool, std::move(record), now());
+}
+
 void StoreFollower::logRunner(const RunnerRecord& record) const
 {
     const auto& records = m_state.registry().records();
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.h
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.h
@@ -50,6 +50,9 @@
     // All changes up to this position are known.
     StorePosition position() const { return m_cursor.position(); }
 
+    // The revision of the software record of a pool, 0 if the store has none.
+    Revision softwareRevision(const std::string& pool) const;
+
     // Whether the last call to the store succeeded.
     bool isInContact() const { return m_isInContact; }
 
@@ -85,6 +88,7 @@
     // Tells all hosts of the runners that have left since the copy from which the store was restored. Hosts that started since then
     // don't know of it.
     void announceLeftRunners();
+    void applySoftwareRecord(const ItemChange&);
     void applyDecoded(const ItemChange&, std::vector<RunnerRecord>* runners);
     void finishChanges();
     // Logs a runner that is new, has restarted or leaves.
@@ -98,6 +102,10 @@
     HostExchange& m_exchange;
     std::map<std::string, StoredItem> m_hostItems;
     std::map<std::string, std::string> m_relayItems;
+    // Revisions of the software records by pool.
+    std::map<std::string, Revision> m_softwareRevisions;
+    // bootTime() of the last answer or notice of the store.
+    std::chrono::nanoseconds m_lastContactAt { 0 };
     std::chrono::milliseconds m_retryDelay;
     TimePoint m_leaderKeyFreeSince {};
     WatcherElection m_election;
--- a/packages/peer/chiveshelf/peer/DatagramChannel.h
+++ b/packages/peer/chiveshelf/peer/DatagramChannel.h
@@ -31,6 +31,9 @@
     LimitNotice = 12,
     AnswersNotice = 13,
     TryNotice = 14,
+    OriginNotice = 15,
+    OriginQuery = 16,
+    OriginAnswer = 17,
 };
 
 // Message that is sent as a single datagram, without a reply.
--- a/packages/placement/chiveshelf/placement/BackendDirectory.cpp
+++ b/packages/placement/chiveshelf/placement/BackendDirectory.cpp
@@ -15,6 +15,8 @@
         auto runner = isKnown ? it->second : std::make_shared<BackendState>(record, memory);
         if (isKnown)
             runner->update(record);
+        else if (it != m_runners.end() && !it->second->record().isSameIncarnation(record))
+            it->second->setSuperseded();
         runners.emplace(id, runner);
         m_byNumber.emplace(runner->number(), runner);
         if (!runner->isLeaving())
--- a/packages/placement/chiveshelf/placement/BackendState.h
+++ b/packages/placement/chiveshelf/placement/BackendState.h
@@ -122,6 +122,10 @@
     // Returns whether this host may send the runner a request now, also within the limit that the runner states.
     bool mayReceive(TimePoint now) const { return isUsable(now) && m_requestLimit.hasPermit(now); }
 
+    // Records that the registry lists a later start of this runner.
+    void setSuperseded() { m_isSuperseded = true; }
+    bool isSuperseded() const { return m_isSuperseded; }
+
     BackendHealth& health() { return m_health; }
     const BackendHealth& health() const { return m_health; }
     // Speed of transfers to the runner.
@@ -158,6 +162,7 @@
     WeightLoad m_load;
     double m_tokensPerMs = 0;
     bool m_isLeaving = false;
+    bool m_isSuperseded = false;
     TimePoint m_pauseEnd {};
     RequestLimit m_requestLimit;
     BackendHealth m_health;
--- /dev/null
+++ b/packages/placement/chiveshelf/placement/StreamOrigins.cpp
@@ -0,0 +1,71 @@
+#include "chiveshelf/placement/StreamOrigins.h"
+
+#include "chiveshelf/core/Hash.h"
+
+#include <algorithm>
+
+namespace chiveshelf {
+
+SoftwareId softwareOf(const RunnerRecord& runner)
+{
+    // 0 stands for a disputed origin.
+    return hash64(runner.softwareVersion, hash64(runner.pool)) | 1;
+}
+
+std::optional<StreamOrigin> StreamOrigins::record(StreamOrigin origin, TimePoint now)
+{
+    const auto [it, isNew] = m_records.try_emplace(origin.stream, Record { origin.software, now });
+    if (isNew) {
+        if (m_records.size() > maxStreams)
+            expire(now);
+        return origin;
+    }
+    auto& record = it->second;
+    const bool isAlive = now - record.recordedAt <= m_lifetime;
+    const auto previous = record.software;
+    if (isAlive && previous != origin.software)
+        record.software = disputed;
+    else
+        record.software = origin.software;
+    record.recordedAt = now;
+    if (isAlive && record.software == previous)
+        return std::nullopt;
+    return StreamOrigin { origin.stream, record.software };
+}
+
+std::optional<StreamOrigin> StreamOrigins::recordOf(std::uint64_t stream, TimePoint now) const
+{
+    const auto it = m_records.find(stream);
+    if (it == m_records.end() || now - it->second.recordedAt > m_lifetime)
+        return std::nullopt;
+    return StreamOrigin { stream, it->second.software };
+}
+
+std::optional<SoftwareId> StreamOrigins::find(std::uint64_t stream, TimePoint now) const
+{
+    const auto record = recordOf(stream, now);
+    if (!record || record->software == disputed)
+        return std::nullopt;
+    return record->software;
+}
+
+std::vector<StreamOrigin> StreamOrigins::all(TimePoint now) const
+{
+    std::vector<StreamOrigin> out;
+    for (const auto& [stream, record] : m_records) {
+        if (now - record.recordedAt <= m_lifetime)
+            out.push_back({ stream, record.software });
+    }
+    return out;
+}
+
+void StreamOrigins::expire(TimePoint now)
+{
+    std::erase_if(m_records, [&](const auto& entry) { return now - entry.second.recordedAt > m_lifetime; });
+    while (m_records.size() > maxStreams) {
+        const auto oldest = std::min_element(m_records.begin(), m_records.end(), [](const auto& a, const auto& b) { return a.second.recordedAt < b.second.recordedAt; });
+        m_records.erase(oldest);
+    }
+}
+
+}
