Confirm the start of a runner before a stream is resumed at it

A stream could be joined from two versions although the entries of both runners told the same one: a runner may restart under its id with another version, and its entry is then late, or older after a restore of the store.

Before a bound stream is sent to a runner with an engine, the host asks the runner for its start, after the connection was made, so that the same process answers; another start than that of the entry means that the request is not sent. If data of a stream arrives after the entry of a later start of its runner, the stream didn't begin where it was thought to, and its origin becomes unknown.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -493,6 +493,8 @@
     // Counted before the connection is established, so that requests which arrive meanwhile don't use the same permit.
     const bool isCounted = m_context.exchange.countSend(runner);
     bool isConnected = co_await connect(placement);
+    if (isConnected)
+        isConnected = co_await isRightIncarnation(placement);
     isConnected = isConnected && !isInterrupted();
     const auto now = std::chrono::steady_clock::now();
     const bool isTaken = !isCounted && !runner.requestLimit().hasPermit(now);
@@ -830,6 +832,8 @@
     if (use.hasFirstByte())
         m_longestPieceGap = std::max(m_longestPieceGap, std::chrono::duration_cast<std::chrono::milliseconds>(now - m_lastPieceAt));
     m_lastPieceAt = now;
+    if (m_binding)
+        m_binding->onData(use.runner());
     handleFirstByte(use);
     if (!isFailure(parser.get().result_int()) && use.isAnswering(CrashEvidence::maxAnswerAge, now))
         recordAnswer(use, now);
