Test that a head which breaks off is never passed on as an answer

Reported from a system like this one: a runner stopped inside the head of its answer, and callers got a 200 with a short body, framed as whole. The test cuts the head after each of its bytes, by an orderly close and by a reset, with and without an interim answer, for GET, HEAD and POST, HTTP/1.0 and 1.1 and three framings. It passes on the code as it was: the parser calls such a head partial, and each reader of a head treats that as no answer. Not reproduced here.

--- a/tests/integration/BrokenAnswerTest.cpp
+++ b/tests/integration/BrokenAnswerTest.cpp
@@ -97,9 +97,42 @@
     CPPUNIT_TEST(wholePlainResponseOfAnyFramingIsPassedOnAsComplete);
     CPPUNIT_TEST(longPlainResponseThatIsResetIsNotPassedOnAsComplete);
     CPPUNIT_TEST(responseThatIsResetWhileRequestIsWrittenIsNotPassedOnAsComplete);
+    CPPUNIT_TEST(headThatBreaksOffIsNeverPassedOnAsAnswer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Breaks the head off after each of its bytes, also after an interim response, for callers of GET, HEAD and POST.
+    void headThatBreaksOffIsNeverPassedOnAsAnswer()
+    {
+        std::size_t cut = 0;
+        std::string interim;
+        auto framing = BodyFraming::Length;
+        auto end = Script::End::Close;
+        for (int i = 0; i < 2; ++i) {
+            addRunner([&](const auto& request) {
+                const auto head = interim + header(request, framing, join(1).size());
+                return Script { head.substr(0, std::min(cut, head.size() - 1)), end };
+            });
+        }
+        startGateway();
+        const std::array<std::string, 3> paths { "/look/1", "/draft/1", "/ask/1" };
+        constexpr std::size_t longestHead = 140;
+        for (cut = 0; cut < longestHead; ++cut) {
+            for (const auto it : bodyFramings) {
+                framing = it;
+                end = cut % 2 == 0 ? Script::End::Close : Script::End::Reset;
+                interim = cut % 3 == 0 ? "HTTP/1.1 100 Continue\r\n\r\n" : "";
+                auto bytes = post(paths[cut % paths.size()]);
+                if (cut % 4 == 1)
+                    bytes.replace(0, 4, "HEAD");
+                if (cut % 5 == 2)
+                    bytes.replace(bytes.find("HTTP/1.1"), 8, "HTTP/1.0");
+                const auto response = fetch(bytes);
+                CPPUNIT_ASSERT_MESSAGE(name(framing) + " cut at " + std::to_string(cut), response.isBroken || response.status >= 500);
+            }
+        }
+    }
+
     void streamThatBreaksOffIsNeverPassedOnAsComplete()
     {
         forEachBreak([this](const std::string& version, BodyFraming framing, Script::End end, const Position& position) {
