Answer requests before a planned stop ends instead of cutting them off

Callers of a stopping host got no answer to requests that it had taken and passed on, among them ones that may not be repeated: what was left at the end of the stop was reset.

Requests without a response now get one 0.4 s before the exit: 504 if they may have run, a refusal if they certainly have not. Responses that have begun are reset as before.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -107,12 +107,14 @@
     , m_queueTimer(context.io)
     , m_eventTimer(context.io)
 {
+    m_context.tasks.insert(this);
 }
 
 ForwardTask::~ForwardTask()
 {
     // Timer callbacks that are already queued must not access the task, also if it ended by an exception.
     *m_alive = false;
+    m_context.tasks.erase(this);
     m_caller->stopWatching();
 }
 
@@ -299,6 +301,14 @@
     m_queueTimer.cancel();
 }
 
+void ForwardTask::endBeforeExit()
+{
+    if (m_hasResponseStarted)
+        return;
+    m_isExiting = true;
+    closeRunnerConnection();
+}
+
 std::chrono::milliseconds ForwardTask::eventTimeout() const
 {
     return std::max({ minEventTimeout, eventTimeoutGoals * m_route->goal, eventTimeoutPauses * m_route->longestPause });
@@ -1007,8 +1017,15 @@
 
 asio::awaitable<void> ForwardTask::finishInterrupted()
 {
+    const bool mayHaveRun = m_history->verdict() != Verdict::NotRun;
+    if (m_isExiting && !m_isCallerDisconnected && !m_hasResponseStarted) {
+        if (mayHaveRun)
+            co_await respond(504, "stopping", "this host is shutting down; the request may have run", std::nullopt);
+        else
+            co_await respond(503, "stopping", "this host is shutting down", otherHostRetryAfter);
+        co_return;
+    }
     if (m_isDeadlineExceeded && !m_hasResponseStarted) {
-        const bool mayHaveRun = m_history->verdict() != Verdict::NotRun;
         if (mayHaveRun)
             co_await respond(504, "time_up", "the request's deadline has passed", std::nullopt);
         else
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -18,6 +18,8 @@
 
 namespace chiveshelf {
 
+class ForwardTask;
+
 // Objects shared by all requests of a gateway.
 struct ForwardContext {
     boost::asio::io_context& io;
@@ -28,6 +30,8 @@
     // For calls to runners that are no requests of callers.
     http::Client& client;
     GatewayMetrics& metrics;
+    // The requests in progress.
+    std::set<ForwardTask*> tasks {};
 };
 
 // Forwards one request of a caller, from its arrival to its final response. The placement policies choose the runners, and
@@ -42,6 +46,9 @@
     // Serves the request. If `isStopping` is set, the request is refused at once because the process is shutting down.
     boost::asio::awaitable<void> run(bool isStopping);
 
+    // Ends the request with an answer if its response has not begun, because the process is about to exit.
+    void endBeforeExit();
+
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
@@ -148,7 +155,7 @@
     void logResumption(const RunnerRecord&) const;
     void logOutcome(std::string_view outcome, std::string_view reason) const;
     std::chrono::milliseconds timeLeft(TimePoint now) const;
-    bool isInterrupted() const { return m_isCallerDisconnected || m_isDeadlineExceeded; }
+    bool isInterrupted() const { return m_isCallerDisconnected || m_isDeadlineExceeded || m_isExiting; }
     bool mayResume() const { return m_route->kind == RequestKind::Stream && m_route->isResumable; }
 
     ForwardContext& m_context;
@@ -178,6 +185,8 @@
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     bool m_isCallerDisconnected = false;
     bool m_isDeadlineExceeded = false;
+    // Whether the process is about to exit.
+    bool m_isExiting = false;
     // Whether this host closed the runner's connection because the runner didn't start its response in time.
     bool m_isRunnerOverdue = false;
     // Whether the stream was closed after eventTimeout(); its retry is already charged to the budget then.
--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -42,6 +42,8 @@
     // Time that removing the registration from the store may take. If less is left, the registration's lease expires instead.
     constexpr std::chrono::milliseconds deregistrationTimeout { 1'200 };
     constexpr std::chrono::milliseconds drainCheckInterval { 50 };
+    // Requests without a response get an answer of this host so long before its exit, which is enough to write it to any caller.
+    constexpr std::chrono::milliseconds finalAnswerMargin { 400 };
 
     LogLevel levelFromName(const std::string& name)
     {
@@ -157,9 +159,18 @@
     spawnTask(m_context, "gateway.drain_and_stop", drainAndStop());
 }
 
+asio::awaitable<void> Gateway::answerBeforeExit(TimePoint end)
+{
+    co_await sleep(std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now()) - finalAnswerMargin);
+    logEvent(LogLevel::Info, "ending_requests", { { "active", m_forwardContext.tasks.size() } });
+    for (auto* task : m_forwardContext.tasks)
+        task->endBeforeExit();
+}
+
 asio::awaitable<void> Gateway::drainAndStop()
 {
     const auto end = std::chrono::steady_clock::now() + m_settings.stopLimit - exitMargin;
+    spawnTask(m_context, "gateway.answer_before_exit", answerBeforeExit(end));
     co_await m_rolloutLeader.stop();
     co_await sleep(balancerDetectionTime);
     co_await drainCallers(end);
--- a/packages/gateway/chiveshelf/gateway/Gateway.h
+++ b/packages/gateway/chiveshelf/gateway/Gateway.h
@@ -28,6 +28,8 @@
 private:
     boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection>, CallerRequest);
     boost::asio::awaitable<void> serveAdmin(http::Exchange&);
+    // Answers the requests without a response shortly before the exit at `end`.
+    boost::asio::awaitable<void> answerBeforeExit(TimePoint end);
     boost::asio::awaitable<void> drainAndStop();
     // Closes connections as they become idle, until no caller is connected or `end` is reached.
     boost::asio::awaitable<void> drainCallers(TimePoint end);
