Ask other hosts before a stream is taken for one of the only known version

A host that has not yet heard of a second version took each stream without a record for one of the first: it neither asked the hosts that hold the record nor those that know of the second version. A stream that began at the second within the delay could be joined.

A resumed stream without a record is now always asked for. If a host that answers knows of several versions, or none answers at all, its origin is unknown.

--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -93,7 +93,8 @@
           OriginExchange::Port { [this](std::uint64_t stream) { return originHolders(stream); },
               [this](const Address& to, const OriginNotice& notice) { m_datagrams.send(to, notice); },
               [this](const Address& to, const OriginQuery& query) { m_datagrams.send(to, query); },
-              [this](const Address& to, const OriginAnswer& answer) { m_datagrams.send(Address { to.ip, m_settings.peerAddress.port }, answer); } })
+              [this](const Address& to, const OriginAnswer& answer) { m_datagrams.send(Address { to.ip, m_settings.peerAddress.port }, answer); },
+              [this](const std::string& pool) { return m_state.hasSeveralSoftwareVersions(pool); } })
 {
 }
 
@@ -123,7 +124,9 @@
     m_datagrams.handle<LimitNotice>([this](const Address&, LimitNotice notice) { m_limits.applyNotice(notice, std::chrono::steady_clock::now()); });
     m_datagrams.handle<OriginNotice>([this](const Address&, OriginNotice notice) { m_origins.onNotice(notice, std::chrono::steady_clock::now()); });
     m_datagrams.handle<OriginQuery>([this](const Address& from, OriginQuery query) { m_origins.onQuery(from, query, std::chrono::steady_clock::now()); });
-    m_datagrams.handle<OriginAnswer>([this](const Address&, OriginAnswer answer) { m_origins.onAnswer(answer, std::chrono::steady_clock::now()); });
+    m_datagrams.handle<OriginAnswer>([this](const Address& from, OriginAnswer answer) {
+        m_origins.onAnswer(Address { from.ip, m_settings.peerAddress.port }, answer, std::chrono::steady_clock::now());
+    });
     m_datagrams.handle<CacheNotice>([this](const Address&, CacheNotice notice) {
         if (m_cacheHandler)
             m_cacheHandler(notice);
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -342,16 +342,17 @@
     }
 };
 
-// Asks a host for the origin of a stream.
+// Asks a host for the origin of a stream of a pool.
 struct OriginQuery {
     static constexpr peer::DatagramType datagramType = peer::DatagramType::OriginQuery;
 
     std::uint64_t stream = 0;
+    std::string pool;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(stream);
+        archive(stream, pool);
     }
 };
 
@@ -362,11 +363,13 @@
     std::uint64_t stream = 0;
     bool isKnown = false;
     std::uint64_t software = 0;
+    // Whether the answering host knows of several software versions at which a stream of the pool can have begun.
+    bool isMixed = false;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(stream, isKnown, software);
+        archive(stream, isKnown, software, isMixed);
     }
 };
 
--- a/packages/gateway/chiveshelf/gateway/OriginExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/OriginExchange.cpp
@@ -74,32 +74,37 @@
     }
 }
 
-asio::awaitable<std::optional<SoftwareId>> OriginExchange::find(std::uint64_t stream)
+asio::awaitable<OriginExchange::Finding> OriginExchange::find(std::uint64_t stream, std::string pool)
 {
+    Finding out;
     const auto start = std::chrono::steady_clock::now();
-    if (m_origins.recordOf(stream, start))
-        co_return m_origins.find(stream, start);
+    out.record = m_origins.recordOf(stream, start);
+    if (out.record)
+        co_return out;
     const auto holders = m_port.holders(stream);
     auto& slot = m_searches[stream];
     if (!slot)
         slot = std::make_shared<Search>();
     const auto search = slot;
-    search->unanswered = holders.size();
-    const OriginQuery query { stream };
+    const OriginQuery query { stream, std::move(pool) };
     bool isRepeated = false;
     for (const auto& holder : holders)
         m_port.sendQuery(holder, query);
-    while (!search->isFound && search->unanswered > 0 && std::chrono::steady_clock::now() - start < searchLimit) {
+    while (!search->isFound && search->answered.size() < holders.size() && std::chrono::steady_clock::now() - start < searchLimit) {
         co_await sleep(searchCheckInterval);
-        if (search->isFound || std::chrono::steady_clock::now() - start < repeatDelay || std::exchange(isRepeated, true))
+        if (std::chrono::steady_clock::now() - start < repeatDelay || std::exchange(isRepeated, true))
             continue;
-        // Hosts that have answered already count once more then; the search only ends later for it.
-        search->unanswered = holders.size();
-        for (const auto& holder : holders)
-            m_port.sendQuery(holder, query);
+        for (const auto& holder : holders) {
+            if (!search->answered.contains(holder))
+                m_port.sendQuery(holder, query);
+        }
     }
     m_searches.erase(stream);
-    co_return m_origins.find(stream, std::chrono::steady_clock::now());
+    out.record = m_origins.recordOf(stream, std::chrono::steady_clock::now());
+    out.isMixed = search->isMixed;
+    out.asked = holders.size();
+    out.answers = search->answered.size();
+    co_return out;
 }
 
 void OriginExchange::onNotice(const OriginNotice& notice, TimePoint now)
@@ -111,19 +116,20 @@
 void OriginExchange::onQuery(const Address& from, const OriginQuery& query, TimePoint now)
 {
     const auto known = m_origins.recordOf(query.stream, now);
-    m_port.sendAnswer(from, OriginAnswer { query.stream, known.has_value(), known ? known->software : 0 });
+    m_port.sendAnswer(from, OriginAnswer { query.stream, known.has_value(), known ? known->software : 0, m_port.isMixed(query.pool) });
 }
 
-void OriginExchange::onAnswer(const OriginAnswer& answer, TimePoint now)
+void OriginExchange::onAnswer(const Address& from, const OriginAnswer& answer, TimePoint now)
 {
-    const auto it = m_searches.find(answer.stream);
     if (answer.isKnown)
         m_origins.record({ answer.stream, answer.software }, now);
+    const auto it = m_searches.find(answer.stream);
     if (it == m_searches.end())
         return;
     auto& search = *it->second;
+    search.answered.insert(from);
     search.isFound = search.isFound || answer.isKnown;
-    search.unanswered -= search.unanswered > 0 ? 1 : 0;
+    search.isMixed = search.isMixed || answer.isMixed;
 }
 
 }
--- a/packages/gateway/chiveshelf/gateway/OriginExchange.h
+++ b/packages/gateway/chiveshelf/gateway/OriginExchange.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace chiveshelf {
 
@@ -25,6 +26,8 @@
         std::function<void(const Address&, const OriginNotice&)> sendNotice;
         std::function<void(const Address&, const OriginQuery&)> sendQuery;
         std::function<void(const Address&, const OriginAnswer&)> sendAnswer;
+        // Returns whether several software versions of a pool have served lately, as far as this host knows.
+        std::function<bool(const std::string& pool)> isMixed;
     };
 
     OriginExchange(boost::asio::io_context&, StreamOrigins&, Port);
@@ -32,25 +35,32 @@
     // Records the origin of a stream, and sends it to its holders soon after if `isShared` is set.
     void record(StreamOrigin, bool isShared, TimePoint now);
 
-    // Returns this host's record of a stream, also if it is disputed.
-    std::optional<StreamOrigin> recordOf(std::uint64_t stream) const { return m_origins.recordOf(stream, std::chrono::steady_clock::now()); }
-
     // Sends all records to their holders. To be called when a second software version appears.
     void shareAll(TimePoint now);
 
-    // Returns the software that began a stream, asking other hosts if this one doesn't know. Returns nothing if no host answers that it
-    // knows within a fixed time, or if the origin is disputed.
-    boost::asio::awaitable<std::optional<SoftwareId>> find(std::uint64_t stream);
+    // What the hosts know of a stream.
+    struct Finding {
+        std::optional<StreamOrigin> record;
+        // Whether a host that was asked knows of several software versions of the pool.
+        bool isMixed = false;
+        std::size_t asked = 0;
+        std::size_t answers = 0;
+    };
+
+    // Finds out what the hosts know of a stream. Asks others if this one has no record, and ends when one has it, when all have
+    // answered, or after a fixed time.
+    boost::asio::awaitable<Finding> find(std::uint64_t stream, std::string pool);
 
     void onNotice(const OriginNotice&, TimePoint now);
     void onQuery(const Address& from, const OriginQuery&, TimePoint now);
-    void onAnswer(const OriginAnswer&, TimePoint now);
+    void onAnswer(const Address& from, const OriginAnswer&, TimePoint now);
 
 private:
     // A search for the origin of a stream at other hosts.
     struct Search {
-        std::size_t unanswered = 0;
+        std::set<Address> answered;
         bool isFound = false;
+        bool isMixed = false;
     };
 
     boost::asio::awaitable<void> flush();
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -85,6 +85,11 @@
     return m_softwareHistory.onlyVersion(pool, m_storeEra, std::chrono::steady_clock::now());
 }
 
+bool ServingState::hasSeveralSoftwareVersions(const std::string& pool) const
+{
+    return m_softwareHistory.versions(pool, std::chrono::steady_clock::now()).size() > 1;
+}
+
 std::shared_ptr<CacheContents> ServingState::findStore(std::uint32_t number) const
 {
     const auto it = std::find_if(m_cacheStores.begin(), m_cacheStores.end(), [&](const auto& store) { return store->number() == number; });
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -69,6 +69,8 @@
     void observeSoftware();
     // Returns the only software version at which a stream of this pool that is still alive can have begun, or nothing.
     std::optional<std::string> onlySoftwareVersion(const std::string& pool) const;
+    // Whether several software versions of a pool have served lately, as far as this host knows.
+    bool hasSeveralSoftwareVersions(const std::string& pool) const;
     // Whether a pool has got a second software version since the last call.
     bool takeNewMixture() { return std::exchange(m_hasNewMixture, false); }
     // Sets the era of the store whose items this host knows.
--- a/packages/gateway/chiveshelf/gateway/StreamBinding.cpp
+++ b/packages/gateway/chiveshelf/gateway/StreamBinding.cpp
@@ -17,18 +17,17 @@
 
 asio::awaitable<StreamBinding::Origin> StreamBinding::resume()
 {
-    if (m_stream) {
-        const auto known = m_exchange.origins().recordOf(*m_stream);
-        // With one version, a stream that no host knows can only have begun at that one: other hosts needn't be asked.
-        if (known || mayBeMixed())
-            m_software = co_await m_exchange.origins().find(*m_stream);
-        if (m_software)
-            co_return Origin::Recorded;
-        if (known)
+    const auto finding = co_await m_exchange.origins().find(m_stream.value_or(0), m_pool);
+    if (finding.record) {
+        if (finding.record->software == StreamOrigins::disputed)
             co_return Origin::Unknown;
+        m_software = finding.record->software;
+        co_return Origin::Recorded;
     }
+    // This host may have missed the news of another version. If it can reach no other host either, it can't tell.
     const auto only = m_state.onlySoftwareVersion(m_pool);
-    if (!only)
+    const bool isAlone = finding.asked > 0 && finding.answers == 0;
+    if (!only || finding.isMixed || isAlone)
         co_return Origin::Unknown;
     RunnerRecord record;
     record.pool = m_pool;
--- a/packages/placement/chiveshelf/placement/SoftwareHistory.cpp
+++ b/packages/placement/chiveshelf/placement/SoftwareHistory.cpp
@@ -65,6 +65,12 @@
     return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
 }
 
+std::set<std::string> SoftwareHistory::versions(const std::string& name, TimePoint now) const
+{
+    const auto it = m_pools.find(name);
+    return it == m_pools.end() ? std::set<std::string>() : versionsWithin(it->second, now);
+}
+
 std::map<std::string, SoftwareRecord> SoftwareHistory::missingRecords(std::uint64_t era, TimePoint now) const
 {
     std::map<std::string, SoftwareRecord> out;
--- a/packages/placement/chiveshelf/placement/SoftwareHistory.h
+++ b/packages/placement/chiveshelf/placement/SoftwareHistory.h
@@ -53,6 +53,9 @@
     // Returns the only version at which a stream of this pool that is still alive can have begun, or nothing if there may be several.
     std::optional<std::string> onlyVersion(const std::string& pool, std::uint64_t era, TimePoint now) const;
 
+    // Returns the versions that are known to have served a pool within a stream's lifetime.
+    std::set<std::string> versions(const std::string& pool, TimePoint now) const;
+
     // Returns the record that the store should have of each pool, for those where it has another one. Empty while this host doesn't
     // know the past itself.
     std::map<std::string, SoftwareRecord> missingRecords(std::uint64_t era, TimePoint now) const;
--- a/packages/placement/chiveshelf/placement/StreamOrigins.cpp
+++ b/packages/placement/chiveshelf/placement/StreamOrigins.cpp
@@ -41,14 +41,6 @@
     return StreamOrigin { stream, it->second.software };
 }
 
-std::optional<SoftwareId> StreamOrigins::find(std::uint64_t stream, TimePoint now) const
-{
-    const auto record = recordOf(stream, now);
-    if (!record || record->software == disputed)
-        return std::nullopt;
-    return record->software;
-}
-
 std::vector<StreamOrigin> StreamOrigins::all(TimePoint now) const
 {
     std::vector<StreamOrigin> out;
--- a/packages/placement/chiveshelf/placement/StreamOrigins.h
+++ b/packages/placement/chiveshelf/placement/StreamOrigins.h
@@ -50,10 +50,7 @@
     // Records an origin, or renews its record. Returns the record as it is now if that is news, nothing otherwise.
     std::optional<StreamOrigin> record(StreamOrigin, TimePoint now);
 
-    // Returns the software that began a stream, or nothing if it is unknown or disputed.
-    std::optional<SoftwareId> find(std::uint64_t stream, TimePoint now) const;
-
-    // Returns the record of a stream, disputed ones too.
+    // Returns the record of a stream, disputed ones too, or nothing if its origin is unknown.
     std::optional<StreamOrigin> recordOf(std::uint64_t stream, TimePoint now) const;
 
     // Returns the records that are alive.
