--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -16,8 +16,8 @@
 namespace chiveshelf {
 
 // Exchanges state with the other hosts: outstanding work, prompt placements, requests that crash runners, weights being loaded,
-// the limits of runners, the contents of stores of cached parts, and changes of the key-value store. Hosts that can't read the key-value store get its
-// tables from here. Messages may be lost: that makes decisions less precise, but never wrong.
+// the limits of runners, the origins of streams, the contents of stores of cached parts, and changes of the key-value store. Hosts that
+// can't read the key-value store get its tables from here. Messages may be lost: that makes decisions less precise, but never wrong.
 class HostExchange {
 public:
     // Handles raw items (key and text) received from a peer.
--- a/packages/gateway/chiveshelf/gateway/OriginExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/OriginExchange.cpp
@@ -43,16 +43,16 @@
     m_origins.record(origin, now);
     const auto known = m_origins.recordOf(origin.stream, now);
     if (isShared && known)
-        add(*known);
+        enqueue(*known);
 }
 
 void OriginExchange::shareAll(TimePoint now)
 {
     for (const auto& origin : m_origins.all(now))
-        add(origin);
+        enqueue(origin);
 }
 
-void OriginExchange::add(const StreamOrigin& origin)
+void OriginExchange::enqueue(const StreamOrigin& origin)
 {
     for (const auto& holder : m_port.holders(origin.stream))
         m_pending[holder].push_back(origin);
--- a/packages/gateway/chiveshelf/gateway/OriginExchange.h
+++ b/packages/gateway/chiveshelf/gateway/OriginExchange.h
@@ -65,7 +65,8 @@
 
     boost::asio::awaitable<void> flush();
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds);
-    void add(const StreamOrigin&);
+    // Queues a record for its holders.
+    void enqueue(const StreamOrigin&);
 
     boost::asio::io_context& m_context;
     StreamOrigins& m_origins;
--- a/packages/gateway/chiveshelf/gateway/SoftwareLedger.cpp
+++ b/packages/gateway/chiveshelf/gateway/SoftwareLedger.cpp
@@ -35,7 +35,7 @@
 asio::awaitable<void> SoftwareLedger::run()
 {
     asio::steady_timer timer(m_context);
-    while (!m_isStopped) {
+    while (true) {
         boost::system::error_code ec;
         timer.expires_after(checkInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
--- a/packages/gateway/chiveshelf/gateway/SoftwareLedger.h
+++ b/packages/gateway/chiveshelf/gateway/SoftwareLedger.h
@@ -14,7 +14,6 @@
     SoftwareLedger& operator=(const SoftwareLedger&) = delete;
 
     void start();
-    void stop() { m_isStopped = true; }
 
 private:
     boost::asio::awaitable<void> run();
@@ -25,7 +24,6 @@
     ServingState& m_state;
     const StoreFollower& m_follower;
     const RolloutLeader& m_leader;
-    bool m_isStopped = false;
 };
 
 // Prefix of the keys of SoftwareRecords, before the pool's name.
