--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -100,6 +100,7 @@
 
 ForwardTask::ForwardTask(ForwardContext& context, std::shared_ptr<CallerConnection> caller, CallerRequest request)
     : m_context(context)
+    , m_tasks(context.tasks)
     , m_caller(std::move(caller))
     , m_request(std::move(request))
     , m_deadlineTimer(context.io)
@@ -107,14 +108,14 @@
     , m_queueTimer(context.io)
     , m_eventTimer(context.io)
 {
-    m_context.tasks.insert(this);
+    m_tasks->insert(this);
 }
 
 ForwardTask::~ForwardTask()
 {
     // Timer callbacks that are already queued must not access the task, also if it ended by an exception.
     *m_alive = false;
-    m_context.tasks.erase(this);
+    m_tasks->erase(this);
     m_caller->stopWatching();
 }
 
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -30,8 +30,8 @@
     // For calls to runners that are no requests of callers.
     http::Client& client;
     GatewayMetrics& metrics;
-    // The requests in progress.
-    std::set<ForwardTask*> tasks {};
+    // The requests in progress. Shared with them, as coroutines may be destroyed after the gateway.
+    std::shared_ptr<std::set<ForwardTask*>> tasks = std::make_shared<std::set<ForwardTask*>>();
 };
 
 // Forwards one request of a caller, from its arrival to its final response. The placement policies choose the runners, and
@@ -159,6 +159,7 @@
     bool mayResume() const { return m_route->kind == RequestKind::Stream && m_route->isResumable; }
 
     ForwardContext& m_context;
+    std::shared_ptr<std::set<ForwardTask*>> m_tasks;
     std::shared_ptr<CallerConnection> m_caller;
     CallerRequest m_request;
     // The routing tables that were in force when the request arrived.
--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -162,8 +162,8 @@
 asio::awaitable<void> Gateway::answerBeforeExit(TimePoint end)
 {
     co_await sleep(std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now()) - finalAnswerMargin);
-    logEvent(LogLevel::Info, "ending_requests", { { "active", m_forwardContext.tasks.size() } });
-    for (auto* task : m_forwardContext.tasks)
+    logEvent(LogLevel::Info, "ending_requests", { { "active", m_forwardContext.tasks->size() } });
+    for (auto* task : *m_forwardContext.tasks)
         task->endBeforeExit();
 }
 
