Name a take-up once, and observe software versions in one place

What the last read of the change found written twice: the test for a request that resumes a stream stood three times in ForwardTask, the observation of software versions twice in ServingState, and StreamBinding built a runner's entry to hash a version. A comment said that no host could continue a refused stream later, which is not so if no other host answered.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -143,8 +143,7 @@
     const auto limit = m_headers.timeLeft ? std::min(m_route->timeLimit, *m_headers.timeLeft) : m_route->timeLimit;
     m_deadline = m_request.arrivedAt + limit;
     // All attempts to resume a stream go to the pool that began it.
-    const bool isResumption = mayResume() && !m_headers.lastEventId.empty();
-    const auto& firstAttemptId = isResumption ? m_headers.firstAttemptId : m_headers.requestId;
+    const auto& firstAttemptId = isTakeUp() ? m_headers.firstAttemptId : m_headers.requestId;
     m_pool = RouteIndex::choosePool(*m_route, hash64(firstAttemptId.empty() ? m_headers.requestId : firstAttemptId));
     m_history.emplace(m_route->mayRepeat(), m_route->runLimit);
     m_fingerprint = toHex(hash128(std::string(view(message.target())) + '\n' + m_headers.key + '\n' + message.body()));
@@ -180,7 +179,7 @@
     auto localResponse = resolveRoute();
     if (!localResponse && isStopping)
         localResponse = LocalResponse { 503, "stopping", "this host is shutting down", otherHostRetryAfter };
-    if (!localResponse && mayResume() && !m_headers.lastEventId.empty())
+    if (!localResponse && isTakeUp())
         localResponse = co_await resumeStream();
     if (localResponse) {
         co_await respond(localResponse->status, localResponse->code, localResponse->message, localResponse->retryAfter);
@@ -238,7 +237,7 @@
     const auto name = origin != StreamBinding::Origin::Unknown && m_binding->candidates().empty() ? "version_gone" : streamOriginName(origin);
     ++m_context.metrics.takeUps[std::string(name)];
     logEvent(LogLevel::Info, "stream_taken_up", { { "request", m_headers.requestId }, { "first_attempt", m_headers.firstAttemptId }, { "pool", m_pool }, { "origin", name } });
-    // No Retry-After: no host could continue the stream later either.
+    // No Retry-After: waiting seldom helps, and the caller can start the stream anew at once.
     if (origin == StreamBinding::Origin::Unknown)
         co_return LocalResponse { 503, "stream_origin_unknown", "it is not known which software version began the stream; start it anew without Last-Event-Id", std::nullopt };
     if (m_binding->candidates().empty())
@@ -1040,8 +1039,7 @@
 
 void ForwardTask::logResumption(const RunnerRecord& runner) const
 {
-    const bool isTakeUp = !m_headers.lastEventId.empty();
-    if (!mayResume() || (!isTakeUp && !m_hasResponseStarted))
+    if (!isTakeUp() && !(mayResume() && m_hasResponseStarted))
         return;
     ++m_context.metrics.streamResumptions[m_hasResponseStarted ? "within_answer" : "by_caller"];
     logEvent(LogLevel::Info, "stream_resumed", { { "request", m_headers.requestId }, { "first_attempt", m_headers.firstAttemptId }, { "by", m_hasResponseStarted ? "host" : "caller" }, { "runner", runner.id }, { "software", runner.softwareVersion } });
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -156,6 +156,8 @@
     void logOutcome(std::string_view outcome, std::string_view reason) const;
     std::chrono::milliseconds timeLeft(TimePoint now) const;
     bool isInterrupted() const { return m_isCallerDisconnected || m_isDeadlineExceeded || m_isExiting; }
+    // Whether the caller resumes a stream that an earlier attempt began.
+    bool isTakeUp() const { return mayResume() && !m_headers.lastEventId.empty(); }
     bool mayResume() const { return m_route->kind == RequestKind::Stream && m_route->isResumable; }
 
     ForwardContext& m_context;
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -75,9 +75,7 @@
 
 void ServingState::observeSoftware()
 {
-    const auto now = std::chrono::steady_clock::now();
-    m_hasNewMixture = !m_softwareHistory.observe(m_registry.records(), now).empty() || m_hasNewMixture;
-    m_streamOrigins.expire(now);
+    m_hasNewMixture = !m_softwareHistory.observe(m_registry.records(), std::chrono::steady_clock::now()).empty() || m_hasNewMixture;
 }
 
 std::optional<std::string> ServingState::onlySoftwareVersion(const std::string& pool) const
@@ -132,7 +130,7 @@
 
 void ServingState::refreshRunners()
 {
-    m_hasNewMixture = !m_softwareHistory.observe(m_registry.records(), std::chrono::steady_clock::now()).empty() || m_hasNewMixture;
+    observeSoftware();
     m_backendDirectory.update(m_registry.records(), [this](const std::string& pool) -> std::int64_t {
         const auto* row = m_routes ? m_routes->findPool(pool) : nullptr;
         return row && row->engine ? row->engine->memoryTokens : 0;
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -127,6 +127,7 @@
             m_state.refreshRunners();
         announceLeftRunners();
         m_state.observeSoftware();
+        m_state.streamOrigins().expire(now());
     }
 }
 
--- a/packages/gateway/chiveshelf/gateway/StreamBinding.cpp
+++ b/packages/gateway/chiveshelf/gateway/StreamBinding.cpp
@@ -29,10 +29,7 @@
     const bool isAlone = finding.asked > 0 && finding.answers == 0;
     if (!only || finding.isMixed || isAlone)
         co_return Origin::Unknown;
-    RunnerRecord record;
-    record.pool = m_pool;
-    record.softwareVersion = *only;
-    m_software = softwareOf(record);
+    m_software = softwareOf(m_pool, *only);
     co_return Origin::OnlyVersion;
 }
 
--- a/packages/placement/chiveshelf/placement/StreamOrigins.cpp
+++ b/packages/placement/chiveshelf/placement/StreamOrigins.cpp
@@ -6,10 +6,15 @@
 
 namespace chiveshelf {
 
-SoftwareId softwareOf(const RunnerRecord& runner)
+SoftwareId softwareOf(std::string_view pool, std::string_view version)
 {
     // 0 stands for a disputed origin.
-    return hash64(runner.softwareVersion, hash64(runner.pool)) | 1;
+    return hash64(version, hash64(pool)) | 1;
+}
+
+SoftwareId softwareOf(const RunnerRecord& runner)
+{
+    return softwareOf(runner.pool, runner.softwareVersion);
 }
 
 std::optional<StreamOrigin> StreamOrigins::record(StreamOrigin origin, TimePoint now)
--- a/packages/placement/chiveshelf/placement/StreamOrigins.h
+++ b/packages/placement/chiveshelf/placement/StreamOrigins.h
@@ -7,6 +7,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -15,6 +16,8 @@
 // Hash of a pool and a version of its runners' software.
 using SoftwareId = std::uint64_t;
 
+SoftwareId softwareOf(std::string_view pool, std::string_view version);
+
 // Returns the software of a runner. It belongs to one incarnation: a runner can restart under its old id with another version.
 SoftwareId softwareOf(const RunnerRecord&);
 
