Measure how late the loop runs, and tell why connections of callers are closed

The record of requests cut beside a change of large tables can't tell an idle close that crosses a request from a caller that is wrongly taken for gone: neither leaves a line, and nothing measures how long the loop stood still.

Each close of a caller's connection has a reason (chiveshelf_gateway_closed_callers_total); bytes that arrive while a connection is being closed are logged as caller_bytes_dropped, and a caller that is gone before its request was sent anywhere at level info. No change of behaviour.

--- a/packages/core/chiveshelf/core/core.h
+++ b/packages/core/chiveshelf/core/core.h
@@ -9,6 +9,7 @@
 #include "chiveshelf/core/Error.h"
 #include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/LoopMonitor.h"
 #include "chiveshelf/core/Mailbox.h"
 #include "chiveshelf/core/Priority.h"
 #include "chiveshelf/core/StoredPrefix.h"
--- a/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
@@ -72,6 +72,27 @@
 
 }
 
+std::string_view closeReasonName(CloseReason reason)
+{
+    switch (reason) {
+    case CloseReason::Caller:
+        return "caller";
+    case CloseReason::LastResponse:
+        return "last_response";
+    case CloseReason::Idle:
+        return "idle";
+    case CloseReason::BrokenResponse:
+        return "broken_response";
+    case CloseReason::CallerGone:
+        return "caller_gone";
+    case CloseReason::Stopping:
+        return "stopping";
+    case CloseReason::Error:
+        break;
+    }
+    return "error";
+}
+
 std::string formatLocalResponse(const LocalResponse& response, bool isKeepAlive)
 {
     const nlohmann::json body { { "error", { { "code", response.code }, { "message", response.message } } } };
@@ -135,8 +156,10 @@
     if (m_buffer.size() == 0) {
         expireAfter(limits.idleTime);
         co_await m_socket.async_wait(asio::socket_base::wait_read, redirect_error(use_awaitable, ec));
-        if (ec || m_hasExpired)
+        if (ec || m_hasExpired) {
+            m_closeReason = m_hasExpired ? CloseReason::Idle : CloseReason::Caller;
             co_return std::nullopt;
+        }
     }
     m_isIdle = false;
     expireAfter(limits.headerTime);
@@ -162,6 +185,7 @@
         const auto refusal = responseForReadError(ec);
         if (refusal)
             co_return co_await refuseRequest(refusal->status, refusal->code, refusal->message);
+        m_closeReason = CloseReason::Caller;
         co_return std::nullopt;
     }
     disableExpiry();
@@ -251,12 +275,14 @@
 
 void CallerConnection::close()
 {
+    m_closeReason = CloseReason::Stopping;
     boost::system::error_code ec;
     m_socket.close(ec);
 }
 
-void CallerConnection::abort()
+void CallerConnection::abort(CloseReason reason)
 {
+    m_closeReason = reason;
     boost::system::error_code ec;
     // A linger time of 0 sends a reset, so the caller can't mistake the close for the end of the response.
     m_socket.set_option(asio::socket_base::linger(true, 0), ec);
@@ -284,6 +310,7 @@
         std::size_t n = 0;
         while (!ec && n < maxLingerBytes)
             n += co_await m_socket.async_read_some(asio::buffer(piece), redirect_error(use_awaitable, ec));
+        m_droppedBytes = n + m_buffer.size();
     }
     m_socket.close(ec);
 }
--- a/packages/gateway/chiveshelf/gateway/CallerConnection.h
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.h
@@ -36,6 +36,26 @@
     std::optional<std::chrono::milliseconds> retryAfter;
 };
 
+// Why a connection of a caller was closed.
+enum class CloseReason {
+    // The caller closed it, or it failed.
+    Caller,
+    // The response was the last one of the connection, as its header announced.
+    LastResponse,
+    // No request arrived within the idle time.
+    Idle,
+    // A response in progress could not be completed.
+    BrokenResponse,
+    // The caller was found to be gone while its request was in progress.
+    CallerGone,
+    // This host shuts down.
+    Stopping,
+    // An unexpected error.
+    Error,
+};
+
+std::string_view closeReasonName(CloseReason);
+
 // A connection of a caller. Reads complete requests, writes responses and detects when the caller disconnects.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
@@ -60,7 +80,7 @@
     bool isDisconnected() const { return m_isDisconnected; }
 
     // Closes the connection with a reset, so that the caller sees that a response in progress is incomplete.
-    void abort();
+    void abort(CloseReason = CloseReason::BrokenResponse);
 
     // Closes a connection on which no request is in progress.
     void close();
@@ -68,6 +88,10 @@
     // Closes the connection after giving the caller time to read the last response.
     boost::asio::awaitable<void> closeGracefully();
 
+    CloseReason closeReason() const { return m_closeReason; }
+    // Received bytes that no response was made to, because they arrived while the connection was being closed.
+    std::size_t droppedBytes() const { return m_droppedBytes; }
+
     bool isIdle() const { return m_isIdle; }
     bool isKeepAlive() const { return m_isKeepAlive; }
     void setKeepAlive(bool isKeepAlive) { m_isKeepAlive = isKeepAlive; }
@@ -103,6 +127,8 @@
     bool m_isIdle = true;
     bool m_isKeepAlive = true;
     bool m_hasExpired = false;
+    CloseReason m_closeReason = CloseReason::LastResponse;
+    std::size_t m_droppedBytes = 0;
 };
 
 // Formats a response that this host generates itself, header and body.
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -1034,7 +1034,7 @@
     }
     ++m_context.metrics.requests[m_isDeadlineExceeded ? "time_up" : "caller_gone"];
     logOutcome("ended", m_isDeadlineExceeded ? "time_up" : "caller_gone");
-    m_caller->abort();
+    m_caller->abort(m_isDeadlineExceeded ? CloseReason::BrokenResponse : CloseReason::CallerGone);
 }
 
 void ForwardTask::logResumption(const RunnerRecord& runner) const
@@ -1047,7 +1047,9 @@
 
 void ForwardTask::logOutcome(std::string_view outcome, std::string_view reason) const
 {
-    const bool isDebugOnly = outcome == "answered" || reason == "overloaded" || reason == "caller_gone";
+    // A caller that leaves before its request was sent to a runner is rare, and may be one that was wrongly taken for gone.
+    const bool isUnsentGone = reason == "caller_gone" && (!m_history || m_history->sends() == 0);
+    const bool isDebugOnly = outcome == "answered" || reason == "overloaded" || (reason == "caller_gone" && !isUnsentGone);
     if (isDebugOnly && !isLogged(LogLevel::Debug))
         return;
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_request.arrivedAt);
--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -60,6 +60,7 @@
     : m_context(context)
     , m_settings(std::move(settings))
     , m_state(m_settings)
+    , m_loopMonitor(context)
     , m_backends(context)
     , m_exchange(context, m_settings, m_state)
     , m_client(context)
@@ -93,6 +94,7 @@
     if (!started)
         return started;
     m_state.softwareHistory().start(std::chrono::steady_clock::now(), m_settings.isFirstStart);
+    m_loopMonitor.start();
     m_storeFollower.start();
     m_registration.start();
     m_rolloutLeader.start();
@@ -216,7 +218,10 @@
 
 std::string Gateway::metricsText() const
 {
-    return formatGatewayMetrics(m_metrics,
+    auto metrics = m_metrics;
+    metrics.loopDelays = m_loopMonitor.delays();
+    metrics.closedCallers = m_server.closedConnections();
+    return formatGatewayMetrics(metrics,
         { { "active_requests", static_cast<double>(m_server.activeRequests()) }, { "connections", static_cast<double>(m_server.connectionCount()) },
             { "idle_backend_connections", static_cast<double>(m_backends.idleCount()) },
             { "backend_connects", static_cast<double>(m_backends.connectCount()) }, { "store_calls", static_cast<double>(m_store.callCount()) },
--- a/packages/gateway/chiveshelf/gateway/Gateway.h
+++ b/packages/gateway/chiveshelf/gateway/Gateway.h
@@ -43,6 +43,7 @@
     GatewaySettings m_settings;
     ServingState m_state;
     GatewayMetrics m_metrics;
+    LoopMonitor m_loopMonitor;
     BackendPool m_backends;
     HostExchange m_exchange;
     http::Client m_client;
--- a/packages/gateway/chiveshelf/gateway/GatewayMetrics.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewayMetrics.cpp
@@ -2,11 +2,26 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <vector>
+
 namespace chiveshelf {
 
+namespace {
+
+    void addLoopDelays(prometheus::Registry& registry, const LoopDelays& delays)
+    {
+        const std::vector<double> limits(LoopDelays::bucketLimitsMs.begin(), LoopDelays::bucketLimitsMs.end());
+        auto& family = prometheus::BuildHistogram().Name("chiveshelf_gateway_loop_delay_ms").Help("How late the event loop ran its timers, in ms.").Register(registry);
+        family.Add({}, limits).ObserveMultiple({ delays.counts.begin(), delays.counts.end() }, delays.totalMs);
+        prometheus::BuildGauge().Name("chiveshelf_gateway_loop_delay_ms_max").Help("The longest of these delays.").Register(registry).Add({}).Set(delays.longestMs);
+    }
+
+}
+
 std::string formatGatewayMetrics(const GatewayMetrics& metrics, const std::map<std::string, double>& gauges)
 {
     prometheus::Registry registry;
@@ -24,6 +39,8 @@
     addCounters("chiveshelf_gateway_unframed_answers_total", "Answers with neither a length nor chunks, by how their connection ended.", "end", metrics.unframedAnswers);
     addCounters("chiveshelf_gateway_stream_resumptions_total", "Sends to runners that continue a stream, by what made it necessary.", "by", metrics.streamResumptions);
     addCounters("chiveshelf_gateway_stream_take_ups_total", "Streams that callers resume, by how their origin is known.", "origin", metrics.takeUps);
+    addCounters("chiveshelf_gateway_closed_callers_total", "Connections of callers that this host closed, by reason.", "reason", metrics.closedCallers);
+    addLoopDelays(registry, metrics.loopDelays);
     addCounter("chiveshelf_gateway_repeats_total", "Sends beyond the first of each request.", static_cast<double>(metrics.repeats));
     addCounter("chiveshelf_gateway_resumes_total", "Streams resumed at another runner.", static_cast<double>(metrics.resumes));
     addCounter("chiveshelf_gateway_stray_answers_total", "Answers that belonged to other requests.", static_cast<double>(metrics.strayResponses));
--- a/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
+++ b/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "chiveshelf/core/LoopMonitor.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -20,6 +22,9 @@
     std::map<std::string, std::uint64_t> streamResumptions;
     // Streams that callers resume, by how their origin is known: "recorded", "only_version", "unknown" or "version_gone".
     std::map<std::string, std::uint64_t> takeUps;
+    // Connections of callers that this host closed, by reason.
+    std::map<std::string, std::uint64_t> closedCallers;
+    LoopDelays loopDelays;
     std::uint64_t repeats = 0;
     std::uint64_t resumes = 0;
     std::uint64_t strayResponses = 0;
--- a/packages/gateway/chiveshelf/gateway/GatewayServer.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewayServer.cpp
@@ -84,7 +84,7 @@
 void GatewayServer::abortActive()
 {
     for (auto* connection : *m_active)
-        connection->abort();
+        connection->abort(CloseReason::Stopping);
 }
 
 asio::awaitable<void> GatewayServer::acceptLoop()
@@ -150,9 +150,18 @@
         co_await connection->closeGracefully();
     } catch (const std::exception& error) {
         logEvent(LogLevel::Error, "connection_failed", { { "error", error.what() } });
-        connection->abort();
+        connection->abort(CloseReason::Error);
     }
+    recordClose(*connection);
     m_connections.erase(connection);
 }
 
+void GatewayServer::recordClose(const CallerConnection& connection)
+{
+    const auto reason = closeReasonName(connection.closeReason());
+    ++m_closedConnections[std::string(reason)];
+    if (connection.droppedBytes() > 0)
+        logEvent(LogLevel::Info, "caller_bytes_dropped", { { "reason", reason }, { "bytes", connection.droppedBytes() } });
+}
+
 }
--- a/packages/gateway/chiveshelf/gateway/GatewayServer.h
+++ b/packages/gateway/chiveshelf/gateway/GatewayServer.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -43,11 +44,15 @@
 
     std::size_t activeRequests() const { return m_active->size(); }
     std::size_t connectionCount() const { return m_connections.size(); }
+    // Closed connections by reason.
+    const std::map<std::string, std::uint64_t>& closedConnections() const { return m_closedConnections; }
 
 private:
     boost::asio::awaitable<void> acceptLoop();
     void addConnection(boost::asio::ip::tcp::socket);
     boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection>);
+    // Counts a closed connection, and logs it if the caller may have lost a request by the close.
+    void recordClose(const CallerConnection&);
 
     boost::asio::io_context& m_context;
     std::size_t m_maxConnections;
@@ -58,6 +63,7 @@
     // The connections of the requests in progress. Shared with the coroutines that serve them, which the context may destroy later than
     // this object.
     std::shared_ptr<std::set<CallerConnection*>> m_active = std::make_shared<std::set<CallerConnection*>>();
+    std::map<std::string, std::uint64_t> m_closedConnections;
     bool m_isClosing = false;
 };
 
