Show requests cut beside a change of large tables, on small hosts

GatewayFleet gets links of a given rate that the store's answers, callers and calls of other hosts share (SlowLink), and shares of a processor (ProcessorQuota, which stops a process that has used more). Hosts now get datagrams from the relay of their sender, so that they can call it back; before, each host called its own relay.

--- a/tests/support/GatewayFleet.cpp
+++ b/tests/support/GatewayFleet.cpp
@@ -24,6 +24,9 @@
     constexpr int hostGroup = 1;
     constexpr int relayGroup = 2;
     constexpr int runnerGroup = 3;
+    // Where callers reach a host over its link, and where a host reaches the store over its link.
+    constexpr int callerLinkGroup = 4;
+    constexpr int storeLinkGroup = 5;
     constexpr int storePort = 7'000;
     constexpr int callerPort = 7'001;
     constexpr int adminPort = 7'002;
@@ -31,11 +34,6 @@
     constexpr int runnerPort = 8'000;
     const std::string registrationPrefix = "hosts/";
 
-    std::string hostName(int number)
-    {
-        return "host-" + std::to_string(number);
-    }
-
     // Returns the number of the host at an address of the host group.
     int hostNumber(const std::string& ip)
     {
@@ -61,11 +59,17 @@
 
 GatewayFleet::~GatewayFleet()
 {
+    m_quota.reset();
     m_hosts.clear();
     std::error_code ec;
     std::filesystem::remove_all(m_logFolder, ec);
 }
 
+std::string GatewayFleet::hostName(int number)
+{
+    return "host-" + std::to_string(number);
+}
+
 Address GatewayFleet::address(int group, int number, int port) const
 {
     return { m_network + std::to_string(group) + "." + std::to_string(number), static_cast<std::uint16_t>(port) };
@@ -112,7 +116,7 @@
 
 void GatewayFleet::startHost(int number)
 {
-    start(number, { "--store=" + toString(address(storeGroup, 1, storePort)) });
+    start(number, { "--store=" + toString(storeAddress(number)) });
 }
 
 void GatewayFleet::startHosts(int n)
@@ -136,6 +140,38 @@
     start(number, { "--store=" + toString(address(storeGroup, 2, storePort)), "--contacts=" + toString(peerAddress(1)) });
 }
 
+bool GatewayFleet::hasLink(int number) const
+{
+    const auto it = m_hosts.find(number);
+    return it != m_hosts.end() && it->second.link;
+}
+
+Address GatewayFleet::storeAddress(int number) const
+{
+    return hasLink(number) ? address(storeLinkGroup, number, storePort) : address(storeGroup, 1, storePort);
+}
+
+Address GatewayFleet::callerAddress(int number) const
+{
+    return address(hasLink(number) ? callerLinkGroup : hostGroup, number, callerPort);
+}
+
+void GatewayFleet::limitLink(int number, double bytesPerSecond)
+{
+    auto& link = m_hosts[number].link;
+    link = std::make_unique<SlowLink>(m_context, bytesPerSecond);
+    link->forward(storeAddress(number), address(storeGroup, 1, storePort), SlowLink::Direction::FromHost);
+    link->forward(callerAddress(number), address(hostGroup, number, callerPort), SlowLink::Direction::ToHost);
+    link->forward(address(relayGroup, number, peerPort), peerAddress(number), SlowLink::Direction::ToHost);
+}
+
+void GatewayFleet::limitProcessors(const std::vector<int>& hosts, double share)
+{
+    m_quota = std::make_unique<ProcessorQuota>(share);
+    for (const auto number : hosts)
+        m_quota->add(process(number).id());
+}
+
 void GatewayFleet::start(int number, const std::vector<std::string>& moreArguments)
 {
     auto& host = m_hosts[number];
@@ -192,16 +228,18 @@
         const auto n = co_await socket->async_receive_from(asio::buffer(buf), from, asio::redirect_error(asio::use_awaitable, ec));
         if (ec == asio::error::operation_aborted)
             co_return;
-        const bool isCut = m_cutOff.contains(number) || m_cutOff.contains(hostNumber(from.address().to_string()));
+        const auto sender = hostNumber(from.address().to_string());
+        const bool isCut = m_cutOff.contains(number) || m_cutOff.contains(sender);
         const bool isLost = std::uniform_real_distribution<double>(0, 1)(m_random) < m_lossShare;
+        // The receiver replies to the address from which a datagram came, which has to be the relay of the sender.
         if (!ec && !isCut && !isLost)
-            socket->send_to(asio::buffer(buf, n), endpoint, 0, ec);
+            m_hosts.at(sender).relay->send_to(asio::buffer(buf, n), endpoint, 0, ec);
     }
 }
 
 void GatewayFleet::send(int host, std::string bytes, std::function<void(const CallerResponse&)> onEnd)
 {
-    asio::co_spawn(m_context, exchange(address(hostGroup, host, callerPort), std::move(bytes), std::move(onEnd)), asio::detached);
+    asio::co_spawn(m_context, exchange(callerAddress(host), std::move(bytes), std::move(onEnd)), asio::detached);
 }
 
 asio::awaitable<void> GatewayFleet::exchange(Address to, std::string bytes, std::function<void(const CallerResponse&)> onEnd)
--- a/tests/support/GatewayFleet.h
+++ b/tests/support/GatewayFleet.h
@@ -2,6 +2,8 @@
 
 #include "ChildProcess.h"
 #include "FakePlatform.h"
+#include "ProcessorQuota.h"
+#include "SlowLink.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -38,6 +40,21 @@
     // Crashes a runner. It starts again after `downTime`, registered under another id. Ignored while it is down.
     void crashRunner(std::size_t index, std::chrono::milliseconds downTime);
 
+    static std::string hostName(int number);
+
+    // Gives a host, before its start, a link of this rate to the store, to callers and from hosts that call it. Runners are reached
+    // beside it, and its calls to other hosts use only their links.
+    void limitLink(int number, double bytesPerSecond);
+    // Bytes that crossed a limited link.
+    std::size_t linkBytes(int number, SlowLink::Direction direction) const { return m_hosts.at(number).link->bytes(direction); }
+
+    // Gives each of these hosts from now on this share of a processor.
+    void limitProcessors(const std::vector<int>& hosts, double share);
+
+    fakeplatform::Store& store() { return m_store; }
+    // Where callers connect to a host.
+    chiveshelf::Address callerAddress(int number) const;
+
     // Starts a host, or starts it again. Host numbers begin at 1.
     void startHost(int number);
     // Starts the hosts 1 to `n` and waits until they are ready.
@@ -69,6 +86,7 @@
     struct Host {
         std::unique_ptr<ChildProcess> process;
         std::shared_ptr<boost::asio::ip::udp::socket> relay;
+        std::unique_ptr<SlowLink> link;
     };
 
     struct RunnerSlot {
@@ -83,6 +101,8 @@
     void registerRunner(const RunnerSlot&);
     boost::asio::awaitable<void> restartRunner(std::size_t index, std::chrono::milliseconds downTime);
     void start(int number, const std::vector<std::string>& moreArguments);
+    bool hasLink(int number) const;
+    chiveshelf::Address storeAddress(int number) const;
     chiveshelf::Address address(int group, int number, int port) const;
     chiveshelf::Address peerAddress(int number) const { return address(1, number, 7'003); }
     boost::asio::awaitable<void> relay(int number, std::shared_ptr<boost::asio::ip::udp::socket>);
@@ -94,6 +114,7 @@
     fakeplatform::Store m_store { m_context };
     std::vector<RunnerSlot> m_runners;
     std::map<int, Host> m_hosts;
+    std::unique_ptr<ProcessorQuota> m_quota;
     std::set<int> m_cutOff;
     double m_lossShare = 0;
     std::mt19937_64 m_random;
