Keep a connection to a runner that was established while the loop was busy

Callers got 502 about 425 ms after their request had arrived, right after the loop had been held by decoding tables: the send failed with "Bad file descriptor", and runner_lost counted against a sound runner.

Cause: the handler of the connect time-out (300 ms) was already queued when the connection was established. cancel() can't take it back, and it closed a connection that carried a request by then.

So a connect that was slow because this host stood still doesn't count against the runner.

--- a/packages/core/chiveshelf/core/core.h
+++ b/packages/core/chiveshelf/core/core.h
@@ -15,4 +15,5 @@
 #include "chiveshelf/core/StoredPrefix.h"
 #include "chiveshelf/core/Tasks.h"
 #include "chiveshelf/core/Time.h"
+#include "chiveshelf/core/TimeLimit.h"
 #include "chiveshelf/core/Verdict.h"
--- a/packages/gateway/chiveshelf/gateway/BackendPool.cpp
+++ b/packages/gateway/chiveshelf/gateway/BackendPool.cpp
@@ -1,11 +1,9 @@
 #include "chiveshelf/gateway/BackendPool.h"
 
 #include "chiveshelf/core/Sockets.h"
+#include "chiveshelf/core/TimeLimit.h"
 #include "chiveshelf/http/Message.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -70,17 +68,7 @@
     ++m_connects;
     auto connection = std::make_shared<BackendConnection>(m_context);
     slot = connection;
-    asio::steady_timer timer(m_context, connectLimit);
-    timer.async_wait([weak = std::weak_ptr(connection)](boost::system::error_code ec) {
-        const auto pending = weak.lock();
-        if (!ec && pending)
-            pending->close();
-    });
-    boost::system::error_code ec;
-    co_await connection->socket.async_connect(http::toEndpoint(address), asio::redirect_error(asio::use_awaitable, ec));
-    timer.cancel();
-    if (!ec && !connection->socket.is_open())
-        ec = asio::error::timed_out;
+    const auto ec = co_await connectWithin(connection->socket, http::toEndpoint(address), connectLimit);
     if (ec) {
         connection->close();
         slot.reset();
--- a/packages/gateway/chiveshelf/gateway/BackendPool.h
+++ b/packages/gateway/chiveshelf/gateway/BackendPool.h
@@ -9,7 +9,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <map>
--- a/tests/unit/gateway/BackendPoolTest.cpp
+++ b/tests/unit/gateway/BackendPoolTest.cpp
@@ -2,8 +2,13 @@
 
 #include "chiveshelf/http/Message.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <thread>
+
 namespace {
 
 using namespace chiveshelf;
@@ -14,6 +19,7 @@
     CPPUNIT_TEST_SUITE(BackendPoolTest);
     CPPUNIT_TEST(idleConnectionsOfAllHostsTakeAtMostHalfOfServersConnections);
     CPPUNIT_TEST(connectionsBeyondMaximumAreClosedOldestFirst);
+    CPPUNIT_TEST(connectionEstablishedWhileLoopWasBlockedStaysOpen);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -51,6 +57,23 @@
         pool.putBack(runner, std::make_shared<BackendConnection>(context), 1, now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), pool.idleCount());
     }
+
+    // Guards against a connect limit that closes a connection which already carries a request.
+    void connectionEstablishedWhileLoopWasBlockedStaysOpen()
+    {
+        asio::io_context context(1);
+        const Address address { "127.70.250.2", 8'000 };
+        asio::ip::tcp::acceptor acceptor(context, http::toEndpoint(address));
+        BackendPool pool(context);
+        std::shared_ptr<BackendConnection> connection;
+        std::optional<Result<void>> result;
+        asio::co_spawn(
+            context, [&]() -> asio::awaitable<void> { result = co_await pool.connect(address, connection); }, asio::detached);
+        asio::post(context, [] { std::this_thread::sleep_for(BackendPool::connectLimit * 3 / 2); });
+        context.run_for(BackendPool::connectLimit * 2);
+        CPPUNIT_ASSERT(result && *result);
+        CPPUNIT_ASSERT(connection && connection->socket.is_open());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BackendPoolTest);
