Keep a connection to a host that was established while the loop was busy

Calls to other hosts failed with "connection was lost" after the loop had been held during the connect, and the host counted as lost. Cause: as for runners, the handler of the connect time-out was queued already when the connection was established. It also held the connection by reference, which could have ended by then. The connect now uses connectWithin().

Evidence: PeerClientTest::callSucceedsAfterLoopWasBlockedDuringConnect failed before ("connection to 127.83.0.1:7003 was lost") and passes.

--- a/packages/peer/chiveshelf/peer/PeerClient.cpp
+++ b/packages/peer/chiveshelf/peer/PeerClient.cpp
@@ -3,6 +3,7 @@
 #include "chiveshelf/core/Log.h"
 #include "chiveshelf/core/Mailbox.h"
 #include "chiveshelf/core/Tasks.h"
+#include "chiveshelf/core/TimeLimit.h"
 
 #include <boost/asio/write.hpp>
 
@@ -101,16 +102,8 @@
 
 asio::awaitable<bool> PeerClient::connect(Connection& connection)
 {
-    asio::steady_timer timer(m_context, connectTimeout);
-    timer.async_wait([&connection](boost::system::error_code ec) {
-        boost::system::error_code ignored;
-        if (!ec)
-            connection.socket.close(ignored);
-    });
-    boost::system::error_code ec;
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(connection.address.ip), connection.address.port);
-    co_await connection.socket.async_connect(endpoint, redirect_error(use_awaitable, ec));
-    timer.cancel();
+    auto ec = co_await connectWithin(connection.socket, endpoint, connectTimeout);
     if (ec || connection.isClosed)
         co_return false;
     connection.socket.set_option(asio::ip::tcp::no_delay(true), ec);
--- a/tests/Tests.cmake
+++ b/tests/Tests.cmake
@@ -14,7 +14,7 @@
 chiveshelf_add_unit_test(http DEPENDS http)
 chiveshelf_add_unit_test(idempotency DEPENDS idempotency)
 chiveshelf_add_unit_test(membership DEPENDS membership)
-chiveshelf_add_unit_test(peer DEPENDS peer)
+chiveshelf_add_unit_test(peer DEPENDS peer NETWORK 83)
 chiveshelf_add_unit_test(placement DEPENDS placement LIBRARIES rapidcheck)
 chiveshelf_add_unit_test(platform DEPENDS users_platform)
 chiveshelf_add_unit_test(quarantine DEPENDS gateway LIBRARIES chiveshelf_test_support)
