Answer a request that arrived before the server noticed its idle limit

A connection of the own interface was closed with no answer if the loop was held beyond the idle limit while a request arrived. Cause: the handler of the idle time-out was queued together with that of the request, and couldn't be cancelled any more; it held the connection by reference besides. The limit is a TimeLimit now, and a connection with unread bytes isn't idle.

Evidence: ServerTest::requestThatArrivesWhileLoopIsBlockedBeyondIdleLimitIsAnswered failed before (no byte was received) and passes.

--- a/packages/http/chiveshelf/http/Server.cpp
+++ b/packages/http/chiveshelf/http/Server.cpp
@@ -3,6 +3,7 @@
 #include "chiveshelf/core/Log.h"
 #include "chiveshelf/core/Sockets.h"
 #include "chiveshelf/core/Tasks.h"
+#include "chiveshelf/core/TimeLimit.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -267,9 +268,10 @@
     connection.isIdle = true;
     if (connection.buffer.size() == 0) {
         // The timeout of tcp_stream does not apply to a wait on the underlying socket.
-        asio::steady_timer idleTimer(m_context, m_isStopping ? stoppingIdleTimeout : m_limits.idle);
-        idleTimer.async_wait([&connection](boost::system::error_code timerError) {
-            if (!timerError)
+        TimeLimit idleLimit(m_context.get_executor(), m_isStopping ? stoppingIdleTimeout : m_limits.idle, [&connection] {
+            boost::system::error_code ignored;
+            // Only its handler is outstanding if a request has arrived by now.
+            if (connection.stream.socket().available(ignored) == 0)
                 connection.stream.close();
         });
         co_await connection.stream.socket().async_wait(asio::socket_base::wait_read, redirect_error(use_awaitable, ec));
