Read what has arrived from a runner before believing that it is silent

After the loop had been held, timers that had passed ran beside data that was ready: an answer that had arrived was thrown away, the request was sent again or answered with 502 or 504, and a stream moved to another runner although its next event was here. Cause: the handlers of the first-byte, deadline, event and queue timers closed the runner's connection without a look at what it held; those already queued couldn't be cancelled by the answer.

The first-byte limit is a TimeLimit. All four give unread bytes of the runner a short time to be read; the deadline does so once, and also while the last part of a response is being written to the caller.

Evidence: three tests in HostStallTest (first-byte limit, deadline, event timeout) block the loop beyond the limit while the answer of 40 KB arrives; each failed before and passes.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -68,6 +68,9 @@
     constexpr std::chrono::milliseconds maxResumeDelay { 1'200 };
     constexpr std::chrono::milliseconds resumeCheckInterval { 50 };
 
+    // Time to read what has already arrived from a runner when a time limit ends.
+    constexpr std::chrono::milliseconds arrivedInputTime { 50 };
+
     constexpr unsigned statusMisdirected = 421;
 
     std::string_view view(beast::string_view text)
@@ -104,7 +107,6 @@
     , m_caller(std::move(caller))
     , m_request(std::move(request))
     , m_deadlineTimer(context.io)
-    , m_firstByteTimer(context.io)
     , m_queueTimer(context.io)
     , m_eventTimer(context.io)
 {
@@ -279,25 +281,41 @@
 
 void ForwardTask::startTimers()
 {
-    m_deadlineTimer.expires_at(m_deadline);
+    armDeadlineTimer(m_deadline);
+    m_caller->watchDisconnect([this] {
+        m_isCallerDisconnected = true;
+        closeRunnerConnection();
+    });
+}
+
+void ForwardTask::armDeadlineTimer(TimePoint end)
+{
+    m_deadlineTimer.expires_at(end);
     m_deadlineTimer.async_wait([this, alive = m_alive](boost::system::error_code ec) {
         if (ec || !*alive)
             return;
+        // A response that is here is delivered, also if it is a little late.
+        if ((hasRunnerInput() || m_isResponseWhole) && !std::exchange(m_isDeadlineExtended, true)) {
+            armDeadlineTimer(std::chrono::steady_clock::now() + arrivedInputTime);
+            return;
+        }
         m_isDeadlineExceeded = true;
         closeRunnerConnection();
         // A response in progress can't be completed any more.
         if (m_hasResponseStarted)
             m_caller->abort();
     });
-    m_caller->watchDisconnect([this] {
-        m_isCallerDisconnected = true;
-        closeRunnerConnection();
-    });
+}
+
+bool ForwardTask::hasRunnerInput() const
+{
+    boost::system::error_code ec;
+    return m_connection && m_connection->socket.is_open() && m_connection->socket.available(ec) > 0;
 }
 
 void ForwardTask::stopRunnerTimers()
 {
-    m_firstByteTimer.cancel();
+    m_firstByteLimit.reset();
     m_queueTimer.cancel();
 }
 
@@ -314,22 +332,26 @@
     return std::max({ minEventTimeout, eventTimeoutGoals * m_route->goal, eventTimeoutPauses * m_route->longestPause });
 }
 
-void ForwardTask::armEventTimer()
+void ForwardTask::armEventTimer(TimePoint end)
 {
-    m_eventTimer.expires_at(m_lastEventAt + eventTimeout());
+    m_eventTimer.expires_at(end);
     m_eventTimer.async_wait([this, alive = m_alive, sends = m_history->sends()](boost::system::error_code ec) {
         if (ec || !*alive || m_history->sends() != sends || !m_connection)
             return;
         const auto now = std::chrono::steady_clock::now();
         if (now - m_lastEventAt < eventTimeout()) {
-            armEventTimer();
+            armEventTimer(m_lastEventAt + eventTimeout());
+            return;
+        }
+        if (hasRunnerInput()) {
+            armEventTimer(now + arrivedInputTime);
             return;
         }
         // If no other runner can continue the stream, it stays with its runner.
         const bool isAllowed = m_history->runs() + 1 < m_route->runLimit && m_history->sends() + 1 < AttemptHistory::maxSends;
         if (!isAllowed || !choose(now) || !takeFromRetryBudget()) {
             m_lastEventAt = now;
-            armEventTimer();
+            armEventTimer(m_lastEventAt + eventTimeout());
             return;
         }
         m_isStreamStalled = true;
@@ -355,12 +377,12 @@
 void ForwardTask::armQueueTimer(const Placement& placement)
 {
     // A newer version may be announced, and a part of the prompt quarantined, while the request waits.
-    m_queueTimer.expires_after(std::min(weightsTimeLeft(placement), queueCheckInterval));
+    m_queueTimer.expires_after(std::clamp(weightsTimeLeft(placement), hasRunnerInput() ? arrivedInputTime : std::chrono::milliseconds(0), queueCheckInterval));
     m_queueTimer.async_wait([this, placement, alive = m_alive, sends = m_history->sends()](boost::system::error_code ec) {
         if (ec || !*alive || m_history->sends() != sends || m_hasResponseStarted)
             return;
         const bool isProven = m_context.state.crashEvidence().isProven(m_crashSubjects, std::chrono::steady_clock::now());
-        if (weightsTimeLeft(placement).count() > 0 && !isProven) {
+        if (hasRunnerInput() || (weightsTimeLeft(placement).count() > 0 && !isProven)) {
             armQueueTimer(placement);
             return;
         }
@@ -371,17 +393,23 @@
     });
 }
 
-void ForwardTask::armFirstByteTimer(const Placement& placement)
+void ForwardTask::startFirstByteLimit(const Placement& placement)
 {
-    m_isRunnerOverdue = false;
     if (!m_route->mayRepeat() || m_history->runs() + 1 >= m_route->runLimit)
         return;
     const auto goal = std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(m_route->goal.count()) * firstByteTimeoutGoals));
-    m_firstByteTimer.expires_after(std::max(placement.predicted * firstByteTimeoutFactor, goal));
-    m_firstByteTimer.async_wait([this, alive = m_alive, sends = m_history->sends()](boost::system::error_code ec) {
-        // Each send arms the timer anew; a callback of an earlier send is ignored.
-        if (ec || !*alive || m_history->sends() != sends || m_hasResponseStarted)
+    limitFirstByte(std::max(placement.predicted * firstByteTimeoutFactor, goal));
+}
+
+void ForwardTask::limitFirstByte(std::chrono::milliseconds limit)
+{
+    m_firstByteLimit.emplace(m_context.io.get_executor(), limit, [this] {
+        if (m_hasResponseStarted)
+            return;
+        if (hasRunnerInput()) {
+            limitFirstByte(arrivedInputTime);
             return;
+        }
         m_isRunnerOverdue = true;
         closeRunnerConnection();
     });
@@ -539,7 +567,8 @@
         engine->recordSend(request, placement, m_context.state.cacheStores(), std::chrono::steady_clock::now());
         m_context.exchange.announcePlacement(placement, m_priority, m_headers.prompt->parts, cacheScopeHash(request.dedicatedOrganisation));
     }
-    armFirstByteTimer(placement);
+    m_isRunnerOverdue = false;
+    startFirstByteLimit(placement);
     if (m_headers.prompt)
         armQueueTimer(placement);
     if (!co_await writeRequest(placement))
@@ -659,6 +688,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     const auto& id = use.runner().record().id;
+    stopRunnerTimers();
     if (!isInterrupted())
         use.end(verdict != Verdict::NotRun, now);
     m_history->record(verdict);
@@ -893,7 +923,7 @@
     EventBoundary events;
     if (isTracked) {
         m_lastEventAt = std::chrono::steady_clock::now();
-        armEventTimer();
+        armEventTimer(m_lastEventAt + eventTimeout());
     }
     while (!parser.is_done()) {
         parser.get().body().data = piece.data();
@@ -951,6 +981,7 @@
     if (framing == Framing::Close)
         m_caller->setKeepAlive(false);
     m_hasResponseStarted = true;
+    m_isResponseWhole = true;
     if (!pending.empty() && !co_await m_caller->write(std::move(pending)))
         co_return RelayResult::CallerDisconnected;
     co_return RelayResult::Complete;
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chiveshelf/core/TimeLimit.h"
 #include "chiveshelf/gateway/BackendPool.h"
 #include "chiveshelf/gateway/CallerConnection.h"
 #include "chiveshelf/gateway/EventBoundary.h"
@@ -137,6 +138,9 @@
     void releaseConnection(const Parser&, const platform::RunnerHeaders&, const RunnerUse&);
     void startTimers();
     void closeRunnerConnection();
+    void armDeadlineTimer(TimePoint end);
+    // Whether bytes of the runner have arrived that were not read yet.
+    bool hasRunnerInput() const;
     // Cancels the timers that bound how long a runner may take to start its response.
     void stopRunnerTimers();
     // Returns the time left in which the runner may start the request on its current weights.
@@ -144,10 +148,12 @@
     // Starts the timer that withdraws a request which waits at its runner: before the runner could start it on expired weights, and
     // once it is proven to crash runners.
     void armQueueTimer(const Placement&);
-    void armFirstByteTimer(const Placement&);
+    // Limits the time until the first byte of the response, if the request may be sent again.
+    void startFirstByteLimit(const Placement&);
+    void limitFirstByte(std::chrono::milliseconds);
     // Starts the timer that moves a resumable stream to another runner if no complete event arrives within eventTimeout() and
     // another runner can continue it.
-    void armEventTimer();
+    void armEventTimer(TimePoint end);
     std::chrono::milliseconds eventTimeout() const;
     // Takes one retry from the budget that all hosts share. Returns false if the budget is exhausted.
     bool takeFromRetryBudget();
@@ -179,7 +185,7 @@
     std::vector<std::string> m_excludedRunners;
     std::shared_ptr<BackendConnection> m_connection;
     boost::asio::steady_timer m_deadlineTimer;
-    boost::asio::steady_timer m_firstByteTimer;
+    std::optional<TimeLimit> m_firstByteLimit;
     boost::asio::steady_timer m_queueTimer;
     boost::asio::steady_timer m_eventTimer;
     TimePoint m_deadline {};
@@ -210,6 +216,9 @@
     std::chrono::milliseconds m_longestPieceGap { 0 };
     // Whether part of a response was sent to the caller.
     bool m_hasResponseStarted = false;
+    // Whether the last part of the response is being sent to the caller.
+    bool m_isResponseWhole = false;
+    bool m_isDeadlineExtended = false;
 };
 
 }
--- /dev/null
+++ b/tests/unit/gateway/HostStallTest.cpp
@@ -0,0 +1,140 @@
+#include "GatewayFixture.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <thread>
+
+namespace {
+
+using namespace chiveshelf;
+using fakeplatform::Script;
+using std::chrono::milliseconds;
+namespace asio = boost::asio;
+
+// Longer than a piece that is read from a connection at once.
+constexpr std::size_t longBodyBytes = 40 * 1024;
+
+// Runners with a loop of their own, which runs on while that of the gateway is blocked.
+class RunnerThread {
+public:
+    RunnerThread()
+        : m_work(asio::make_work_guard(context))
+        , m_thread([this] { context.run(); })
+    {
+    }
+    ~RunnerThread()
+    {
+        context.stop();
+        m_thread.join();
+    }
+    RunnerThread(const RunnerThread&) = delete;
+    RunnerThread& operator=(const RunnerThread&) = delete;
+
+    asio::io_context context { 1 };
+
+private:
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    std::thread m_thread;
+};
+
+// A host whose loop is blocked for longer than a time-out, while the other side is sound.
+class HostStallTest : public fakeplatform::GatewayFixture {
+    CPPUNIT_TEST_SUITE(HostStallTest);
+    CPPUNIT_TEST(responseThatArrivedWhileLoopWasBlockedBeyondFirstByteLimitIsRelayed);
+    CPPUNIT_TEST(responseThatArrivedWhileLoopWasBlockedBeyondDeadlineIsRelayed);
+    CPPUNIT_TEST(eventThatArrivedWhileLoopWasBlockedBeyondEventTimeoutIsRelayedFromSameRunner);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void tearDown() override
+    {
+        m_thread.reset();
+        GatewayFixture::tearDown();
+    }
+
+protected:
+    void startRunner(fakeplatform::Runner::Handler handler)
+    {
+        const auto i = m_runners.size();
+        m_runners.push_back(std::make_unique<fakeplatform::Runner>(m_thread->context, [this, handler = std::move(handler)](const auto& request) {
+            ++m_sends;
+            return handler(request);
+        }));
+        CPPUNIT_ASSERT(m_runners.back()->start({ m_network + ".2", static_cast<std::uint16_t>(8'000 + i) }));
+        registerRunner(i, {});
+    }
+
+    // Sends a request and blocks the loop for `duration` once `condition` holds.
+    template <typename Condition>
+    fakeplatform::ReceivedResponse fetchBesideStall(std::string bytes, Condition condition, milliseconds duration)
+    {
+        const auto out = std::make_shared<std::optional<fakeplatform::ReceivedResponse>>();
+        const Address address { m_network + ".1", 7'001 };
+        asio::co_spawn(*m_context, fetchInto(std::move(bytes), address, out), asio::detached);
+        runUntil(condition);
+        asio::post(*m_context, [duration] { std::this_thread::sleep_for(duration); });
+        runUntil([&] { return out->has_value(); });
+        CPPUNIT_ASSERT(out->has_value());
+        return **out;
+    }
+
+    std::unique_ptr<RunnerThread> m_thread = std::make_unique<RunnerThread>();
+    std::atomic<int> m_sends = 0;
+
+public:
+    // Guards against a first-byte limit that closes the connection under a response which has arrived.
+    void responseThatArrivedWhileLoopWasBlockedBeyondFirstByteLimitIsRelayed()
+    {
+        startRunner([](const auto& request) {
+            std::this_thread::sleep_for(milliseconds(300));
+            return Script { fakeplatform::sealedResponse(request, 200, std::string(longBodyBytes, 'x')) };
+        });
+        startGateway();
+        // The limit is 450 ms.
+        const auto response = fetchBesideStall(
+            post("/look/1"), [this] { return m_sends == 1; }, milliseconds(800));
+        CPPUNIT_ASSERT_EQUAL(200U, response.status);
+        CPPUNIT_ASSERT_EQUAL(longBodyBytes, response.body.size());
+        CPPUNIT_ASSERT_EQUAL(1, m_sends.load());
+    }
+
+    // Guards against a 504 in place of a response that has arrived.
+    void responseThatArrivedWhileLoopWasBlockedBeyondDeadlineIsRelayed()
+    {
+        startRunner([](const auto& request) {
+            std::this_thread::sleep_for(milliseconds(300));
+            return Script { fakeplatform::sealedResponse(request, 200, std::string(longBodyBytes, 'x')) };
+        });
+        startGateway();
+        // The route's time limit is 1.5 s.
+        const auto response = fetchBesideStall(
+            post("/book/1"), [this] { return m_sends == 1; }, milliseconds(1'700));
+        CPPUNIT_ASSERT_EQUAL(200U, response.status);
+        CPPUNIT_ASSERT_EQUAL(longBodyBytes, response.body.size());
+        CPPUNIT_ASSERT(!response.isBroken);
+    }
+
+    // Guards against moving a stream whose next event has arrived.
+    void eventThatArrivedWhileLoopWasBlockedBeyondEventTimeoutIsRelayedFromSameRunner()
+    {
+        const std::string event = "id: 2\ndata: " + std::string(longBodyBytes, 'x') + "\n\n";
+        for (int i = 0; i < 2; ++i) {
+            startRunner([event](const auto& request) {
+                return Script { fakeplatform::sealedStreamHeader(request) + fakeplatform::chunk("id: 1\ndata: a\n\n"), Script::End::Keep,
+                    fakeplatform::chunk(event) + "0\r\n\r\n", milliseconds(300) };
+            });
+        }
+        startGateway();
+        const auto response = fetchBesideStall(
+            post("/ask/1"), [this] { return m_sends == 1; }, milliseconds(1'300));
+        // Not CPPUNIT_ASSERT_EQUAL, which would print the long event.
+        CPPUNIT_ASSERT(response.body == "id: 1\ndata: a\n\n" + event);
+        CPPUNIT_ASSERT_EQUAL(1, m_sends.load());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HostStallTest);
+
+}
