Start the first-byte limit once the request has been written

A request that took long to leave this host, for instance over a full link, was given up as if the runner were silent: it was sent again or answered with 502, although it had not arrived. Cause: the limit began before the request was written, and so measured this host. A runner that doesn't take the request is still bounded by the deadline and by TCP_USER_TIMEOUT.

Evidence: HostStallTest::requestThatIsWrittenForLongerThanFirstByteLimitIsServed, with a runner that reads a request of 3 MB after 800 ms, got 502 before and gets 200.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -568,11 +568,12 @@
         m_context.exchange.announcePlacement(placement, m_priority, m_headers.prompt->parts, cacheScopeHash(request.dedicatedOrganisation));
     }
     m_isRunnerOverdue = false;
-    startFirstByteLimit(placement);
     if (m_headers.prompt)
         armQueueTimer(placement);
     if (!co_await writeRequest(placement))
         co_return recordFailure(use, Verdict::NotRun, false, "connection_closed");
+    // Only now, so that the time which the request takes to leave this host isn't taken for the runner's.
+    startFirstByteLimit(placement);
     std::unique_ptr<Parser> parser;
     if (!co_await readResponseHeader(parser, use))
         co_return recordFailure(use, Verdict::MayHaveRun, m_hasLostConnection, m_isRunnerOverdue ? "silent" : m_readError);
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -148,7 +148,7 @@
     // Starts the timer that withdraws a request which waits at its runner: before the runner could start it on expired weights, and
     // once it is proven to crash runners.
     void armQueueTimer(const Placement&);
-    // Limits the time until the first byte of the response, if the request may be sent again.
+    // Limits the time until the first byte of the response of a request that was written, if the request may be sent again.
     void startFirstByteLimit(const Placement&);
     void limitFirstByte(std::chrono::milliseconds);
     // Starts the timer that moves a resumable stream to another runner if no complete event arrives within eventTimeout() and
--- a/tests/unit/gateway/HostStallTest.cpp
+++ b/tests/unit/gateway/HostStallTest.cpp
@@ -12,6 +12,7 @@
 using fakeplatform::Script;
 using std::chrono::milliseconds;
 namespace asio = boost::asio;
+namespace beast = boost::beast;
 
 // Longer than a piece that is read from a connection at once.
 constexpr std::size_t longBodyBytes = 40 * 1024;
@@ -39,12 +40,30 @@
     std::thread m_thread;
 };
 
+// A runner that accepts a connection at once and reads the request only after a pause.
+asio::awaitable<void> serveAfterPause(asio::ip::tcp::acceptor& acceptor, milliseconds pause)
+{
+    boost::system::error_code ec;
+    asio::ip::tcp::socket socket(acceptor.get_executor());
+    co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, ec));
+    asio::steady_timer timer(acceptor.get_executor(), pause);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    beast::flat_buffer buffer;
+    beast::http::request_parser<beast::http::string_body> parser;
+    parser.body_limit(16 * 1024 * 1024);
+    co_await beast::http::async_read(socket, buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+    const auto bytes = fakeplatform::sealedResponse(parser.get(), 200, "x");
+    if (!ec)
+        co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
+}
+
 // A host whose loop is blocked for longer than a time-out, while the other side is sound.
 class HostStallTest : public fakeplatform::GatewayFixture {
     CPPUNIT_TEST_SUITE(HostStallTest);
     CPPUNIT_TEST(responseThatArrivedWhileLoopWasBlockedBeyondFirstByteLimitIsRelayed);
     CPPUNIT_TEST(responseThatArrivedWhileLoopWasBlockedBeyondDeadlineIsRelayed);
     CPPUNIT_TEST(eventThatArrivedWhileLoopWasBlockedBeyondEventTimeoutIsRelayedFromSameRunner);
+    CPPUNIT_TEST(requestThatIsWrittenForLongerThanFirstByteLimitIsServed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -133,6 +152,25 @@
         CPPUNIT_ASSERT(response.body == "id: 1\ndata: a\n\n" + event);
         CPPUNIT_ASSERT_EQUAL(1, m_sends.load());
     }
+
+    // Guards against a first-byte limit that measures the way of the request to the runner.
+    void requestThatIsWrittenForLongerThanFirstByteLimitIsServed()
+    {
+        asio::ip::tcp::acceptor acceptor(m_thread->context);
+        acceptor.open(asio::ip::tcp::v4());
+        acceptor.set_option(asio::socket_base::receive_buffer_size(4'096));
+        acceptor.bind(http::toEndpoint({ m_network + ".2", 8'000 }));
+        acceptor.listen();
+        asio::co_spawn(m_thread->context, serveAfterPause(acceptor, milliseconds(800)), asio::detached);
+        registerRunner(0, {});
+        startGateway();
+        const std::string body(3 * 1024 * 1024, 'b');
+        const auto response = fetch("POST /look/1 HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: id1\r\nX-Deadline-Ms: 3000\r\nApi-Key: key1\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body);
+        CPPUNIT_ASSERT_EQUAL(200U, response.status);
+        // The acceptor must not be destroyed while the other thread uses it.
+        m_thread.reset();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HostStallTest);
