Decode each text of the tables once

On grown sites each full read of the store and each host that sent the tables made the receiver decode them again before it compared versions, which holds the loop of a small host for 0.1 s and more.

The store's follower keeps the hash of the text that it decoded last and skips the same text, from whichever source it comes. The gauge tables_texts_decoded counts.

Evidence: TablesSpreadTest::textThatArrivesAgainIsNotDecoded; without the comparison it counts three decoded texts instead of one after the same text was written again and read in full.

--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -226,7 +226,8 @@
             { "idle_backend_connections", static_cast<double>(m_backends.idleCount()) },
             { "backend_connects", static_cast<double>(m_backends.connectCount()) }, { "store_calls", static_cast<double>(m_store.callCount()) },
             { "store_era", static_cast<double>(m_store.era()) }, { "store_revision", static_cast<double>(m_storeFollower.position().revision) },
-            { "tables_version", static_cast<double>(m_state.tablesVersion()) }, { "runners", static_cast<double>(m_state.backendDirectory().all().size()) },
+            { "tables_version", static_cast<double>(m_state.tablesVersion()) },
+            { "tables_texts_decoded", static_cast<double>(m_storeFollower.decodedTablesCount()) }, { "runners", static_cast<double>(m_state.backendDirectory().all().size()) },
             { "hosts", static_cast<double>(m_exchange.hostCount()) },
             { "stream_origins", static_cast<double>(m_state.streamOriginCount()) }, { "store_reached", m_storeFollower.isInContact() ? 1.0 : 0.0 },
             { "leading", m_rolloutLeader.isLeading() ? 1.0 : 0.0 } });
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -1,5 +1,6 @@
 #include "chiveshelf/gateway/StoreFollower.h"
 
+#include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
 #include "chiveshelf/core/Tasks.h"
 #include "chiveshelf/gateway/SoftwareLedger.h"
@@ -384,11 +385,12 @@
             m_hostItems.insert_or_assign(key, change.item);
         return;
     }
-    auto decoded = platform::decodeItem(change);
-    if (auto* tables = std::get_if<platform::TablesItem>(&decoded)) {
-        m_state.acceptTables(std::move(tables->tables), std::move(tables->text), "store");
+    if (platform::isTablesKey(key)) {
+        if (!change.isRemoval)
+            applyTables(change.item.value, "store");
         return;
     }
+    auto decoded = platform::decodeItem(change);
     if (change.isRemoval)
         m_relayItems.erase(key);
     else
@@ -477,13 +479,17 @@
     finishChanges();
 }
 
-void StoreFollower::applyRelayedTables(const std::string& text)
+void StoreFollower::applyTables(const std::string& text, std::string_view source)
 {
+    const auto hash = hash64(text);
+    if (std::exchange(m_tablesTextHash, hash) == hash)
+        return;
+    ++m_decodedTablesCount;
     auto tables = platform::decodeTables(text);
     if (tables)
-        m_state.acceptTables(std::move(*tables), text, "peer");
+        m_state.acceptTables(std::move(*tables), text, source);
     else
-        logEvent(LogLevel::Warning, "relayed_tables_unreadable", { { "problem", tables.error() } });
+        logEvent(LogLevel::Warning, "tables_unreadable", { { "source", source }, { "problem", tables.error() } });
 }
 
 }
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.h
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.h
@@ -45,7 +45,10 @@
     void applyRelayedItems(const std::vector<std::pair<std::string, std::string>>&);
 
     // Applies tables received from a peer if they are newer than the current ones.
-    void applyRelayedTables(const std::string& text);
+    void applyRelayedTables(const std::string& text) { applyTables(text, "peer"); }
+
+    // Number of texts of the tables that were decoded.
+    std::size_t decodedTablesCount() const { return m_decodedTablesCount; }
 
     // All changes up to this position are known.
     StorePosition position() const { return m_cursor.position(); }
@@ -88,6 +91,8 @@
     // Tells all hosts of the runners that have left since the copy from which the store was restored. Hosts that started since then
     // don't know of it.
     void announceLeftRunners();
+    // Decodes the text of the tables, unless it is the one decoded last, and applies them if they are newer than the current ones.
+    void applyTables(const std::string& text, std::string_view source);
     void applySoftwareRecord(const ItemChange&);
     void applyDecoded(const ItemChange&, std::vector<RunnerRecord>* runners);
     void finishChanges();
@@ -115,6 +120,9 @@
     std::vector<std::uint32_t> m_leftRunners;
     TimePoint m_leftRunnersUntil {};
     TimePoint m_leftRunnersToldAt {};
+    // Hash of the text of the tables that was decoded last. The same text arrives by watches, full reads and from other hosts.
+    std::uint64_t m_tablesTextHash = 0;
+    std::size_t m_decodedTablesCount = 0;
     bool m_isReadingAll = false;
     bool m_isPullingChanges = false;
     bool m_isInContact = false;
