Spread the tables between hosts as bounded, paced updates

TablesExchange fetches the update from the known version in pieces of 32 KB. TablesOffer bounds the hosts served at once and paces pieces to half of the link (--link-mbps); a host without a slot is told when to ask again and which other hosts have the version. TablesFetch decides what to ask of whom: a fetch goes on at its offset, also at another host, and ends at the store's single item (GET /kv-key) after 1.5 s without a piece or 3 s in all. PullItems replaces PullRoutingTables; the text is no longer kept.

Evidence: unit tests of both decisions (TablesTransferTest).

--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.h
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.h
@@ -34,6 +34,9 @@
     // Whether the whole system starts for the first time, so that no request was served before this process started.
     bool isFirstStart = false;
     std::size_t maxDescriptors = 4'096;
+    // Speed of this host's link, and its share of a processor core.
+    double linkMbps = 100;
+    double cpuShare = 1;
     std::string logLevel = "info";
     // Mechanisms that are enabled in the choice of runners.
     Mechanisms mechanisms;
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -48,9 +48,11 @@
     constexpr std::chrono::milliseconds maxAnnouncedVersionAge { 20'000 };
     // Parts beyond this number are not announced with the next notice.
     constexpr std::size_t maxPendingParts = 160;
-    // Delay before a host pulls newer tables from a peer, in which its own watch of the store usually delivers them.
+    // Delay before a host fetches newer tables from another, in which its own watch of the store usually delivers them.
     constexpr std::chrono::milliseconds tablesPullDelay { 250 };
     constexpr std::chrono::milliseconds pullTimeout { 500 };
+    // A piece of the tables waits for its turn at the serving host, and behind answers on links that are full.
+    constexpr std::chrono::milliseconds pieceTimeout { 1'000 };
     // Time after which a runner counts as finished with loading weights, including the end of its running requests, if no notice
     // reports it.
     constexpr std::chrono::milliseconds assumedLoadingTime { 2'500 };
@@ -61,6 +63,11 @@
     // fleet is.
     constexpr std::size_t originHolderCount = 3;
 
+    asio::awaitable<void> noTables()
+    {
+        co_return;
+    }
+
     // Returns the interval of load notices to `hosts` receivers.
     std::chrono::milliseconds noticeIntervalFor(std::size_t hosts)
     {
@@ -95,20 +102,25 @@
               [this](const Address& to, const OriginQuery& query) { m_datagrams.send(to, query); },
               [this](const Address& to, const OriginAnswer& answer) { m_datagrams.send(Address { to.ip, m_settings.peerAddress.port }, answer); },
               [this](const std::string& pool) { return m_state.hasSeveralSoftwareVersions(pool); } })
+    , m_tables(context, settings, state,
+          TablesExchange::Port { [this](std::string ip, PullTablesPiece request) {
+                                    return m_client.call(Address { std::move(ip), m_settings.peerAddress.port }, std::move(request), pieceTimeout);
+                                },
+              [this] { return m_tablesReader ? m_tablesReader() : noTables(); } })
 {
 }
 
-void HostExchange::setTablesHandlers(ItemSource source, ItemHandler items, TablesHandler tables)
+void HostExchange::setItemHandlers(ItemSource source, ItemHandler items)
 {
     m_itemSource = std::move(source);
     m_itemHandler = std::move(items);
-    m_tablesHandler = std::move(tables);
 }
 
-void HostExchange::setStoreHandlers(StoreNoticeHandler handler, ChangeSource source)
+void HostExchange::setStoreHandlers(StoreNoticeHandler handler, ChangeSource source, TablesReader tables)
 {
     m_storeNoticeHandler = std::move(handler);
     m_changeSource = std::move(source);
+    m_tablesReader = std::move(tables);
 }
 
 Result<void> HostExchange::start()
@@ -131,15 +143,15 @@
         if (m_cacheHandler)
             m_cacheHandler(notice);
     });
-    m_server.handle<PullRoutingTables>([this](PullRoutingTables request) -> asio::awaitable<Result<RoutingTablesReply>> {
-        RoutingTablesReply reply;
-        reply.version = m_state.tablesVersion();
-        if (reply.version > request.knownVersion)
-            reply.text = m_state.tablesText();
-        if (request.wantsItems)
-            reply.items = m_itemSource();
+    m_server.handle<PullItems>([this](PullItems) -> asio::awaitable<Result<ItemsReply>> {
+        ItemsReply reply;
+        reply.tablesVersion = m_state.tablesVersion();
+        reply.items = m_itemSource();
         co_return reply;
     });
+    m_server.handle<PullTablesPiece>([this](PullTablesPiece request) -> asio::awaitable<Result<TablesPiece>> {
+        co_return co_await m_tables.answer(std::move(request));
+    });
     m_datagrams.handle<StoreNotice>([this](const Address& from, StoreNotice notice) {
         if (m_storeNoticeHandler)
             m_storeNoticeHandler(from, notice);
@@ -152,12 +164,15 @@
         started = m_server.start(m_settings.peerAddress);
     if (started)
         spawnLoop(m_context, "host_exchange.notice_loop", [this] { return noticeLoop(); });
+    if (started)
+        m_tables.start();
     return started;
 }
 
 void HostExchange::stop()
 {
     m_isStopped = true;
+    m_tables.stop();
     m_datagrams.stop();
     m_server.stop();
 }
@@ -400,10 +415,7 @@
     onStoreSpeeds(notice.storeSpeeds);
     for (const auto& version : notice.versions)
         m_state.acceptVersionAge(version.model, version.version, std::chrono::milliseconds(version.ageMs), bootTime());
-    if (notice.tablesVersion > m_state.tablesVersion() && notice.tablesVersion > m_pulledTablesVersion) {
-        m_pulledTablesVersion = notice.tablesVersion;
-        spawnTask(m_context, "host_exchange.pull_tables_after_delay", pullTablesAfterDelay(from));
-    }
+    m_tables.onNews(from.ip, notice.tablesVersion, tablesPullDelay);
 }
 
 void HostExchange::onParts(const std::vector<PlacedPart>& parts)
@@ -414,17 +426,6 @@
     }
 }
 
-asio::awaitable<void> HostExchange::pullTablesAfterDelay(Address from)
-{
-    asio::steady_timer timer(m_context, tablesPullDelay);
-    boost::system::error_code ec;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    if (m_state.tablesVersion() >= m_pulledTablesVersion)
-        co_return;
-    if (!co_await pullTables(from, false))
-        m_pulledTablesVersion = m_state.tablesVersion();
-}
-
 asio::awaitable<Result<StoreChangesReply>> HostExchange::pullStoreChanges(Address from, StorePosition after)
 {
     PullStoreChanges request;
@@ -433,33 +434,24 @@
     co_return co_await m_client.call(address, request, pullTimeout);
 }
 
-asio::awaitable<bool> HostExchange::pullTables(Address from, bool wantsItems)
-{
-    PullRoutingTables request;
-    request.knownVersion = m_state.tablesVersion();
-    request.wantsItems = wantsItems;
-    const Address address { from.ip, m_settings.peerAddress.port };
-    const auto reply = co_await m_client.call(address, request, pullTimeout);
-    if (!reply) {
-        logEvent(LogLevel::Warning, "tables_pull_failed", { { "peer", toString(address) }, { "error", reply.error().message } });
-        co_return false;
-    }
-    if (!reply->text.empty())
-        m_tablesHandler(reply->text);
-    if (wantsItems)
-        m_itemHandler(reply->items);
-    co_return m_state.tablesVersion() > 0;
-}
-
-asio::awaitable<bool> HostExchange::pullFromContacts()
+asio::awaitable<void> HostExchange::pullFromContacts()
 {
     for (const auto& contact : m_settings.contacts) {
         if (contact.ip == m_settings.peerAddress.ip)
             continue;
-        if (co_await pullTables(contact, true))
-            co_return true;
+        const Address address { contact.ip, m_settings.peerAddress.port };
+        const PullItems request;
+        const auto reply = co_await m_client.call(address, request, pullTimeout);
+        if (!reply) {
+            logEvent(LogLevel::Warning, "items_pull_failed", { { "peer", toString(address) }, { "error", reply.error().message } });
+            continue;
+        }
+        m_itemHandler(reply->items);
+        if (reply->tablesVersion == 0)
+            continue;
+        m_tables.onNews(contact.ip, reply->tablesVersion, std::chrono::milliseconds(0));
+        co_return;
     }
-    co_return false;
 }
 
 std::chrono::milliseconds HostExchange::noticeInterval() const
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -5,6 +5,7 @@
 #include "chiveshelf/gateway/HostMessages.h"
 #include "chiveshelf/gateway/OriginExchange.h"
 #include "chiveshelf/gateway/ServingState.h"
+#include "chiveshelf/gateway/TablesExchange.h"
 #include "chiveshelf/peer/PeerClient.h"
 #include "chiveshelf/peer/PeerServer.h"
 #include "platform/RequestHeaders.h"
@@ -23,22 +24,22 @@
     // Handles raw items (key and text) received from a peer.
     using ItemHandler = std::function<void(const std::vector<std::pair<std::string, std::string>>&)>;
     using ItemSource = std::function<std::vector<std::pair<std::string, std::string>>()>;
-    using TablesHandler = std::function<void(const std::string& text)>;
 
     HostExchange(boost::asio::io_context&, const GatewaySettings&, ServingState&);
     HostExchange(const HostExchange&) = delete;
     HostExchange& operator=(const HostExchange&) = delete;
 
-    // Sets the source of the items sent to peers and the handlers for items and tables received from them. Call before start().
-    void setTablesHandlers(ItemSource, ItemHandler, TablesHandler);
+    // Sets the source of the items sent to peers and the handler for items received from them. Call before start().
+    void setItemHandlers(ItemSource, ItemHandler);
 
     // Handles a notice of the key-value store sent by a host of this data centre.
     using StoreNoticeHandler = std::function<void(const Address& from, const StoreNotice&)>;
     using ChangeSource = std::function<StoreChangesReply(StorePosition after)>;
+    using TablesReader = std::function<boost::asio::awaitable<void>()>;
 
-    // Sets the handler for notices of the key-value store, and the source of the changes that other hosts request. Call before
-    // start().
-    void setStoreHandlers(StoreNoticeHandler, ChangeSource);
+    // Sets the handler for notices of the key-value store, the source of the changes that other hosts request, and how the tables are
+    // read from the store. Call before start().
+    void setStoreHandlers(StoreNoticeHandler, ChangeSource, TablesReader);
 
     // Sends a notice of the key-value store to the hosts of this data centre.
     void announceStore(const StoreNotice& notice) { m_datagrams.sendToAll(m_dataCentreHosts, notice); }
@@ -104,18 +105,17 @@
     // Returns this host's position among all hosts in the rendezvous hashing order of `subject`, 0 for the first.
     std::size_t rendezvousPosition(std::string_view subject) const;
 
-    // Requests newer tables and, with `wantsItems`, items from a host or contact. Returns whether this host has tables afterwards,
-    // and false if the call failed.
-    boost::asio::awaitable<bool> pullTables(Address, bool wantsItems);
+    // Requests items from the contacts in turn until one of them has tables, and begins to fetch these.
+    boost::asio::awaitable<void> pullFromContacts();
 
-    // Requests tables and items from the contacts in turn until one of them has tables. Returns whether one had.
-    boost::asio::awaitable<bool> pullFromContacts();
+    // The routing tables that the hosts spread.
+    TablesExchange& tables() { return m_tables; }
+    const TablesExchange& tables() const { return m_tables; }
 
 private:
     boost::asio::awaitable<void> noticeLoop();
     // Returns the other hosts that hold the record of a stream's origin.
     std::vector<Address> originHolders(std::uint64_t stream) const;
-    boost::asio::awaitable<void> pullTablesAfterDelay(Address);
     // Sends load notices to hosts that get the next ones after `interval`.
     template <typename Addresses>
     void sendNotice(const Addresses&, std::chrono::milliseconds interval, std::vector<PlacedPart> parts, std::vector<StoreSpeedEntry> storeSpeeds);
@@ -161,13 +161,14 @@
     peer::PeerClient m_client;
     ItemSource m_itemSource;
     ItemHandler m_itemHandler;
-    TablesHandler m_tablesHandler;
     std::function<void(const CacheNotice&)> m_cacheHandler;
     StoreNoticeHandler m_storeNoticeHandler;
     ChangeSource m_changeSource;
+    TablesReader m_tablesReader;
     FleetLimits m_limits;
     CrashNotices m_crashNotices;
     OriginExchange m_origins;
+    TablesExchange m_tables;
     TimePoint m_lastLimitNoticeAt {};
     std::map<std::string, Address> m_registeredHosts;
     // Time of the last load notice, by the hash of the host's name.
@@ -190,8 +191,6 @@
     std::vector<PlacedPart> m_remoteParts;
     std::vector<StoreSpeedEntry> m_remoteStoreSpeeds;
     TimePoint m_lastRemoteNoticeAt {};
-    // Newest version of the tables that a pull was started for.
-    std::uint64_t m_pulledTablesVersion = 0;
     bool m_isStopped = false;
 };
 
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -433,32 +433,82 @@
     }
 };
 
-// The routing tables of a host as the operator wrote them; the text is empty if the requesting host already has this version.
-struct RoutingTablesReply {
-    std::uint64_t version = 0;
-    std::string text;
-    // Registered runners and announced versions as key and text, if requested.
+// What a host that starts without the key-value store needs of another.
+struct ItemsReply {
+    // Version of the answering host's routing tables, 0 if it has none.
+    std::uint64_t tablesVersion = 0;
+    // Registered runners and hosts, and announced versions, as key and text.
     std::vector<std::pair<std::string, std::string>> items;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(version, text, items);
+        archive(tablesVersion, items);
+    }
+};
+
+// Requests the items of the key-value store that a host knows.
+struct PullItems {
+    static constexpr peer::MessageType messageType = peer::MessageType::PullItems;
+    using Reply = ItemsReply;
+
+    template <typename Archive>
+    void serialize(Archive&)
+    {
     }
 };
 
-// Requests routing tables that are newer than `knownVersion`.
-struct PullRoutingTables {
-    static constexpr peer::MessageType messageType = peer::MessageType::PullRoutingTables;
-    using Reply = RoutingTablesReply;
+// A piece of an encoded TablesUpdate.
+struct TablesPiece {
+    enum class Kind : std::uint8_t {
+        Piece,
+        // The answering host serves others; ask again after `retryMs`.
+        Busy,
+        // The answering host doesn't know the requested base.
+        UnknownBase,
+        // The answering host doesn't have tables of the wanted version.
+        Behind,
+    };
+
+    Kind kind = Kind::Piece;
+    // 0 for whole tables.
+    std::uint64_t baseVersion = 0;
+    std::uint64_t version = 0;
+    // Size and hash of the whole encoded update.
+    std::uint64_t totalBytes = 0;
+    std::uint64_t checksum = 0;
+    std::uint64_t offset = 0;
+    std::string bytes;
+    std::uint32_t retryMs = 0;
+    // IP addresses of other hosts that have tables of `version`, for hosts that are told to ask again.
+    std::vector<std::string> holders;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(kind, baseVersion, version, totalBytes, checksum, offset, bytes, retryMs, holders);
+    }
+};
 
-    std::uint64_t knownVersion = 0;
-    bool wantsItems = false;
+// Requests a piece of an update of the routing tables.
+struct PullTablesPiece {
+    static constexpr peer::MessageType messageType = peer::MessageType::PullTablesPiece;
+    using Reply = TablesPiece;
+
+    // IP address of the requesting host.
+    std::string ip;
+    // Version to which the update is applied, 0 for whole tables.
+    std::uint64_t baseVersion = 0;
+    // Least version that is wanted.
+    std::uint64_t wantedVersion = 0;
+    // Version of the update that is continued at `offset`, 0 for a new one.
+    std::uint64_t version = 0;
+    std::uint64_t offset = 0;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(knownVersion, wantsItems);
+        archive(ip, baseVersion, wantedVersion, version, offset);
     }
 };
 
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -35,14 +35,15 @@
 {
 }
 
-bool ServingState::acceptTables(RoutingTables tables, std::string text, std::string_view source)
+bool ServingState::acceptTables(RoutingTables tables, const TablesArrival& arrival)
 {
     if (m_routes && tables.version <= m_routes->tables().version)
         return false;
     const auto version = tables.version;
     m_routes = std::make_shared<const RouteIndex>(std::move(tables));
-    m_tablesText = std::move(text);
-    logEvent(LogLevel::Info, "tables_in_force", { { "version", version }, { "source", source }, { "routes", m_routes->tables().routes.size() }, { "organisations", m_routes->tables().organisations.size() } });
+    m_tablesHistory.add(m_routes);
+    ++m_tablesArrivals[std::string(arrival.way)];
+    logEvent(LogLevel::Info, "tables_in_force", { { "version", version }, { "source", arrival.way }, { "routes", m_routes->tables().routes.size() }, { "organisations", m_routes->tables().organisations.size() }, { "bytes", arrival.bytes }, { "decode_ms", arrival.decodeTime.count() }, { "since_news_ms", arrival.sinceNews.count() } });
     updateCacheStores();
     updateStreamLifetime();
     refreshRunners();
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chiveshelf/gateway/GatewaySettings.h"
+#include "chiveshelf/gateway/TablesHistory.h"
 #include "chiveshelf/keyvalue/StorePosition.h"
 #include "chiveshelf/placement/ContactHistory.h"
 #include "chiveshelf/placement/CrashEvidence.h"
@@ -28,14 +29,26 @@
     ReturnSchedule returns;
 };
 
+// How tables reached this host, for the log.
+struct TablesArrival {
+    // "store" (with other items), "item" (the single item of the store), "update" or "whole" (both from another host).
+    std::string_view way;
+    // Size of the text or the encoded update.
+    std::size_t bytes = 0;
+    // Time that decoding took.
+    std::chrono::milliseconds decodeTime { 0 };
+    // Time since this host first learned of tables newer than its own.
+    std::chrono::milliseconds sinceNews { 0 };
+};
+
 // This host's view of tables, runners, versions and stores, and the policies that use it. Used only by the single thread of the
 // process. Tables and announced versions are only replaced by newer ones, whichever source they come from.
 class ServingState {
 public:
     explicit ServingState(const GatewaySettings&);
 
-    // Applies tables if their version is higher than the current one, and returns whether it is. `source` is logged.
-    bool acceptTables(RoutingTables, std::string text, std::string_view source);
+    // Applies tables if their version is higher than the current one, and returns whether it is.
+    bool acceptTables(RoutingTables, const TablesArrival&);
 
     // Adds a version of a model that the operator announced, if it is higher than the newest known one.
     void acceptVersion(const ModelTarget&, std::chrono::nanoseconds bootNow);
@@ -53,7 +66,10 @@
 
     // The current tables, or nullptr before the first ones were read.
     const std::shared_ptr<const RouteIndex>& routes() const { return m_routes; }
-    const std::string& tablesText() const { return m_tablesText; }
+    // The current tables and the last ones before them.
+    const TablesHistory& tablesHistory() const { return m_tablesHistory; }
+    // Number of tables that came into force, by the way that they took.
+    const std::map<std::string, std::uint64_t>& tablesArrivals() const { return m_tablesArrivals; }
     std::uint64_t tablesVersion() const { return m_routes ? m_routes->tables().version : 0; }
 
     BackendDirectory& backendDirectory() { return m_backendDirectory; }
@@ -113,7 +129,8 @@
 
     const GatewaySettings& m_settings;
     std::shared_ptr<const RouteIndex> m_routes;
-    std::string m_tablesText;
+    TablesHistory m_tablesHistory;
+    std::map<std::string, std::uint64_t> m_tablesArrivals;
     ContactHistory m_contactHistory;
     RunnerRegistry m_registry;
     BackendDirectory m_backendDirectory;
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -68,7 +68,7 @@
 {
     m_lastContactAt = bootTime();
     m_exchange.setStoreHandlers([this](const Address& from, const StoreNotice& notice) { onStoreNotice(from, notice); },
-        [this](StorePosition after) { return changesAfter(after); });
+        [this](StorePosition after) { return changesAfter(after); }, [this] { return readTables(); });
     m_store.setEraHandler([this](StoreEra era) { onRestored(era); });
     spawnLoop(m_context, "store_follower.run", [this] { return run(); });
     spawnLoop(m_context, "store_follower.expire_loop", [this] { return expireLoop(); });
@@ -385,7 +385,7 @@
             m_hostItems.insert_or_assign(key, change.item);
         return;
     }
-    if (platform::isTablesKey(key)) {
+    if (key == platform::tablesKey()) {
         if (!change.isRemoval)
             applyTables(change.item.value, "store");
         return;
@@ -479,17 +479,28 @@
     finishChanges();
 }
 
-void StoreFollower::applyTables(const std::string& text, std::string_view source)
+asio::awaitable<void> StoreFollower::readTables()
+{
+    const auto item = co_await m_store.readItem(std::string(platform::tablesKey()));
+    if (item)
+        applyTables(item->value, "item");
+    else
+        logEvent(LogLevel::Warning, "tables_read_failed", { { "error", item.error().message } });
+}
+
+void StoreFollower::applyTables(const std::string& text, std::string_view way)
 {
     const auto hash = hash64(text);
     if (std::exchange(m_tablesTextHash, hash) == hash)
         return;
     ++m_decodedTablesCount;
+    const auto start = now();
     auto tables = platform::decodeTables(text);
+    const auto decodeTime = std::chrono::duration_cast<std::chrono::milliseconds>(now() - start);
     if (tables)
-        m_state.acceptTables(std::move(*tables), text, source);
+        m_state.acceptTables(std::move(*tables), { way, text.size(), decodeTime, m_exchange.tables().sinceNews() });
     else
-        logEvent(LogLevel::Warning, "tables_unreadable", { { "source", source }, { "problem", tables.error() } });
+        logEvent(LogLevel::Warning, "tables_unreadable", { { "source", way }, { "problem", tables.error() } });
 }
 
 }
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.h
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.h
@@ -44,9 +44,6 @@
     // Applies items received from a peer, unless this host has already read the store.
     void applyRelayedItems(const std::vector<std::pair<std::string, std::string>>&);
 
-    // Applies tables received from a peer if they are newer than the current ones.
-    void applyRelayedTables(const std::string& text) { applyTables(text, "peer"); }
-
     // Number of texts of the tables that were decoded.
     std::size_t decodedTablesCount() const { return m_decodedTablesCount; }
 
@@ -92,7 +89,9 @@
     // don't know of it.
     void announceLeftRunners();
     // Decodes the text of the tables, unless it is the one decoded last, and applies them if they are newer than the current ones.
-    void applyTables(const std::string& text, std::string_view source);
+    void applyTables(const std::string& text, std::string_view way);
+    // Reads only the tables from the store and applies them.
+    boost::asio::awaitable<void> readTables();
     void applySoftwareRecord(const ItemChange&);
     void applyDecoded(const ItemChange&, std::vector<RunnerRecord>* runners);
     void finishChanges();
--- a/packages/peer/chiveshelf/peer/MessageType.h
+++ b/packages/peer/chiveshelf/peer/MessageType.h
@@ -16,8 +16,10 @@
     SchedulerReport = 8,
     CancelQueued = 9,
     Preempt = 10,
-    PullRoutingTables = 11,
+    // 11 was a request for the text of the routing tables.
     PullStoreChanges = 12,
+    PullItems = 13,
+    PullTablesPiece = 14,
 };
 
 }
--- a/tests/support/FakePlatform.cpp
+++ b/tests/support/FakePlatform.cpp
@@ -110,6 +110,15 @@
     return http::makeResponse(http::Status::ok, body.dump());
 }
 
+http::Response Store::readItem(const std::string& key) const
+{
+    const auto it = m_state.items.find(key);
+    if (it == m_state.items.end() || it->second.isRemoved)
+        return http::makeResponse(http::Status::not_found, "{}");
+    const json body { { "key", key }, { "value", encode64(it->second.value) }, { "rev", it->second.revision }, { "lease", it->second.lease }, { "storeRevision", m_state.revision } };
+    return http::makeResponse(http::Status::ok, body.dump());
+}
+
 http::Response Store::write(const std::string& text)
 {
     const auto request = json::parse(text);
@@ -197,6 +206,11 @@
         ++m_reads;
         co_return read();
     }
+    if (path == "/kv-key") {
+        ++m_itemReads;
+        const auto target = http::parseTarget({ exchange.request().target().data(), exchange.request().target().size() });
+        co_return readItem(target.query.at("key"));
+    }
     if (path == "/kv-txn")
         co_return write(exchange.request().body());
     if (path == "/kv-lease") {
--- a/tests/support/FakePlatform.h
+++ b/tests/support/FakePlatform.h
@@ -65,6 +65,8 @@
     void abortWatches();
 
     std::size_t readCount() const { return m_reads; }
+    // Reads of single items.
+    std::size_t itemReadCount() const { return m_itemReads; }
     std::size_t watchCount() const { return m_watches; }
 
     // Responds to the next `times` reads and watches with this body instead of the real one.
@@ -98,6 +100,7 @@
     boost::asio::awaitable<chiveshelf::http::Response> answer(chiveshelf::http::Exchange&, const std::string& path);
     boost::asio::awaitable<void> watch(chiveshelf::http::Exchange&, std::uint64_t after, std::chrono::milliseconds wait);
     chiveshelf::http::Response read() const;
+    chiveshelf::http::Response readItem(const std::string& key) const;
     chiveshelf::http::Response write(const std::string& body);
 
     boost::asio::io_context& m_context;
@@ -109,6 +112,7 @@
     std::function<std::string(const std::string&, const std::string&)> m_writeFilter;
     std::uint64_t m_historyStart = 0;
     std::size_t m_reads = 0;
+    std::size_t m_itemReads = 0;
     std::size_t m_watches = 0;
     std::size_t m_watchAborts = 0;
     std::pair<std::string, std::size_t> m_overrideBody;
--- a/tests/unit/gateway/CacheFollowerTest.cpp
+++ b/tests/unit/gateway/CacheFollowerTest.cpp
@@ -30,7 +30,7 @@
         pool.name = "store";
         pool.store = CacheStore { storeAddress, "z", 100'000 };
         tables.pools.push_back(pool);
-        m_state->acceptTables(std::move(tables), "", "test");
+        m_state->acceptTables(std::move(tables), { "test" });
         m_exchange = std::make_unique<HostExchange>(m_context, m_settings, *m_state);
         m_follower = std::make_unique<CacheFollower>(m_context, m_client, *m_state, *m_exchange, [] { return false; });
         CPPUNIT_ASSERT(m_exchange->start());
--- a/tests/unit/gateway/HostExchangeTest.cpp
+++ b/tests/unit/gateway/HostExchangeTest.cpp
@@ -166,7 +166,7 @@
 
     static void connect(Host& host, const Host& other)
     {
-        host.exchange.setTablesHandlers([] { return std::vector<std::pair<std::string, std::string>>(); }, [](const auto&) {}, [](const auto&) {});
+        host.exchange.setItemHandlers([] { return std::vector<std::pair<std::string, std::string>>(); }, [](const auto&) {});
         CPPUNIT_ASSERT(host.exchange.start());
         host.exchange.setHosts({ { other.settings.hostName, other.settings.peerAddress } });
     }
@@ -218,7 +218,7 @@
         storePool.store = CacheStore { { "127.70.9.90", 80 }, "east", 100'000 };
         tables.pools = { pool, storePool };
         for (auto* host : { &m_first, &m_second, &m_remote }) {
-            host->state.acceptTables(tables, "", "test");
+            host->state.acceptTables(tables, { "test" });
             for (int i = 0; i < n; ++i) {
                 RunnerRecord record;
                 record.id = "r" + std::to_string(i);
--- a/tests/unit/gateway/ServingStateTest.cpp
+++ b/tests/unit/gateway/ServingStateTest.cpp
@@ -80,10 +80,10 @@
     {
         RoutingTables tables;
         tables.version = 5;
-        CPPUNIT_ASSERT(m_state.acceptTables(tables, "", "store"));
-        CPPUNIT_ASSERT(!m_state.acceptTables(tables, "", "peer"));
+        CPPUNIT_ASSERT(m_state.acceptTables(tables, { "store" }));
+        CPPUNIT_ASSERT(!m_state.acceptTables(tables, { "peer" }));
         tables.version = 4;
-        CPPUNIT_ASSERT(!m_state.acceptTables(tables, "", "store"));
+        CPPUNIT_ASSERT(!m_state.acceptTables(tables, { "store" }));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), m_state.tablesVersion());
     }
 
