Count tables by the way that they took, and the pieces sent to other hosts

Nothing showed whether tables came from the store or from other hosts, and what they cost the links.

--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -220,6 +220,11 @@
     auto metrics = m_metrics;
     metrics.loopDelays = m_loopMonitor.delays();
     metrics.closedCallers = m_server.closedConnections();
+    metrics.tablesArrivals = m_state.tablesArrivals();
+    const auto& served = m_exchange.tables().counts();
+    metrics.tablesPieces = served.pieces;
+    metrics.tablesBytes = served.bytes;
+    metrics.tablesBusy = served.busy;
     return formatGatewayMetrics(metrics,
         { { "active_requests", static_cast<double>(m_server.activeRequests()) }, { "connections", static_cast<double>(m_server.connectionCount()) },
             { "idle_backend_connections", static_cast<double>(m_backends.idleCount()) },
--- a/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
+++ b/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
@@ -24,6 +24,12 @@
     std::map<std::string, std::uint64_t> takeUps;
     // Connections of callers that this host closed, by reason.
     std::map<std::string, std::uint64_t> closedCallers;
+    // Tables that came into force, by the way that they took: "store", "item", "update" or "whole".
+    std::map<std::string, std::uint64_t> tablesArrivals;
+    // Pieces of tables sent to other hosts, their bytes, and requests that had to wait for a slot.
+    std::uint64_t tablesPieces = 0;
+    std::uint64_t tablesBytes = 0;
+    std::uint64_t tablesBusy = 0;
     LoopDelays loopDelays;
     std::uint64_t repeats = 0;
     std::uint64_t resumes = 0;
