Relay changes of the tables without their text

The text of the tables is longer than a notice and, with 1,400 routes more, than the log of changes. So each change of it made every host of a data centre ask for it, get nothing and read the whole store: 60 hosts in one second of the incident, with links of 10 Mbit/s full and requests cut beside it.

Changes of the tables are now relayed by key and revision, and notices name the version of the sender's tables, which receivers fetch as an update. Of several texts in one answer of the store only the last one is decoded.

--- a/packages/gateway/chiveshelf/gateway/ChangeLog.h
+++ b/packages/gateway/chiveshelf/gateway/ChangeLog.h
@@ -8,7 +8,8 @@
 
 namespace chiveshelf {
 
-// The latest changes in the key-value store, kept for hosts that missed some of them.
+// The latest changes in the key-value store, kept for hosts that missed some of them. The text of the routing tables is not among
+// them, so that a change of it doesn't push out the others.
 class ChangeLog {
 public:
     // Limit for the keys and values kept, and so for those in one reply. Hosts that need more changes read the store, because a
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -398,11 +398,13 @@
     // If false, receivers request the changes with PullStoreChanges.
     bool hasChanges = false;
     std::vector<RelayedChange> changes;
+    // Version of the sender's routing tables. Changes of the tables come without their text.
+    std::uint64_t tablesVersion = 0;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(host, from, to, hasChanges, changes);
+        archive(host, from, to, hasChanges, changes, tablesVersion);
     }
 };
 
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -33,6 +33,8 @@
     // Hosts that missed changes request them after a random delay up to this. Hosts that learn from others that the store was restored
     // read it after such a delay.
     constexpr std::chrono::milliseconds maxPullDelay { 80 };
+    // Delay before a host that watches the store fetches newer tables from another, in which its watch usually delivers them.
+    constexpr std::chrono::milliseconds watcherFetchDelay { 250 };
     constexpr std::size_t largeFleetHosts = 20;
     // Delays after failed calls. Failed calls count against the rate limit of the store, but hosts must be up to date within seconds
     // of its return.
@@ -114,9 +116,9 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
-asio::awaitable<void> StoreFollower::sleepUpTo(std::chrono::milliseconds limit)
+std::chrono::milliseconds StoreFollower::upTo(std::chrono::milliseconds limit)
 {
-    return sleep(std::chrono::milliseconds(static_cast<std::int64_t>(m_state.random() * static_cast<double>(limit.count()))));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(m_state.random() * static_cast<double>(limit.count())));
 }
 
 asio::awaitable<void> StoreFollower::expireLoop()
@@ -197,7 +199,7 @@
 
 asio::awaitable<void> StoreFollower::readRestored()
 {
-    co_await sleepUpTo(maxPullDelay);
+    co_await sleep(upTo(maxPullDelay));
     if (!m_isStopped && !m_isReadingAll && m_cursor.mustRead())
         co_await readAll();
 }
@@ -228,10 +230,11 @@
         if (!m_cursor.continues(from, batch->position))
             continue;
         applyBatch(*batch);
-        m_log.add(from, batch->position, batch->changes);
+        const ChangeBatch relayed { withoutValues(batch->changes, platform::tablesKey()), batch->position };
+        m_log.add(from, relayed.position, relayed.changes);
         // If this process was suspended, the answer may have been waiting for long and must not be announced as current.
         if (bootTime() - before <= wait + maxAnswerDelay)
-            announce(from, *batch);
+            announce(from, relayed);
         const bool isBatching = !batch->changes.empty() && m_exchange.hostCount() >= largeFleetHosts;
         if (isBatching)
             co_await sleep(m_state.tablesVersion() == 0 ? minRetryDelay : isRelaying() ? relayBatchDelay
@@ -248,6 +251,9 @@
     for (const auto& change : batch.changes) {
         if (change.item.revision <= m_cursor.position().revision)
             continue;
+        // Decoding tables takes long. Those between the known ones and the last ones of the batch are out of date already.
+        if (change.item.key == platform::tablesKey() && isSuperseded(batch.changes, change))
+            continue;
         apply(change);
         hasChanged = true;
     }
@@ -260,12 +266,16 @@
 {
     if (!isRelaying())
         return;
-    for (const auto& notice : makeStoreNotices(m_exchange.hostHash(), from, batch))
+    for (auto& notice : makeStoreNotices(m_exchange.hostHash(), from, batch)) {
+        notice.tablesVersion = m_state.tablesVersion();
         m_exchange.announceStore(notice);
+    }
 }
 
 void StoreFollower::onStoreNotice(const Address& from, const StoreNotice& notice)
 {
+    if (notice.tablesVersion > m_state.tablesVersion())
+        m_exchange.tables().onNews(from.ip, notice.tablesVersion, mustWatch() ? watcherFetchDelay : upTo(maxPullDelay));
     const auto step = m_cursor.onNotice(notice.from, notice.to, notice.hasChanges);
     if (!m_hasRead || m_isReadingAll || step == StoreCursor::Step::Ignore)
         return;
@@ -305,7 +315,7 @@
 asio::awaitable<void> StoreFollower::pullChanges(Address from)
 {
     // Spreads the requests of hosts that missed the same changes.
-    co_await sleepUpTo(maxPullDelay);
+    co_await sleep(upTo(maxPullDelay));
     const auto after = m_cursor.position();
     const auto reply = co_await m_exchange.pullStoreChanges(std::move(from), after);
     m_isPullingChanges = false;
@@ -386,7 +396,8 @@
         return;
     }
     if (key == platform::tablesKey()) {
-        if (!change.isRemoval)
+        // Relayed changes have no text; the notice's version is fetched from another host.
+        if (!change.isRemoval && !change.item.value.empty())
             applyTables(change.item.value, "store");
         return;
     }
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.h
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.h
@@ -16,7 +16,7 @@
 // Failed calls are retried with a growing delay. If the store's history is lost or the store was restored from an older copy, everything
 // is read again. Until the first read
 // succeeds, the contacts are asked for tables. A host that missed relayed changes requests them from the sender, and reads
-// everything if the sender no longer has them.
+// everything if the sender no longer has them. The tables themselves are not relayed with the changes; see TablesExchange.
 class StoreFollower {
 public:
     StoreFollower(boost::asio::io_context&, platform::StoreClient&, ServingState&, HostExchange&);
@@ -71,8 +71,8 @@
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<void> pullChanges(Address from);
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds);
-    // Sleeps for a random time below the limit.
-    boost::asio::awaitable<void> sleepUpTo(std::chrono::milliseconds limit);
+    // Returns a random time below the limit.
+    std::chrono::milliseconds upTo(std::chrono::milliseconds limit);
     // Whether the data centre has enough hosts for only some of them to watch the store and relay its changes.
     bool isRelaying() const;
     bool mustWatch() const;
--- a/packages/gateway/chiveshelf/gateway/StoreNotices.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreNotices.cpp
@@ -1,5 +1,7 @@
 #include "chiveshelf/gateway/StoreNotices.h"
 
+#include <algorithm>
+
 namespace chiveshelf {
 
 namespace {
@@ -37,6 +39,22 @@
     return out;
 }
 
+std::vector<ItemChange> withoutValues(std::vector<ItemChange> changes, std::string_view key)
+{
+    for (auto& change : changes) {
+        if (change.item.key == key)
+            change.item.value.clear();
+    }
+    return changes;
+}
+
+bool isSuperseded(const std::vector<ItemChange>& changes, const ItemChange& change)
+{
+    return std::any_of(changes.begin(), changes.end(), [&](const auto& other) {
+        return other.item.key == change.item.key && other.item.revision > change.item.revision;
+    });
+}
+
 std::vector<StoreNotice> makeStoreNotices(std::uint64_t host, StorePosition from, const ChangeBatch& batch)
 {
     std::vector<StoreNotice> out;
@@ -49,7 +67,7 @@
         const bool isFull = n + size > maxNoticeBytes && !pending.empty() && pending.back().item.revision < change.item.revision;
         if (isFull) {
             const StorePosition end { from.era, pending.back().item.revision };
-            out.push_back({ host, begin, end, true, toRelayedChanges(pending) });
+            out.push_back({ host, begin, end, true, toRelayedChanges(pending), 0 });
             begin = end;
             pending.clear();
             n = 0;
@@ -57,9 +75,9 @@
         pending.push_back(change);
         n += size;
         if (n > maxNoticeBytes || out.size() >= maxNotices)
-            return { StoreNotice { host, from, batch.position, false, {} } };
+            return { StoreNotice { host, from, batch.position, false, {}, 0 } };
     }
-    out.push_back({ host, begin, batch.position, true, toRelayedChanges(pending) });
+    out.push_back({ host, begin, batch.position, true, toRelayedChanges(pending), 0 });
     return out;
 }
 
--- a/tests/support/GatewayFixture.h
+++ b/tests/support/GatewayFixture.h
@@ -115,6 +115,10 @@
         for (int i = 0; i < contacts; ++i)
             settings.contacts.push_back({ hostIp(i), 7'003 });
         settings.isFirstStart = m_isFirstStart;
+        if (number >= m_fastHosts) {
+            settings.linkMbps = m_slowLinkMbps;
+            settings.cpuShare = 0.12;
+        }
         auto& host = m_hosts[number];
         host.context = std::make_unique<boost::asio::io_context>(1);
         host.gateway = std::make_unique<chiveshelf::Gateway>(*host.context, settings);
@@ -230,6 +234,9 @@
 
     // GatewaySettings::retryReserve of the gateway.
     double m_retryReserve = 50;
+    // Number of hosts of a fleet with the usual link and processor; the others have a slow processor and this link.
+    int m_fastHosts = 1'000;
+    double m_slowLinkMbps = 10;
     // GatewaySettings::isFirstStart of the hosts of a fleet.
     bool m_isFirstStart = false;
     std::string m_network;
--- a/tests/unit/gateway/StoreRelayTest.cpp
+++ b/tests/unit/gateway/StoreRelayTest.cpp
@@ -150,6 +150,8 @@
     CPPUNIT_TEST(changesBeyondByteLimitAreDropped);
     CPPUNIT_TEST(noticesOfLargeBatchHaveContiguousRevisions);
     CPPUNIT_TEST(changeOverNoticeSizeIsAnnouncedWithoutContent);
+    CPPUNIT_TEST(longTextIsRelayedWithoutItsValue);
+    CPPUNIT_TEST(onlyLastChangeOfKeyIsNotSuperseded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -235,6 +237,31 @@
         CPPUNIT_ASSERT(!notices.front().hasChanges);
         CPPUNIT_ASSERT(at(12) == notices.front().to);
     }
+
+    // Guards against hosts that read the whole store because one item is longer than a notice or the log.
+    void longTextIsRelayedWithoutItsValue()
+    {
+        const std::vector<ItemChange> changes { change(11), { StoredItem { "tables", std::string(2 * ChangeLog::maxBytes, 'x'), 12 }, false }, change(13) };
+        const auto relayed = withoutValues(changes, "tables");
+        const auto notices = makeStoreNotices(7, at(10), { relayed, at(13) });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), notices.size());
+        CPPUNIT_ASSERT(notices.front().hasChanges);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), notices.front().changes.size());
+        CPPUNIT_ASSERT_EQUAL(Revision(12), notices.front().changes[1].revision);
+        CPPUNIT_ASSERT(notices.front().changes[1].value.empty());
+        ChangeLog log;
+        log.add(at(10), at(13), relayed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), log.since(at(10))->changes.size());
+    }
+
+    // Guards against the decoding of texts that are out of date when they arrive.
+    void onlyLastChangeOfKeyIsNotSuperseded()
+    {
+        const std::vector<ItemChange> changes { { StoredItem { "tables", "a", 11 }, false }, { StoredItem { "tables", "b", 13 }, false }, change(14) };
+        CPPUNIT_ASSERT(isSuperseded(changes, changes[0]));
+        CPPUNIT_ASSERT(!isSuperseded(changes, changes[1]));
+        CPPUNIT_ASSERT(!isSuperseded(changes, changes[2]));
+    }
 };
 
 // Runs several gateways of one data centre and one store in this process.
