Let hosts with faster links and processors watch the store for the others

The hash of the name alone decided which two hosts of a data centre watch the store, get each text and send it on: mostly hosts with 0.12 of a core and 10 Mbit/s beside ones with 0.5 and 200.

--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -65,7 +65,7 @@
     , m_exchange(context, m_settings, m_state)
     , m_client(context)
     , m_store(m_client, m_settings.storeAddress)
-    , m_storeFollower(context, m_store, m_state, m_exchange)
+    , m_storeFollower(context, m_settings, m_store, m_state, m_exchange)
     , m_registration(context, m_store,
           StoreLease::Options { std::string(hostKeyPrefix) + m_settings.hostName, toString(m_settings.peerAddress), registrationTimeToLive, registrationRenewInterval, false },
           [this] { return m_storeFollower.isInContact(); })
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
@@ -66,9 +66,9 @@
         { "retry-window-s", "10", "Window over which repeats are counted, in s.", false, false, checkDecimal(1, 3'600, "s") },
         { "first-start", "false", "Whether the whole system starts for the first time: true or false.", false, false, checkOneOf({ "true", "false" }) },
         { "most-descriptors", "4096", "File descriptors that the process may use.", false, false, checkNumber(64, 10'000'000, "") },
-        { "link-mbps", "100", "Speed of this host's link, in Mbit/s. At most half of it is used to send tables to other hosts.", false, false, checkDecimal(0.1, 1'000'000, "Mbit/s") },
-        { "cpu-share", "1", "Share of a processor core that the process may use. Hosts with more, and faster links, watch the store for the others.", false, false,
-            checkDecimal(0.001, 1'024, "cores") },
+        { "link-mbps", "100", "Speed of this host's link, in Mbit/s; 0 if unknown. At most half of it is used to send tables to other hosts.", false, false, checkDecimal(0, 1'000'000, "Mbit/s") },
+        { "cpu-share", "1", "Share of a processor core that the process may use; 0 if unknown. Hosts with more, and faster links, watch the store for the others.", false, false,
+            checkDecimal(0, 1'024, "cores") },
         { "without", "", "Mechanisms of the choice of runners that are switched off, separated by commas, to measure what each is worth: " + listMechanismNames() + ".",
             false, false, checkMechanisms },
         { "log-level", "info", "Lowest level that is logged.", false, false, checkOneOf({ "debug", "info", "warning", "error" }) },
@@ -100,8 +100,10 @@
     out.retryWindow = seconds(options, "retry-window-s");
     out.isFirstStart = options.text("first-start") == "true";
     out.maxDescriptors = static_cast<std::size_t>(options.number("most-descriptors"));
-    out.linkMbps = options.decimal("link-mbps");
-    out.cpuShare = options.decimal("cpu-share");
+    const auto linkMbps = options.decimal("link-mbps");
+    out.linkMbps = linkMbps > 0 ? linkMbps : out.linkMbps;
+    const auto cpuShare = options.decimal("cpu-share");
+    out.cpuShare = cpuShare > 0 ? cpuShare : out.cpuShare;
     for (const auto& entry : splitList(options.text("without"))) {
         if (const auto mechanism = parseMechanism(entry))
             out.mechanisms = out.mechanisms.without(*mechanism);
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -392,6 +392,7 @@
 struct StoreNotice {
     static constexpr peer::DatagramType datagramType = peer::DatagramType::StoreNotice;
 
+    // WatcherElection::rank() of the sender.
     std::uint64_t host = 0;
     StorePosition from;
     StorePosition to;
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -56,13 +56,14 @@
 
 }
 
-StoreFollower::StoreFollower(asio::io_context& context, platform::StoreClient& store, ServingState& state, HostExchange& exchange)
+StoreFollower::StoreFollower(asio::io_context& context, const GatewaySettings& settings, platform::StoreClient& store, ServingState& state, HostExchange& exchange)
     : m_context(context)
     , m_store(store)
     , m_state(state)
     , m_exchange(exchange)
     , m_retryDelay(minRetryDelay)
-    , m_election(exchange.hostHash())
+    , m_rank(WatcherElection::rank(exchange.hostHash(), settings.linkMbps, settings.cpuShare))
+    , m_election(m_rank)
 {
 }
 
@@ -266,7 +267,7 @@
 {
     if (!isRelaying())
         return;
-    for (auto& notice : makeStoreNotices(m_exchange.hostHash(), from, batch)) {
+    for (auto& notice : makeStoreNotices(m_rank, from, batch)) {
         notice.tablesVersion = m_state.tablesVersion();
         m_exchange.announceStore(notice);
     }
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.h
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.h
@@ -19,7 +19,7 @@
 // everything if the sender no longer has them. The tables themselves are not relayed with the changes; see TablesExchange.
 class StoreFollower {
 public:
-    StoreFollower(boost::asio::io_context&, platform::StoreClient&, ServingState&, HostExchange&);
+    StoreFollower(boost::asio::io_context&, const GatewaySettings&, platform::StoreClient&, ServingState&, HostExchange&);
     StoreFollower(const StoreFollower&) = delete;
     StoreFollower& operator=(const StoreFollower&) = delete;
 
@@ -112,6 +112,7 @@
     std::chrono::nanoseconds m_lastContactAt { 0 };
     std::chrono::milliseconds m_retryDelay;
     TimePoint m_leaderKeyFreeSince {};
+    std::uint64_t m_rank;
     WatcherElection m_election;
     ChangeLog m_log;
     StoreCursor m_cursor;
--- a/packages/gateway/chiveshelf/gateway/WatcherElection.h
+++ b/packages/gateway/chiveshelf/gateway/WatcherElection.h
@@ -10,8 +10,8 @@
 
 // Decides whether this host watches the key-value store itself or gets the changes from other hosts of its data centre. Hosts that
 // watch send a notice after each answer of the store. A host watches unless it has recently received notices from two hosts with
-// higher hashes. So the two hosts with the highest hashes among those that run and reach the store watch, without a list of live
-// hosts.
+// higher ranks. So the two hosts with the highest ranks among those that run and reach the store watch, without a list of live
+// hosts. Hosts with faster links and processors have higher ranks, because a watching host gets and sends more than others.
 //
 // This keeps the rate of calls to the store low when hundreds of hosts follow the same changes, and replaces the watching hosts
 // even if all of them fail, hang or lose the store at the same time.
@@ -28,7 +28,11 @@
     // After the silence limit each host starts to watch with an additional delay below this, which depends on its hash.
     static constexpr std::chrono::milliseconds maxDelay { 300 };
 
-    // `host` is the hash of this host's name.
+    // Returns the rank of a host by the speed of its link, its share of a processor core, and the hash of its name, which decides
+    // between hosts of a like speed.
+    static std::uint64_t rank(std::uint64_t hash, double linkMbps, double cpuShare);
+
+    // `host` is the rank of this host.
     explicit WatcherElection(std::uint64_t host)
         : m_host(host)
     {
@@ -42,7 +46,7 @@
 
 private:
     std::uint64_t m_host;
-    // Time of the last notice of each host with a higher hash.
+    // Time of the last notice of each host with a higher rank.
     std::map<std::uint64_t, TimePoint> m_lastNoticeAt;
 };
 
--- a/tests/unit/gateway/GatewaySettingsTest.cpp
+++ b/tests/unit/gateway/GatewaySettingsTest.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST(withoutFlagDisablesOnlyNamedMechanisms);
     CPPUNIT_TEST(everyMechanismNameIsParsed);
     CPPUNIT_TEST(unknownMechanismIsRejectedWithListOfNames);
+    CPPUNIT_TEST(linkAndProcessorAreRead);
+    CPPUNIT_TEST(unknownLinkAndProcessorHaveDefaults);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -44,6 +46,21 @@
         }));
     }
 
+    void linkAndProcessorAreRead()
+    {
+        CPPUNIT_ASSERT_EQUAL(10.5, read("--link-mbps=10.5").linkMbps);
+        CPPUNIT_ASSERT_EQUAL(0.12, read("--cpu-share=0.12").cpuShare);
+        CPPUNIT_ASSERT(!parse("--link-mbps=-1").empty());
+        CPPUNIT_ASSERT(!parse("--cpu-share=fast").empty());
+    }
+
+    // Guards against a host that doesn't send anything because its speed is unknown.
+    void unknownLinkAndProcessorHaveDefaults()
+    {
+        CPPUNIT_ASSERT_EQUAL(GatewaySettings().linkMbps, read("--link-mbps=0").linkMbps);
+        CPPUNIT_ASSERT_EQUAL(GatewaySettings().cpuShare, read("--cpu-share=0").cpuShare);
+    }
+
 private:
     std::vector<std::string> parse(const std::string& flag)
     {
--- a/tests/unit/gateway/StoreRelayTest.cpp
+++ b/tests/unit/gateway/StoreRelayTest.cpp
@@ -31,19 +31,14 @@
     CPPUNIT_TEST(lossOfOneWatcherCausesNoGapInNotices);
     CPPUNIT_TEST(lossOfAllWatchersIsRepairedWithin1900Ms);
     CPPUNIT_TEST(lossOf5PercentOfNoticesAddsFewWatchers);
+    CPPUNIT_TEST(hostsWithFastLinksAndProcessorsWatch);
+    CPPUNIT_TEST(slowHostsWatchWhileNoFastHostDoes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void setUp() override
     {
-        for (int i = 0; i < hostCount; ++i) {
-            m_hostHashes.push_back(hash64("host-" + std::to_string(i)));
-            m_hosts.emplace_back(m_hostHashes.back());
-        }
-        m_isRunning.assign(hostCount, true);
-        m_nextNoticeAt.assign(hostCount, start);
-        m_lastNoticeAt.assign(hostCount, start);
-        simulate(seconds(5));
+        setUpHosts(0);
     }
 
     // The number of calls to the store must not grow with the fleet.
@@ -52,6 +47,32 @@
         CPPUNIT_ASSERT_EQUAL(WatcherElection::watcherCount, countWatchers());
     }
 
+    // Guards against hosts with a slow link that get each text from the store and send it to the others.
+    void hostsWithFastLinksAndProcessorsWatch()
+    {
+        setUpHosts(2);
+        CPPUNIT_ASSERT_EQUAL(WatcherElection::watcherCount, countWatchers());
+        CPPUNIT_ASSERT(m_hosts[0].mustWatch(m_now));
+        CPPUNIT_ASSERT(m_hosts[1].mustWatch(m_now));
+        // A fast link doesn't make up for a slow processor.
+        CPPUNIT_ASSERT(WatcherElection::rank(1, 10, 0.12) < WatcherElection::rank(0, 200, 0.5));
+        CPPUNIT_ASSERT(WatcherElection::rank(1'000, 10, 0.12) > WatcherElection::rank(0, 200, 0.12));
+    }
+
+    void slowHostsWatchWhileNoFastHostDoes()
+    {
+        setUpHosts(2);
+        stopWatchers(2);
+        m_longestNoticeGap = milliseconds(0);
+        simulate(seconds(4));
+        CPPUNIT_ASSERT_EQUAL(WatcherElection::watcherCount, countWatchers());
+        CPPUNIT_ASSERT(m_longestNoticeGap < milliseconds(1'900));
+        m_isRunning[1] = true;
+        simulate(seconds(2));
+        CPPUNIT_ASSERT(m_hosts[1].mustWatch(m_now));
+        CPPUNIT_ASSERT_EQUAL(WatcherElection::watcherCount, countWatchers());
+    }
+
     void lossOfOneWatcherCausesNoGapInNotices()
     {
         stopWatchers(1);
@@ -86,6 +107,23 @@
     static constexpr int hostCount = 300;
     static constexpr int stepMs = 10;
 
+    // Makes a fleet whose first hosts have a fast link and processor, and simulates its start.
+    void setUpHosts(int fastHosts)
+    {
+        m_now = start;
+        m_hostHashes.clear();
+        m_hosts.clear();
+        for (int i = 0; i < hostCount; ++i) {
+            const bool isFast = i < fastHosts;
+            m_hostHashes.push_back(WatcherElection::rank(hash64("host-" + std::to_string(i)), isFast ? 200 : 10, isFast ? 0.5 : 0.12));
+            m_hosts.emplace_back(m_hostHashes.back());
+        }
+        m_isRunning.assign(hostCount, true);
+        m_nextNoticeAt.assign(hostCount, start);
+        m_lastNoticeAt.assign(hostCount, start);
+        simulate(seconds(5));
+    }
+
     // Stops `n` of the hosts that watch.
     void stopWatchers(std::size_t n)
     {
