Don't read a request that its caller has given up

After the loop had been held, a host read requests whose callers had closed their connections meanwhile, because the host hadn't read them in time. It sent them to runners over kept connections, where they ran for nobody, and then ended the connection with no answer: the request had been read, and was lost. Cause: the close was noticed only after the request was read and sent on.

read() looks for the close before it reads, and leaves the bytes unread.

--- a/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
@@ -161,6 +161,12 @@
             co_return std::nullopt;
         }
     }
+    // A caller that has given up may send the request again only if it was not read.
+    if (isClosedByCaller() && hasInput()) {
+        m_droppedBytes = m_buffer.size() + m_socket.available(ec);
+        abort(CloseReason::CallerGone);
+        co_return std::nullopt;
+    }
     m_isIdle = false;
     expireAfter(limits.headerTime);
     beast::http::request_parser<beast::http::string_body> parser;
--- a/packages/gateway/chiveshelf/gateway/CallerConnection.h
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.h
@@ -64,7 +64,8 @@
     CallerConnection& operator=(const CallerConnection&) = delete;
 
     // Reads the next request. Returns nullopt if the connection was closed or has to be closed. A malformed, oversized or
-    // incomplete request has then been answered with an error response, if the caller is still connected.
+    // incomplete request has then been answered with an error response, if the caller is still connected. A request that arrives
+    // together with the close of its caller is not read.
     boost::asio::awaitable<std::optional<CallerRequest>> read(CallerLimits);
 
     // Writes bytes. Returns false if the caller has disconnected.
