Don't read a request that crosses an idle close, and close later than the limit

A whole request could be lost without an answer if its caller sent it just before the idle time ended: the connection was closed for sending and then read for 500 ms, and what arrived was dropped. A caller whose request was read may not send it again.

An idle connection is closed unread now, so that a request that crosses the close meets a reset. It is closed a second after the limit, since the limit began here when the response was written, before its caller had it, and a request that was sent in time may be delayed on a full link.

--- a/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
@@ -24,6 +24,8 @@
 
     // Time to receive a complete body after its header; enough for a megabyte over a slow link.
     constexpr std::chrono::milliseconds bodyTimeout { 15'000 };
+    // Time that a request may be on its way when the idle time ends, over a full link and to a busy host.
+    constexpr std::chrono::milliseconds idleMargin { 1'000 };
     // Time for which a connection is still read after its last response. Closing it with unread bytes would reset it before the
     // caller has read the response.
     constexpr std::chrono::milliseconds lingerTime { 500 };
@@ -154,10 +156,18 @@
     boost::system::error_code ec;
     m_isIdle = true;
     if (m_buffer.size() == 0) {
-        expireAfter(limits.idleTime);
+        expireAfter(limits.idleTime + idleMargin);
         co_await m_socket.async_wait(asio::socket_base::wait_read, redirect_error(use_awaitable, ec));
-        if (ec || m_hasExpired) {
-            m_closeReason = m_hasExpired ? CloseReason::Idle : CloseReason::Caller;
+        if (!m_socket.is_open())
+            co_return std::nullopt;
+        if (m_hasExpired) {
+            // Closed unread, so that the caller of a crossing request knows that it may send it again.
+            m_closeReason = CloseReason::Idle;
+            m_socket.close(ec);
+            co_return std::nullopt;
+        }
+        if (ec) {
+            m_closeReason = CloseReason::Caller;
             co_return std::nullopt;
         }
     }
--- a/tests/unit/gateway/CallerIdleTest.cpp
+++ b/tests/unit/gateway/CallerIdleTest.cpp
@@ -15,6 +15,8 @@
 class CallerIdleTest : public fakeplatform::GatewayFixture {
     CPPUNIT_TEST_SUITE(CallerIdleTest);
     CPPUNIT_TEST(requestOfCallerThatHasGivenUpIsNotForwarded);
+    CPPUNIT_TEST(requestThatCrossesIdleCloseIsNotRead);
+    CPPUNIT_TEST(requestWithinIdleTimeAndMarginIsAnswered);
     CPPUNIT_TEST_SUITE_END();
 
 protected:
@@ -52,6 +54,14 @@
         return out;
     }
 
+    // Changes the limits on callers.
+    void setLimits(int idleMs, int headerMs)
+    {
+        auto text = std::string(fakeplatform::tables);
+        text.insert(1, "\"limits\":{\"idleMs\":" + std::to_string(idleMs) + ",\"headerMs\":" + std::to_string(headerMs) + "},");
+        m_store->put("op/config", text);
+    }
+
     asio::io_context m_callerContext { 1 };
 
 public:
@@ -70,6 +80,41 @@
         runFor(milliseconds(300));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), requestCount());
     }
+
+    // Guards against an idle close that reads a crossing request without an answer, so that the caller may not send it again.
+    void requestThatCrossesIdleCloseIsNotRead()
+    {
+        setLimits(100, 1'000);
+        startRunnerAndGateway();
+        auto socket = connectCaller();
+        boost::system::error_code ec;
+        char byte = 0;
+        socket->non_blocking(true, ec);
+        runUntil([&] {
+            socket->read_some(asio::buffer(&byte, 1), ec);
+            return ec == asio::error::eof;
+        });
+        CPPUNIT_ASSERT_EQUAL(boost::system::error_code(asio::error::eof), ec);
+        socket->write_some(asio::buffer(post("/book/1")), ec);
+        CPPUNIT_ASSERT(!ec);
+        runFor(milliseconds(50));
+        // Fails if the first write was answered by a reset, which tells that the request was not read.
+        socket->write_some(asio::buffer(&byte, 1), ec);
+        CPPUNIT_ASSERT(ec);
+    }
+
+    // Guards against an idle close that crosses a request whose caller kept to the limit.
+    void requestWithinIdleTimeAndMarginIsAnswered()
+    {
+        setLimits(200, 1'000);
+        startRunnerAndGateway();
+        auto socket = connectCaller();
+        // Sent within the idle time, and delayed on its way.
+        runFor(milliseconds(500));
+        asio::write(*socket, asio::buffer(post("/book/1")));
+        runFor(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), received(*socket).substr(0, 12));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerIdleTest);
