Read what has arrived of a request before answering 408

A request that was complete in time was answered with 408 if the loop was held beyond the header's or body's time limit: the limit's handler ran between two reads. Unread bytes now put the limit off once, by the time that it takes to read them.

Evidence: CallerIdleTest::headerCompletedWhileLoopIsBlockedBeyondItsTimeIsAnswered got 408 before and gets 200.

--- a/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
@@ -26,6 +26,8 @@
     constexpr std::chrono::milliseconds bodyTimeout { 15'000 };
     // Time that a request may be on its way when the idle time ends, over a full link and to a busy host.
     constexpr std::chrono::milliseconds idleMargin { 1'000 };
+    // Time to read what has already arrived when a time limit ends.
+    constexpr std::chrono::milliseconds arrivedInputTime { 50 };
     // Time for which a connection is still read after its last response. Closing it with unread bytes would reset it before the
     // caller has read the response.
     constexpr std::chrono::milliseconds lingerTime { 500 };
@@ -118,6 +120,7 @@
 void CallerConnection::expireAfter(std::chrono::milliseconds duration)
 {
     m_expiry = std::chrono::steady_clock::now() + duration;
+    m_isExpiryExtended = false;
     if (m_expiry < m_timerAt)
         armTimer();
 }
@@ -137,8 +140,13 @@
             connection->armTimer();
             return;
         }
-        connection->m_hasExpired = true;
         boost::system::error_code ignored;
+        if (connection->m_socket.available(ignored) > 0 && !std::exchange(connection->m_isExpiryExtended, true)) {
+            connection->m_expiry = std::chrono::steady_clock::now() + arrivedInputTime;
+            connection->armTimer();
+            return;
+        }
+        connection->m_hasExpired = true;
         connection->m_socket.cancel(ignored);
     });
 }
--- a/packages/gateway/chiveshelf/gateway/CallerConnection.h
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.h
@@ -128,6 +128,8 @@
     bool m_isIdle = true;
     bool m_isKeepAlive = true;
     bool m_hasExpired = false;
+    // Whether the expiry was put off because bytes had arrived that were not read yet.
+    bool m_isExpiryExtended = false;
     CloseReason m_closeReason = CloseReason::LastResponse;
     std::size_t m_droppedBytes = 0;
 };
--- a/tests/unit/gateway/CallerIdleTest.cpp
+++ b/tests/unit/gateway/CallerIdleTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(requestOfCallerThatHasGivenUpIsNotForwarded);
     CPPUNIT_TEST(requestThatCrossesIdleCloseIsNotRead);
     CPPUNIT_TEST(requestWithinIdleTimeAndMarginIsAnswered);
+    CPPUNIT_TEST(headerCompletedWhileLoopIsBlockedBeyondItsTimeIsAnswered);
     CPPUNIT_TEST_SUITE_END();
 
 protected:
@@ -115,6 +116,21 @@
         runFor(milliseconds(100));
         CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), received(*socket).substr(0, 12));
     }
+
+    // Guards against a 408 for a request that was complete in time.
+    void headerCompletedWhileLoopIsBlockedBeyondItsTimeIsAnswered()
+    {
+        setLimits(5'000, 200);
+        startRunnerAndGateway();
+        auto socket = connectCaller();
+        // Longer than one read, so that the limit ends between the reads.
+        const auto request = post("/book/1", "key1", "X-Long: " + std::string(4'096, 'a') + "\r\n");
+        asio::write(*socket, asio::buffer(request.substr(0, 20)));
+        runFor(milliseconds(50));
+        block(milliseconds(400), [&] { asio::write(*socket, asio::buffer(request.substr(20))); });
+        runFor(milliseconds(600));
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), received(*socket).substr(0, 12));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerIdleTest);
