Keep a connection during a stop until its caller was told of the close

If a stop began while a response was being sent whose header had announced no close, the connection was closed after it, and a request that its caller had sent by then was read and dropped. Such a connection now serves its next request, whose response announces the close, or is closed unread once it is idle.

Evidence: CallerIdleTest::connectionWhoseCallerWasNotToldOfStopServesItsNextRequest got no second response before and passes.

--- a/packages/gateway/chiveshelf/gateway/GatewayServer.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewayServer.cpp
@@ -144,7 +144,8 @@
                 connection->setKeepAlive(false);
             const ActiveRequest active(m_active, *connection);
             co_await m_handler(connection, std::move(*request));
-            if (!connection->isKeepAlive() || m_isClosing)
+            // Not closed if the response announced no close, since the next request may be on its way. closeIdle() closes it.
+            if (!connection->isKeepAlive())
                 break;
         }
         co_await connection->closeGracefully();
--- a/tests/unit/gateway/CallerIdleTest.cpp
+++ b/tests/unit/gateway/CallerIdleTest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(requestThatCrossesIdleCloseIsNotRead);
     CPPUNIT_TEST(requestWithinIdleTimeAndMarginIsAnswered);
     CPPUNIT_TEST(headerCompletedWhileLoopIsBlockedBeyondItsTimeIsAnswered);
+    CPPUNIT_TEST(connectionWhoseCallerWasNotToldOfStopServesItsNextRequest);
     CPPUNIT_TEST_SUITE_END();
 
 protected:
@@ -131,6 +132,28 @@
         runFor(milliseconds(600));
         CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), received(*socket).substr(0, 12));
     }
+
+    // Guards against a stop that closes a connection after a response which announced no close, and so loses the next request.
+    void connectionWhoseCallerWasNotToldOfStopServesItsNextRequest()
+    {
+        addRunner([](const auto& request) {
+            return Script { fakeplatform::sealedStreamHeader(request) + fakeplatform::chunk("id: 1\ndata: a\n\n"), Script::End::Keep,
+                fakeplatform::chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n", milliseconds(200) };
+        });
+        startGateway();
+        auto socket = connectCaller();
+        asio::write(*socket, asio::buffer(post("/draft/1")));
+        runUntil([&] { return requestCount() == 1; });
+        runFor(milliseconds(50));
+        m_gateway->stop();
+        asio::write(*socket, asio::buffer(post("/draft/2")));
+        runFor(milliseconds(800));
+        const auto text = received(*socket);
+        const auto second = text.find("HTTP/1.1", 1);
+        CPPUNIT_ASSERT(second != std::string::npos);
+        CPPUNIT_ASSERT(text.find("Connection: close") > second);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), requestsTo("/draft/2"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallerIdleTest);
