Send the news of a disputed stream origin at once

If callers use one id for streams of two software versions, its origin is disputed. The host that noticed it told the holders of the record with its next records, up to 20 ms later. A stream that was taken up elsewhere in that time went on at the first version, although it may have begun at the second.

The expectation is right, and whether it held depended on how fast the test's calls followed each other.

A dispute is now sent before the event that caused it is forwarded, and again with the next records in case the datagram is lost.

--- a/packages/gateway/chiveshelf/gateway/OriginExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/OriginExchange.cpp
@@ -40,10 +40,16 @@
 
 void OriginExchange::record(StreamOrigin origin, bool isShared, TimePoint now)
 {
-    m_origins.record(origin, now);
+    const auto news = m_origins.record(origin, now);
     const auto known = m_origins.recordOf(origin.stream, now);
-    if (isShared && known)
-        enqueue(*known);
+    if (!isShared || !known)
+        return;
+    // Others would trust their record until they hear of the dispute. It is sent again with the next records in case it is lost.
+    if (news && news->software == StreamOrigins::disputed) {
+        for (const auto& holder : m_port.holders(origin.stream))
+            m_port.sendNotice(holder, OriginNotice { { { news->stream, news->software } } });
+    }
+    enqueue(*known);
 }
 
 void OriginExchange::shareAll(TimePoint now)
--- a/packages/gateway/chiveshelf/gateway/OriginExchange.h
+++ b/packages/gateway/chiveshelf/gateway/OriginExchange.h
@@ -32,7 +32,7 @@
 
     OriginExchange(boost::asio::io_context&, StreamOrigins&, Port);
 
-    // Records the origin of a stream, and sends it to its holders soon after if `isShared` is set.
+    // Records the origin of a stream, and sends it to its holders soon after if `isShared` is set, or at once if it has become disputed.
     void record(StreamOrigin, bool isShared, TimePoint now);
 
     // Sends all records to their holders. To be called when a second software version appears.
--- a/tests/unit/versions/SoftwareVersionTest.cpp
+++ b/tests/unit/versions/SoftwareVersionTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(takeUpIsNotSentToRunnerThatRestartedSinceItsEntry);
     CPPUNIT_TEST(streamOfRunnerThatRestartedBeforeItBeganIsNotResumed);
     CPPUNIT_TEST(idUsedForStreamsOfTwoVersionsIsNoProofOfOrigin);
+    CPPUNIT_TEST(idUsedAgainAtAnotherVersionIsNoProofAtOtherHostsAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -183,6 +184,21 @@
         CPPUNIT_ASSERT_EQUAL(503U, fetchFrom(0, ask("b", "same")).status);
         CPPUNIT_ASSERT_EQUAL(503U, fetchFrom(1, ask("c", "same")).status);
     }
+
+    // Guards against a host that trusts an origin while the news that it is disputed still waits to be sent.
+    void idUsedAgainAtAnotherVersionIsNoProofAtOtherHostsAtOnce()
+    {
+        startMixedFleet();
+        std::set<std::string> versions;
+        for (int i = 0; i < 200 && versions.size() < 2; ++i) {
+            // The records of the first version reach the other hosts.
+            runFor(milliseconds(60));
+            versions.insert(versionOf(fetchFrom(0, ask("same")).body));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), versions.size());
+        CPPUNIT_ASSERT_EQUAL(503U, fetchFrom(1, ask("b", "same")).status);
+        CPPUNIT_ASSERT_EQUAL(503U, fetchFrom(2, ask("c", "same")).status);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SoftwareVersionTest);
