Send the origins of streams also while one software version serves

Callers whose host stood still or was lost as runners of another version joined got 503 stream_origin_unknown wherever they took their streams up: the host that began a stream sent its record only once it knew of a second version, and by then it couldn't. All other hosts knew of two versions and of no record.

Each record is now sent to its holders within 100 ms, and within 20 ms as before while several versions may serve. The second sending of all records when a version joins is gone: it repeated what the holders have, all at once. The simulation of releases and losses follows, its conditions unchanged.

--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -476,8 +476,6 @@
         if (m_hosts.size() != m_registeredHosts.size())
             updateHosts(now);
         sendLimits(now);
-        if (m_state.takeNewMixture())
-            m_origins.shareAll(now);
         m_crashNotices.sendRepetitions([this](std::uint32_t runner) { return rendezvousPosition(std::to_string(runner)) == 0; }, now);
         sendNotices();
     }
--- a/packages/gateway/chiveshelf/gateway/OriginExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/OriginExchange.cpp
@@ -12,8 +12,10 @@
 
 namespace {
 
-    // Records are collected for this time, so that several share a datagram. Streams that begin in it are lost with their host.
+    // Records are collected for this time, so that several share a datagram. Streams that begin in it are lost with their host. While
+    // one version serves, a stream can be taken up without its record unless another version joins before the stream has ended.
     constexpr std::chrono::milliseconds flushDelay { 20 };
+    constexpr std::chrono::milliseconds soleVersionFlushDelay { 100 };
     // Entries per datagram, so that a datagram fits into one Ethernet frame.
     constexpr std::size_t originsPerNotice = 64;
     // Longest search for an origin, and the time after which the question is repeated. Hosts answer within a few ms, also those of
@@ -38,38 +40,35 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
-void OriginExchange::record(StreamOrigin origin, bool isShared, TimePoint now)
+void OriginExchange::record(StreamOrigin origin, bool mayBeMixed, TimePoint now)
 {
     const auto news = m_origins.record(origin, now);
     const auto known = m_origins.recordOf(origin.stream, now);
-    if (!isShared || !known)
+    if (!known)
         return;
     // Others would trust their record until they hear of the dispute. It is sent again with the next records in case it is lost.
     if (news && news->software == StreamOrigins::disputed) {
         for (const auto& holder : m_port.holders(origin.stream))
             m_port.sendNotice(holder, OriginNotice { { { news->stream, news->software } } });
     }
-    enqueue(*known);
+    enqueue(*known, mayBeMixed ? flushDelay : soleVersionFlushDelay);
 }
 
-void OriginExchange::shareAll(TimePoint now)
-{
-    for (const auto& origin : m_origins.all(now))
-        enqueue(origin);
-}
-
-void OriginExchange::enqueue(const StreamOrigin& origin)
+void OriginExchange::enqueue(const StreamOrigin& origin, std::chrono::milliseconds delay)
 {
     for (const auto& holder : m_port.holders(origin.stream))
         m_pending[holder].push_back(origin);
-    if (!std::exchange(m_isFlushing, true))
-        spawnTask(m_context, "origin_exchange.flush", flush());
+    const auto flushAt = std::chrono::steady_clock::now() + delay;
+    if (m_flushAt && *m_flushAt <= flushAt)
+        return;
+    m_flushAt = flushAt;
+    spawnTask(m_context, "origin_exchange.flush", flush(delay));
 }
 
-asio::awaitable<void> OriginExchange::flush()
+asio::awaitable<void> OriginExchange::flush(std::chrono::milliseconds delay)
 {
-    co_await sleep(flushDelay);
-    m_isFlushing = false;
+    co_await sleep(delay);
+    m_flushAt.reset();
     for (const auto& [holder, origins] : std::exchange(m_pending, {})) {
         for (std::size_t i = 0; i < origins.size(); i += originsPerNotice) {
             OriginNotice notice;
--- a/packages/gateway/chiveshelf/gateway/OriginExchange.h
+++ b/packages/gateway/chiveshelf/gateway/OriginExchange.h
@@ -16,7 +16,8 @@
 
 // Shares the origins of streams among the hosts, so that a stream can be resumed at any of them and after the loss of the one that
 // began it. Each record has the same few holders for all hosts: in a small fleet all, in a larger one those with the highest
-// rendezvous hashes of the stream. Records are only shared while more than one software version may serve.
+// rendezvous hashes of the stream. Records are also shared while one version serves: a host that stands still or is lost can't send them
+// any more when another version joins.
 class OriginExchange {
 public:
     // How messages reach other hosts.
@@ -32,11 +33,9 @@
 
     OriginExchange(boost::asio::io_context&, StreamOrigins&, Port);
 
-    // Records the origin of a stream, and sends it to its holders soon after if `isShared` is set, or at once if it has become disputed.
-    void record(StreamOrigin, bool isShared, TimePoint now);
-
-    // Sends all records to their holders. To be called when a second software version appears.
-    void shareAll(TimePoint now);
+    // Records the origin of a stream and sends it to its holders: soon after, sooner if several versions may serve, and at once if it has
+    // become disputed.
+    void record(StreamOrigin, bool mayBeMixed, TimePoint now);
 
     // What the hosts know of a stream.
     struct Finding {
@@ -63,10 +62,10 @@
         bool isMixed = false;
     };
 
-    boost::asio::awaitable<void> flush();
+    boost::asio::awaitable<void> flush(std::chrono::milliseconds delay);
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds);
-    // Queues a record for its holders.
-    void enqueue(const StreamOrigin&);
+    // Queues a record for its holders, to be sent after this delay at the latest.
+    void enqueue(const StreamOrigin&, std::chrono::milliseconds delay);
 
     boost::asio::io_context& m_context;
     StreamOrigins& m_origins;
@@ -74,7 +73,8 @@
     // Records to be sent, by receiver.
     std::map<Address, std::vector<StreamOrigin>> m_pending;
     std::map<std::uint64_t, std::shared_ptr<Search>> m_searches;
-    bool m_isFlushing = false;
+    // Time of the next flush, if one is due.
+    std::optional<TimePoint> m_flushAt;
 };
 
 }
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -76,7 +76,7 @@
 
 void ServingState::observeSoftware()
 {
-    m_hasNewMixture = !m_softwareHistory.observe(m_registry.records(), std::chrono::steady_clock::now()).empty() || m_hasNewMixture;
+    m_softwareHistory.observe(m_registry.records(), std::chrono::steady_clock::now());
 }
 
 std::optional<std::string> ServingState::onlySoftwareVersion(const std::string& pool) const
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -87,8 +87,6 @@
     std::optional<std::string> onlySoftwareVersion(const std::string& pool) const;
     // Whether several software versions of a pool have served lately, as far as this host knows.
     bool hasSeveralSoftwareVersions(const std::string& pool) const;
-    // Whether a pool has got a second software version since the last call.
-    bool takeNewMixture() { return std::exchange(m_hasNewMixture, false); }
     // Sets the era of the store whose items this host knows.
     void setStoreEra(StoreEra era) { m_storeEra = era; }
 
@@ -142,7 +140,6 @@
     StreamOrigins m_streamOrigins;
     SoftwareHistory m_softwareHistory;
     StoreEra m_storeEra = 0;
-    bool m_hasNewMixture = false;
     std::map<std::string, std::chrono::milliseconds> m_longestTimesLeft;
     std::mt19937_64 m_engine;
 };
--- a/packages/placement/chiveshelf/placement/SoftwareHistory.cpp
+++ b/packages/placement/chiveshelf/placement/SoftwareHistory.cpp
@@ -13,18 +13,12 @@
         m_observedSince = now;
 }
 
-std::set<std::string> SoftwareHistory::observe(const std::map<std::string, RunnerRecord>& runners, TimePoint now)
+void SoftwareHistory::observe(const std::map<std::string, RunnerRecord>& runners, TimePoint now)
 {
-    std::set<std::string> mixed;
-    for (const auto& [id, runner] : runners) {
-        auto& lastSeen = m_pools[runner.pool].lastSeen;
-        const auto [it, isNew] = lastSeen.insert_or_assign(runner.softwareVersion, now);
-        if (isNew && lastSeen.size() > 1)
-            mixed.insert(runner.pool);
-    }
+    for (const auto& [id, runner] : runners)
+        m_pools[runner.pool].lastSeen.insert_or_assign(runner.softwareVersion, now);
     for (auto& [name, pool] : m_pools)
         std::erase_if(pool.lastSeen, [&](const auto& entry) { return now - entry.second > m_lifetime; });
-    return mixed;
 }
 
 void SoftwareHistory::setRecord(const std::string& name, std::optional<SoftwareRecord> record, TimePoint now)
--- a/packages/placement/chiveshelf/placement/SoftwareHistory.h
+++ b/packages/placement/chiveshelf/placement/SoftwareHistory.h
@@ -44,8 +44,8 @@
     // Records that versions may have come and gone unseen until now.
     void onGap(TimePoint now);
 
-    // Records the registered runners. Returns the pools that have got a version beside another one.
-    std::set<std::string> observe(const std::map<std::string, RunnerRecord>&, TimePoint now);
+    // Records the registered runners.
+    void observe(const std::map<std::string, RunnerRecord>&, TimePoint now);
 
     // Sets or removes the record of a pool that the store has.
     void setRecord(const std::string& pool, std::optional<SoftwareRecord>, TimePoint now);
--- a/packages/placement/chiveshelf/placement/StreamOrigins.cpp
+++ b/packages/placement/chiveshelf/placement/StreamOrigins.cpp
@@ -46,16 +46,6 @@
     return StreamOrigin { stream, it->second.software };
 }
 
-std::vector<StreamOrigin> StreamOrigins::all(TimePoint now) const
-{
-    std::vector<StreamOrigin> out;
-    for (const auto& [stream, record] : m_records) {
-        if (now - record.recordedAt <= m_lifetime)
-            out.push_back({ stream, record.software });
-    }
-    return out;
-}
-
 void StreamOrigins::expire(TimePoint now)
 {
     std::erase_if(m_records, [&](const auto& entry) { return now - entry.second.recordedAt > m_lifetime; });
--- a/packages/placement/chiveshelf/placement/StreamOrigins.h
+++ b/packages/placement/chiveshelf/placement/StreamOrigins.h
@@ -9,7 +9,6 @@
 #include <optional>
 #include <string_view>
 #include <unordered_map>
-#include <vector>
 
 namespace chiveshelf {
 
@@ -56,9 +55,6 @@
     // Returns the record of a stream, disputed ones too, or nothing if its origin is unknown.
     std::optional<StreamOrigin> recordOf(std::uint64_t stream, TimePoint now) const;
 
-    // Returns the records that are alive.
-    std::vector<StreamOrigin> all(TimePoint now) const;
-
     std::size_t size() const { return m_records.size(); }
 
     // Drops the records whose life has ended.
--- a/tests/support/GatewayFixture.h
+++ b/tests/support/GatewayFixture.h
@@ -131,6 +131,12 @@
         m_hosts.erase(number);
     }
 
+    // Stops a host or lets it go on. What arrives meanwhile waits in its sockets.
+    void setFrozen(int number, bool isFrozen)
+    {
+        m_hosts.at(number).isFrozen = isFrozen;
+    }
+
     void startHosts(int n)
     {
         for (int i = 0; i < n; ++i)
@@ -182,8 +188,10 @@
         }
         for (const auto end = std::chrono::steady_clock::now() + duration; std::chrono::steady_clock::now() < end;) {
             m_context->run_for(std::chrono::milliseconds(1));
-            for (auto& [number, host] : m_hosts)
-                host.context->poll();
+            for (auto& [number, host] : m_hosts) {
+                if (!host.isFrozen)
+                    host.context->poll();
+            }
         }
     }
 
@@ -248,6 +256,8 @@
     struct FleetHost {
         std::unique_ptr<boost::asio::io_context> context;
         std::unique_ptr<chiveshelf::Gateway> gateway;
+        // A frozen host keeps its sockets but does nothing until it is thawed.
+        bool isFrozen = false;
     };
     std::map<int, FleetHost> m_hosts;
 };
--- a/tests/support/StreamFleetFixture.h
+++ b/tests/support/StreamFleetFixture.h
@@ -67,10 +67,10 @@
     }
 
     // Starts hosts that know that the system starts for the first time.
-    void startFleet()
+    void startFleet(int hosts = hostCount)
     {
         m_isFirstStart = true;
-        startHosts(hostCount);
+        startHosts(hosts);
         runFor(std::chrono::milliseconds(1'500));
         m_isFirstStart = false;
     }
--- a/tests/unit/versions/OriginExchangeTest.cpp
+++ b/tests/unit/versions/OriginExchangeTest.cpp
@@ -1,10 +1,11 @@
 #include "chiveshelf/gateway/OriginExchange.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/use_future.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <iostream>
+
 namespace {
 
 using namespace chiveshelf;
@@ -21,6 +22,9 @@
 class OriginExchangeTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(OriginExchangeTest);
     CPPUNIT_TEST(disputeIsSentBeforeAnythingElseRuns);
+    CPPUNIT_TEST(recordIsSentWhileOneVersionServes);
+    CPPUNIT_TEST(recordOfSecondVersionDoesNotWaitForThoseOfASoleOne);
+    CPPUNIT_TEST(recordsCostFewDatagramsInFleetsOfAnySize);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -28,8 +32,7 @@
     void disputeIsSentBeforeAnythingElseRuns()
     {
         m_exchange.record({ stream, 5 }, true, now());
-        m_context.run_for(milliseconds(150));
-        m_context.restart();
+        runUntil([this] { return m_sent.size() == m_holders.size(); });
         m_sent.clear();
         m_exchange.record({ stream, 7 }, true, now());
         CPPUNIT_ASSERT_EQUAL(m_holders.size(), m_sent.size());
@@ -37,7 +40,80 @@
             CPPUNIT_ASSERT_EQUAL(StreamOrigins::disputed, entry.software);
     }
 
+    // Guards against a host that stands still when a second version joins and is then the only one that knows its streams.
+    void recordIsSentWhileOneVersionServes()
+    {
+        m_exchange.record({ stream, 5 }, false, now());
+        runUntil([this] { return m_sent.size() == m_holders.size(); });
+        CPPUNIT_ASSERT_EQUAL(m_holders.size(), m_sent.size());
+    }
+
+    // Guards against the longer delay once streams can be joined. Timers end in the order of their times, also if this process stands
+    // still meanwhile.
+    void recordOfSecondVersionDoesNotWaitForThoseOfASoleOne()
+    {
+        m_exchange.record({ stream, 5 }, false, now());
+        m_exchange.record({ stream + 1, 7 }, true, now());
+        std::optional<std::size_t> sentBefore;
+        boost::asio::steady_timer timer(m_context, milliseconds(60));
+        timer.async_wait([&](boost::system::error_code) { sentBefore = m_sent.size(); });
+        runUntil([&] { return sentBefore.has_value(); });
+        CPPUNIT_ASSERT(sentBefore);
+        CPPUNIT_ASSERT_EQUAL(2 * m_holders.size(), *sentBefore);
+    }
+
+    // Guards against a cost that grows with the number of streams or of hosts. Rates are streams a second of the whole fleet.
+    void recordsCostFewDatagramsInFleetsOfAnySize()
+    {
+        expectCost(6, 5, 167, 50);
+        expectCost(68, 3, 334, 15);
+        expectCost(295, 3, 2'048, 21);
+    }
+
 private:
+    template <typename Condition>
+    void runUntil(Condition condition)
+    {
+        const auto end = now() + std::chrono::seconds(5);
+        while (!condition() && now() < end) {
+            m_context.run_one_for(milliseconds(5));
+            m_context.restart();
+        }
+    }
+
+    // Plays a second of one host. Streams begin at equal distances, and each has other holders than the one before.
+    void expectCost(std::size_t hosts, std::size_t holders, std::size_t rate, double mostDatagrams)
+    {
+        boost::asio::io_context context(1);
+        StreamOrigins origins { lifetime };
+        std::uint64_t datagrams = 0;
+        std::uint64_t bytes = 0;
+        OriginExchange::Port port { [&](std::uint64_t id) {
+                                       std::vector<Address> out;
+                                       for (std::size_t i = 0; i < holders; ++i)
+                                           out.push_back({ "127.0.0.1", static_cast<std::uint16_t>(1 + (id * holders + i) % (hosts - 1)) });
+                                       return out;
+                                   },
+            [&](const Address&, const OriginNotice& notice) {
+                ++datagrams;
+                bytes += peer::encode(notice).size();
+            },
+            [](const Address&, const OriginQuery&) {}, [](const Address&, const OriginAnswer&) {}, [](const std::string&) { return false; } };
+        OriginExchange exchange(context, origins, std::move(port));
+        const auto begin = now();
+        const auto interval = std::chrono::nanoseconds(std::chrono::seconds(1)) * hosts / rate;
+        std::uint64_t begun = 0;
+        while (now() - begin < std::chrono::seconds(1)) {
+            for (; begin + interval * begun <= now(); ++begun)
+                exchange.record({ begun, 5 }, false, now());
+            context.run_for(milliseconds(1));
+            context.restart();
+        }
+        context.run_for(milliseconds(150));
+        std::cout << " " << hosts << " hosts: " << datagrams << " datagrams and " << bytes << " bytes per host and second";
+        CPPUNIT_ASSERT(static_cast<double>(datagrams) <= mostDatagrams + static_cast<double>(holders));
+    }
+
     boost::asio::io_context m_context { 1 };
     StreamOrigins m_origins { lifetime };
     std::vector<Address> m_holders { { "127.0.0.2", 1 }, { "127.0.0.3", 1 } };
--- a/tests/unit/versions/StreamOriginsTest.cpp
+++ b/tests/unit/versions/StreamOriginsTest.cpp
@@ -276,16 +276,8 @@
                 runner.pool = "pool";
                 runner.softwareVersion = std::to_string(version);
             }
-            const auto mixed = host.history.observe(runners, time());
+            host.history.observe(runners, time());
             host.history.setRecord("pool", m_store.record, time());
-            if (!mixed.empty())
-                shareAll(host);
-        }
-
-        void shareAll(Host& from)
-        {
-            for (const auto& origin : from.origins.all(time()))
-                share(from, origin);
         }
 
         void share(Host& from, const StreamOrigin& origin)
@@ -372,8 +364,7 @@
             m_streams.push_back({ ++m_lastStream, *version, m_now });
             const StreamOrigin origin { m_lastStream, softwareOfVersion(*version) };
             host->origins.record(origin, time());
-            if (!host->history.onlyVersion("pool", host->era, time()))
-                share(*host, origin);
+            share(*host, origin);
         }
 
         void resumeStream()
