Take no stream for one of the only version on the word of a minority

A host that had missed the news of a second version, in a part of a divided fleet with few others, asked for the origin of a stream and heard only hosts that knew no more than itself. One answer was enough to send the stream on at the only version that it knew, although it may have begun at the other one.

More than half of the holders of a record, the asking host included, must be heard before a stream without a record counts as one of the only version. Found by reading. streamIsRefusedIfOnlyAMinorityOfHostsAnswers failed before (200 for 503, with one of four hosts answering).

--- a/packages/gateway/chiveshelf/gateway/OriginExchange.h
+++ b/packages/gateway/chiveshelf/gateway/OriginExchange.h
@@ -44,10 +44,14 @@
         bool isMixed = false;
         std::size_t asked = 0;
         std::size_t answers = 0;
+
+        // Whether more than half of the holders have been heard, this host included. Fewer may share a cut and know no more than this
+        // host.
+        bool isMajority() const { return 2 * (answers + 1) > asked + 1; }
     };
 
     // Finds out what the hosts know of a stream. Asks others if this one has no record, and ends when one has it, when all have
-    // answered, or after a fixed time.
+    // answered, or after a fixed number of steps of this host: time in which it stands still doesn't count.
     boost::asio::awaitable<Finding> find(std::uint64_t stream, std::string pool);
 
     void onNotice(const OriginNotice&, TimePoint now);
--- a/packages/gateway/chiveshelf/gateway/StreamBinding.cpp
+++ b/packages/gateway/chiveshelf/gateway/StreamBinding.cpp
@@ -24,10 +24,9 @@
         m_software = finding.record->software;
         co_return Origin::Recorded;
     }
-    // This host may have missed the news of another version. If it can reach no other host either, it can't tell.
+    // This host may have missed the news of another version, and so may the few that share its part of a divided fleet.
     const auto only = m_state.onlySoftwareVersion(m_pool);
-    const bool isAlone = finding.asked > 0 && finding.answers == 0;
-    if (!only || finding.isMixed || isAlone)
+    if (!only || finding.isMixed || !finding.isMajority())
         co_return Origin::Unknown;
     m_software = softwareOf(m_pool, *only);
     co_return Origin::OnlyVersion;
--- a/tests/unit/versions/OutOfStepHostTest.cpp
+++ b/tests/unit/versions/OutOfStepHostTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(hostThatWakesBesideLostHostJoinsNoStreams);
     CPPUNIT_TEST(hostThatStoodStillForAMomentJoinsNoStreams);
     CPPUNIT_TEST(newsInOneBurstAfterAFreezeJoinNoStreams);
+    CPPUNIT_TEST(streamIsRefusedIfOnlyAMinorityOfHostsAnswers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -97,9 +98,24 @@
         CPPUNIT_ASSERT_EQUAL(0, m_joined);
     }
 
+    // Guards against a group of hosts that share a cut and so know no more than the one that asks them.
+    void streamIsRefusedIfOnlyAMinorityOfHostsAnswers()
+    {
+        for (int i = 0; i < 2; ++i)
+            addStreamRunner("v1");
+        startFleet(largerFleet);
+        for (int host = 2; host < largerFleet; ++host)
+            setFrozen(host, true);
+        CPPUNIT_ASSERT_EQUAL(503U, fetchFrom(0, ask("b", "never-seen")).status);
+        setFrozen(2, false);
+        runFor(milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(200U, fetchFrom(0, ask("c", "never-seen")).status);
+    }
+
 private:
     // Longer than a host collects records before it sends them.
     static constexpr milliseconds recordsSent { 250 };
+    static constexpr int largerFleet = 5;
 
     void startFirstVersion()
     {
