Repeat the search for an origin, and don't count time of standing still

A host that has just woken refused streams whose record others had (503 stream_origin_unknown): its queue of datagrams had overflowed while it stood still, the question was asked only twice, and 150 ms after the first the search ended by the clock, also if the answer already lay in the socket.

The question is repeated every 50 ms to holders that haven't answered, and the search ends after 60 steps of 5 ms of this host. A search with a silent holder takes 0.3 s instead of 0.15 s. searchFindsRecordAlthoughFirstQuestionsAreLost and searchThatIsInterruptedByAFreezeReadsTheAnswer failed before.

--- a/packages/gateway/chiveshelf/gateway/OriginExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/OriginExchange.cpp
@@ -18,11 +18,11 @@
     constexpr std::chrono::milliseconds soleVersionFlushDelay { 100 };
     // Entries per datagram, so that a datagram fits into one Ethernet frame.
     constexpr std::size_t originsPerNotice = 64;
-    // Longest search for an origin, and the time after which the question is repeated. Hosts answer within a few ms, also those of
-    // other data centres; a lost host never answers.
-    constexpr std::chrono::milliseconds searchLimit { 150 };
-    constexpr std::chrono::milliseconds repeatDelay { 50 };
+    // Hosts answer within a few ms, also those of other data centres, and a lost host never answers. The datagrams of a host that has just
+    // woken are lost until it has emptied its queue, so that the question is repeated.
     constexpr std::chrono::milliseconds searchCheckInterval { 5 };
+    constexpr int searchSteps = 60;
+    constexpr int stepsPerQuestion = 10;
 
 }
 
@@ -82,8 +82,7 @@
 asio::awaitable<OriginExchange::Finding> OriginExchange::find(std::uint64_t stream, std::string pool)
 {
     Finding out;
-    const auto start = std::chrono::steady_clock::now();
-    out.record = m_origins.recordOf(stream, start);
+    out.record = m_origins.recordOf(stream, std::chrono::steady_clock::now());
     if (out.record)
         co_return out;
     const auto holders = m_port.holders(stream);
@@ -92,17 +91,12 @@
         slot = std::make_shared<Search>();
     const auto search = slot;
     const OriginQuery query { stream, std::move(pool) };
-    bool isRepeated = false;
-    for (const auto& holder : holders)
-        m_port.sendQuery(holder, query);
-    while (!search->isFound && search->answered.size() < holders.size() && std::chrono::steady_clock::now() - start < searchLimit) {
-        co_await sleep(searchCheckInterval);
-        if (std::chrono::steady_clock::now() - start < repeatDelay || std::exchange(isRepeated, true))
-            continue;
+    for (int step = 0; !search->isFound && search->answered.size() < holders.size() && step < searchSteps; ++step) {
         for (const auto& holder : holders) {
-            if (!search->answered.contains(holder))
+            if (step % stepsPerQuestion == 0 && !search->answered.contains(holder))
                 m_port.sendQuery(holder, query);
         }
+        co_await sleep(searchCheckInterval);
     }
     m_searches.erase(stream);
     out.record = m_origins.recordOf(stream, std::chrono::steady_clock::now());
--- a/tests/unit/versions/OriginExchangeTest.cpp
+++ b/tests/unit/versions/OriginExchangeTest.cpp
@@ -1,10 +1,14 @@
 #include "chiveshelf/gateway/OriginExchange.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <iostream>
+#include <thread>
 
 namespace {
 
@@ -24,6 +28,9 @@
     CPPUNIT_TEST(disputeIsSentBeforeAnythingElseRuns);
     CPPUNIT_TEST(recordIsSentWhileOneVersionServes);
     CPPUNIT_TEST(recordOfSecondVersionDoesNotWaitForThoseOfASoleOne);
+    CPPUNIT_TEST(answersOfAMinorityAreNoMajority);
+    CPPUNIT_TEST(searchFindsRecordAlthoughFirstQuestionsAreLost);
+    CPPUNIT_TEST(searchThatIsInterruptedByAFreezeReadsTheAnswer);
     CPPUNIT_TEST(recordsCostFewDatagramsInFleetsOfAnySize);
     CPPUNIT_TEST_SUITE_END();
 
@@ -70,6 +77,43 @@
         expectCost(295, 3, 2'048, 21);
     }
 
+    // Guards against a group of hosts that share a cut: their answers prove nothing.
+    void answersOfAMinorityAreNoMajority()
+    {
+        m_holders = { { "127.0.0.2", 1 }, { "127.0.0.3", 1 }, { "127.0.0.4", 1 }, { "127.0.0.5", 1 } };
+        m_answering = { m_holders[0] };
+        CPPUNIT_ASSERT(!find().isMajority());
+        m_answering = { m_holders[0], m_holders[1] };
+        CPPUNIT_ASSERT(find().isMajority());
+        m_holders.clear();
+        CPPUNIT_ASSERT(find().isMajority());
+    }
+
+    // Guards against datagrams that are lost while the queue of a host that has just woken overflows.
+    void searchFindsRecordAlthoughFirstQuestionsAreLost()
+    {
+        m_lostQueries = 3 * m_holders.size();
+        m_answering = { m_holders[0] };
+        m_known = 7;
+        const auto finding = find();
+        CPPUNIT_ASSERT(finding.record);
+        CPPUNIT_ASSERT_EQUAL(SoftwareId(7), finding.record->software);
+    }
+
+    // Guards against a search that ends, as the process goes on, before it has read the answer.
+    void searchThatIsInterruptedByAFreezeReadsTheAnswer()
+    {
+        m_answering = {};
+        std::optional<OriginExchange::Finding> finding;
+        startFind(finding);
+        m_context.run_one_for(milliseconds(50));
+        std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
+        boost::asio::steady_timer timer(m_context, milliseconds(1));
+        timer.async_wait([this](boost::system::error_code) { m_exchange.onAnswer(m_holders[0], { stream, true, 7, false }, now()); });
+        runUntil([&] { return finding.has_value(); });
+        CPPUNIT_ASSERT(finding && finding->record);
+    }
+
 private:
     template <typename Condition>
     void runUntil(Condition condition)
@@ -81,6 +125,31 @@
         }
     }
 
+    void startFind(std::optional<OriginExchange::Finding>& out)
+    {
+        boost::asio::co_spawn(
+            m_context, [this, &out]() -> boost::asio::awaitable<void> { out = co_await m_exchange.find(stream, "pool"); }, boost::asio::detached);
+    }
+
+    OriginExchange::Finding find()
+    {
+        std::optional<OriginExchange::Finding> out;
+        startFind(out);
+        runUntil([&] { return out.has_value(); });
+        CPPUNIT_ASSERT(out);
+        return *out;
+    }
+
+    void onQuery(const Address& holder, const OriginQuery& query)
+    {
+        if (m_lostQueries > 0) {
+            --m_lostQueries;
+            return;
+        }
+        if (m_answering.contains(holder))
+            boost::asio::post(m_context, [this, holder, query] { m_exchange.onAnswer(holder, { query.stream, m_known != 0, m_known, false }, now()); });
+    }
+
     // Plays a second of one host. Streams begin at equal distances, and each has other holders than the one before.
     void expectCost(std::size_t hosts, std::size_t holders, std::size_t rate, double mostDatagrams)
     {
@@ -118,10 +187,14 @@
     StreamOrigins m_origins { lifetime };
     std::vector<Address> m_holders { { "127.0.0.2", 1 }, { "127.0.0.3", 1 } };
     std::vector<OriginEntry> m_sent;
+    // Holders that answer, how many questions are lost before, and the software that the answers name, or 0.
+    std::set<Address> m_answering;
+    std::size_t m_lostQueries = 0;
+    SoftwareId m_known = 0;
     OriginExchange m_exchange { m_context, m_origins,
         OriginExchange::Port { [this](std::uint64_t) { return m_holders; },
             [this](const Address&, const OriginNotice& notice) { m_sent.insert(m_sent.end(), notice.entries.begin(), notice.entries.end()); },
-            [](const Address&, const OriginQuery&) {}, [](const Address&, const OriginAnswer&) {}, [](const std::string&) { return false; } } };
+            [this](const Address& holder, const OriginQuery& query) { onQuery(holder, query); }, [](const Address&, const OriginAnswer&) {}, [](const std::string&) { return false; } } };
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OriginExchangeTest);
