Search only new bytes of a stream for the end of an event

What callers saw: while a runner sent an event without end in small pieces, the host answered nobody. A play of 600 such streams at once (250 KB each) left all requests of another pool without an answer for the 4 s of the play.

Cause: EventCursor searched all held-back bytes for a boundary with each piece, twice. The work grows with the square of the event, up to the limit of 256 KB.

Change: the search begins at most three bytes before the new piece.

--- a/packages/gateway/chiveshelf/gateway/EventCursor.cpp
+++ b/packages/gateway/chiveshelf/gateway/EventCursor.cpp
@@ -10,16 +10,17 @@
     constexpr std::string_view lfBoundary = "\n\n";
     constexpr std::string_view crlfBoundary = "\r\n\r\n";
 
-    // Returns the offset after the last event boundary in `text`, or 0 if there is none.
-    std::size_t endOfEvents(std::string_view text)
+    // Returns the offset after the last event boundary in `text` that begins at `from` or later, or 0 if there is none.
+    std::size_t endOfEvents(std::string_view text, std::size_t from)
     {
-        const auto lf = text.rfind(lfBoundary);
-        const auto crlf = text.rfind(crlfBoundary);
+        const auto searched = text.substr(from);
+        const auto lf = searched.rfind(lfBoundary);
+        const auto crlf = searched.rfind(crlfBoundary);
         std::size_t end = 0;
         if (lf != std::string_view::npos)
-            end = lf + lfBoundary.size();
+            end = from + lf + lfBoundary.size();
         if (crlf != std::string_view::npos)
-            end = std::max(end, crlf + crlfBoundary.size());
+            end = std::max(end, from + crlf + crlfBoundary.size());
         return end;
     }
 
@@ -27,8 +28,10 @@
 
 std::string EventCursor::take(std::string_view bytes)
 {
+    // The held-back bytes contain no boundary, but one may begin at their end.
+    const auto from = m_partial.size() - std::min(m_partial.size(), crlfBoundary.size() - 1);
     m_partial.append(bytes);
-    const auto end = endOfEvents(m_partial);
+    const auto end = endOfEvents(m_partial, from);
     if (end == 0)
         return {};
     auto out = m_partial.substr(0, end);
