Search only new bytes of a runner's stream for the end of an event

The same fault as in EventCursor, in the own interface: SseParser searched its whole buffer, up to 1 MB, with each piece, and the host did nothing else meanwhile.

Change: the parser keeps the offset before which no event ends.

--- a/packages/http/chiveshelf/http/SseParser.h
+++ b/packages/http/chiveshelf/http/SseParser.h
@@ -19,6 +19,8 @@
 
 private:
     std::string m_buffer;
+    // No event ends before this offset of the buffer.
+    std::size_t m_searchStart = 0;
 };
 
 // Returns the wire form of one event.
