Tell hosts to ask again for tables rather than queue their pieces for long

In a data centre of hundreds of hosts the pieces that wait for their turn at one host would add up to more than the second after which the askers give up, and each asks again.

A host whose queue is longer than 300 ms answers that it is busy, with the hosts that have the version already.

Evidence: TablesOfferTest::hostsThatWouldWaitForLongAreToldToAskAgain.

--- a/packages/gateway/chiveshelf/gateway/TablesHistory.h
+++ b/packages/gateway/chiveshelf/gateway/TablesHistory.h
@@ -10,7 +10,7 @@
 // The current tables and the last ones before them, from which updates for other hosts are made.
 class TablesHistory {
 public:
-    // Versions kept. Hosts that are further behind get whole tables. Tables of 1 MB of text take some 2 MB each.
+    // Versions kept. Hosts that are further behind get whole tables. Tables of 1 MB of text take some 1 MB each.
     static constexpr std::size_t maxVersions = 5;
 
     // Adds tables that are newer than all added before.
--- a/packages/gateway/chiveshelf/gateway/TablesOffer.cpp
+++ b/packages/gateway/chiveshelf/gateway/TablesOffer.cpp
@@ -34,7 +34,7 @@
         return refusal(TablesPiece::Kind::Behind, newest, applyTime);
     if (!history.find(request.baseVersion))
         return refusal(TablesPiece::Kind::UnknownBase, newest, std::chrono::milliseconds(0));
-    if (!m_slots.admit(request.ip, now))
+    if (m_pace.backlog(now) > maxBacklog || !m_slots.admit(request.ip, now))
         return busy(request, newest, now);
     const bool canContinue = request.version > request.baseVersion && history.find(request.version);
     const auto& update = encoded(request.baseVersion, canContinue ? request.version : newest, history);
--- a/packages/gateway/chiveshelf/gateway/TablesOffer.h
+++ b/packages/gateway/chiveshelf/gateway/TablesOffer.h
@@ -16,6 +16,8 @@
 public:
     // Longest piece, so that no answer waits for long behind one: 26 ms at 10 Mbit/s.
     static constexpr std::size_t pieceBytes = 32 * 1024;
+    // Hosts that would wait longer than this for their piece are told to ask again, well before they give up.
+    static constexpr std::chrono::milliseconds maxBacklog { 300 };
     // Encoded updates that are kept.
     static constexpr std::size_t maxUpdates = 4;
     // Bounds of the time after which a host that found no slot asks again.
--- a/tests/unit/gateway/TablesTransferTest.cpp
+++ b/tests/unit/gateway/TablesTransferTest.cpp
@@ -141,6 +141,7 @@
     CPPUNIT_TEST_SUITE(TablesOfferTest);
     CPPUNIT_TEST(hostsWithSameVersionsMakeSameBytes);
     CPPUNIT_TEST(hostsBeyondSlotsAreToldToAskAgain);
+    CPPUNIT_TEST(hostsThatWouldWaitForLongAreToldToAskAgain);
     CPPUNIT_TEST(slotOfSilentHostExpires);
     CPPUNIT_TEST(hostThatHasFinishedIsNamedToOthers);
     CPPUNIT_TEST(piecesUseHalfOfLink);
@@ -181,6 +182,22 @@
         CPPUNIT_ASSERT(Kind::Piece == offer.answer(makeRequest("host0", 4, 30, TablesOffer::pieceBytes), history, start).piece.kind);
     }
 
+    // Guards against hosts that give up while their pieces are queued, and ask again, in a large data centre.
+    void hostsThatWouldWaitForLongAreToldToAskAgain()
+    {
+        TablesOffer offer(10, half);
+        const auto history = historyOf({ 4, 5 });
+        std::size_t served = 0;
+        for (int i = 0; i < 200; ++i) {
+            const auto answer = offer.answer(makeRequest("host" + std::to_string(i), 4), history, start);
+            CPPUNIT_ASSERT(answer.delay <= TablesOffer::maxBacklog);
+            served += answer.piece.kind == Kind::Piece ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(served > 10);
+        CPPUNIT_ASSERT(served < 100);
+        CPPUNIT_ASSERT(Kind::Piece == offer.answer(makeRequest("late", 4), history, start + TablesOffer::maxBacklog).piece.kind);
+    }
+
     // Guards against hosts that are never served because others have stopped in the middle.
     void slotOfSilentHostExpires()
     {
