Compare found rows as values in the property test of updates

RC_ASSERT overloads the operators of its expression, so that || evaluates both sides: the test dereferenced the row of a missing route or organisation and crashed on seeds that ask for one. Rows are compared as optional values now, pools too; the check is the same or stricter.

--- a/tests/unit/routing/TablesUpdateTest.cpp
+++ b/tests/unit/routing/TablesUpdateTest.cpp
@@ -63,6 +63,12 @@
     return out;
 }
 
+template <typename Row>
+std::optional<Row> valueOf(const Row* row)
+{
+    return row ? std::optional(*row) : std::nullopt;
+}
+
 RoutingTables tablesOf(std::uint64_t version, unsigned routes)
 {
     RoutingTables out;
@@ -113,11 +119,11 @@
                 const auto row = makeRoute(i);
                 const auto* expected = sender.findRoute(row.host, row.pathPrefix);
                 const auto* found = receiver.findRoute(row.host, row.pathPrefix);
-                RC_ASSERT((expected == nullptr) == (found == nullptr));
-                RC_ASSERT(!expected || *expected == *found);
+                RC_ASSERT(valueOf(expected) == valueOf(found));
                 const auto key = makeOrganisation(i).keys.front();
-                const auto* organisation = sender.findOrganisation(key);
-                RC_ASSERT(!organisation || *organisation == *receiver.findOrganisation(key));
+                RC_ASSERT(valueOf(sender.findOrganisation(key)) == valueOf(receiver.findOrganisation(key)));
+                const auto pool = makePool(i).name;
+                RC_ASSERT(valueOf(sender.findPool(pool)) == valueOf(receiver.findPool(pool)));
             }
         }));
     }
