Return a reply that arrived before the call's limit was noticed

A call to another host failed with "no reply" although its reply lay in the buffer, if the loop was held beyond the call's limit: reading a reply of some size takes several steps, and the limit's handler ran between them. The limit is a TimeLimit, which allows for the delay.

Evidence: PeerClientTest::replyThatArrivedWhileLoopWasBlockedBeyondCallLimitIsReturned (300 KB) failed before and passes.

--- a/packages/peer/chiveshelf/peer/PeerClient.cpp
+++ b/packages/peer/chiveshelf/peer/PeerClient.cpp
@@ -82,7 +82,8 @@
     connection->pending.emplace(correlation, pending);
     connection->lastUsed = Clock::now();
     connection->outgoing.push(serializeFrame({ FrameKind::Request, type, correlation, std::move(payload) }));
-    pending->timer.expires_after(limit);
+    pending->timer.expires_at(Clock::time_point::max());
+    const TimeLimit timeLimit(m_context.get_executor(), limit, [pending] { pending->timer.cancel(); });
     boost::system::error_code ec;
     if (!pending->result)
         co_await pending->timer.async_wait(redirect_error(use_awaitable, ec));
