Don't take another host for silent after this host stood still

After the loop had been held for longer than the inactivity timeout (1.2 s), the check closed the connection to a sound host before what had arrived on it was read; its calls failed, peer_silent was logged and the host counted as lost. The time by which the check runs late no longer counts as silence.

Evidence: PeerClientTest::connectionIsKeptAfterLoopWasBlockedBeyondInactivityTimeout failed before ("connection was lost", peer_silent) and passes.

--- a/packages/peer/chiveshelf/peer/PeerClient.cpp
+++ b/packages/peer/chiveshelf/peer/PeerClient.cpp
@@ -155,6 +155,8 @@
         timer.expires_after(connectionCheckInterval);
         co_await timer.async_wait(redirect_error(use_awaitable, ec));
         const auto now = Clock::now();
+        // The time for which this host stood still is no silence of the peer.
+        connection->lastReceived = std::min(now, connection->lastReceived + (now - timer.expiry()));
         const bool isUnresponsive = !connection->pending.empty() && now - connection->lastReceived > inactivityTimeout;
         const bool isUnused = connection->pending.empty() && now - connection->lastUsed > idleTimeout;
         if (isUnresponsive)
--- a/tests/unit/peer/PeerClientTest.cpp
+++ b/tests/unit/peer/PeerClientTest.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST_SUITE(PeerClientTest);
     CPPUNIT_TEST(callSucceedsAfterLoopWasBlockedDuringConnect);
     CPPUNIT_TEST(replyThatArrivedWhileLoopWasBlockedBeyondCallLimitIsReturned);
+    CPPUNIT_TEST(connectionIsKeptAfterLoopWasBlockedBeyondInactivityTimeout);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -85,6 +86,14 @@
         expectReply({ 7, 300 }, milliseconds(500));
     }
 
+    // Guards against taking a sound host for silent after this host stood still.
+    void connectionIsKeptAfterLoopWasBlockedBeyondInactivityTimeout()
+    {
+        asio::steady_timer timer(m_context, milliseconds(100));
+        timer.async_wait([&](boost::system::error_code) { block(milliseconds(1'500)); });
+        expectReply({ 7, 2'000 }, milliseconds(3'000));
+    }
+
 private:
     void block(milliseconds duration)
     {
