Test that the HTTP client reads a response which arrived while the loop was busy

The client's progress limit is that of Beast's tcp_stream, which ignores the handler of an operation that has ended. The test passed without a change.

--- a/tests/unit/http/ClientTest.cpp
+++ b/tests/unit/http/ClientTest.cpp
@@ -9,6 +9,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <thread>
+
 namespace {
 
 using namespace chiveshelf;
@@ -64,6 +66,7 @@
     CPPUNIT_TEST(sendWithEndlessBodyFailsAtBodyLimit);
     CPPUNIT_TEST(sendWithSlowBodyFailsAtTotalLimit);
     CPPUNIT_TEST(sendDeniedByMaySendWritesNothing);
+    CPPUNIT_TEST(responseThatArrivedWhileLoopWasBlockedBeyondProgressLimitIsReturned);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -100,6 +103,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.received);
     }
 
+    // Guards against a progress limit that runs while this process stands still.
+    void responseThatArrivedWhileLoopWasBlockedBeyondProgressLimitIsReturned()
+    {
+        asio::io_context serverContext(1);
+        const std::string body(100 * 1024, 'x');
+        EndlessServer server(serverContext, "", "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body, milliseconds(150));
+        std::thread thread([&] { serverContext.run(); });
+        asio::steady_timer timer(m_context, milliseconds(50));
+        timer.async_wait([](boost::system::error_code) { std::this_thread::sleep_for(milliseconds(400)); });
+        const auto result = send(server, {});
+        serverContext.stop();
+        thread.join();
+        CPPUNIT_ASSERT(result);
+        CPPUNIT_ASSERT_MESSAGE(*result ? "" : result->error().message, result->has_value());
+        CPPUNIT_ASSERT_EQUAL(body.size(), (*result)->body().size());
+    }
+
 private:
     std::optional<Result<http::Response>> send(EndlessServer& server, std::function<bool()> maySend)
     {
