Let the address of a test's runner be used again at once

HostStallTest bound an address without reuse, so that the connections which it closed kept the address for a minute: a second run within it, and other tests with the same address, failed to bind (seen in three repeated runs, and once in a whole run of unit_gateway).

--- a/tests/unit/gateway/HostStallTest.cpp
+++ b/tests/unit/gateway/HostStallTest.cpp
@@ -158,6 +158,8 @@
     {
         asio::ip::tcp::acceptor acceptor(m_thread->context);
         acceptor.open(asio::ip::tcp::v4());
+        // Otherwise its closed connections keep the address from later tests for a minute.
+        acceptor.set_option(asio::socket_base::reuse_address(true));
         acceptor.set_option(asio::socket_base::receive_buffer_size(4'096));
         acceptor.bind(http::toEndpoint({ m_network + ".2", 8'000 }));
         acceptor.listen();
