Limit the fields of a response's head and trailers

What callers saw: a runner that answered hundreds of requests with heads of short fields, within the limit of 32 KB each, used up the memory of the host, and all requests on it ended. The same with trailers, up to 64 KB.

Cause: heads and trailers were limited in bytes. A field of four bytes takes some 80 bytes in memory and is kept as long as the response; sorting out and copying thousands of them also took the processor.

Change: a response with more than 256 fields is given up as no answer, in requests of callers and in the host's own calls. A head may have 16 KB instead of 32 KB and the read buffer, which bounds chunk heads and trailers, 20 KB instead of 64 KB.

--- a/packages/gateway/chiveshelf/gateway/BackendPool.h
+++ b/packages/gateway/chiveshelf/gateway/BackendPool.h
@@ -24,9 +24,10 @@
     {
     }
 
-    // Limits of the read buffer and of a response header.
-    static constexpr std::size_t maxBufferedBytes = 64 * 1024;
-    static constexpr std::uint32_t maxHeaderBytes = 32 * 1024;
+    // Limit of a response header. Other proxies accept 4 to 8 KB by default.
+    static constexpr std::uint32_t maxHeaderBytes = 16 * 1024;
+    // Limit of the read buffer, and so of a chunk header and of the trailers: a header, and what was received with its end.
+    static constexpr std::size_t maxBufferedBytes = 20 * 1024;
 
     // Closes the socket and cancels its pending operations.
     void close();
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -2,6 +2,7 @@
 
 #include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/http/Message.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -619,6 +620,10 @@
             co_return false;
         }
         use.runner().health().onDataReceived(std::chrono::steady_clock::now());
+        if (http::hasTooManyFields(parser->get())) {
+            m_readError = "too many header fields";
+            co_return false;
+        }
         const auto status = parser->get().result_int();
         if (status >= 100 && status < 200) {
             ++interims;
@@ -970,6 +975,9 @@
     }
     handleFirstByte(use);
     recordBodyEnd(parser, events, "closed");
+    // The parser adds the trailers to the fields of the header.
+    if (http::hasTooManyFields(parser.get()))
+        co_return RelayResult::RunnerFailed;
     const bool isWhole = framing == Framing::None || (isEndTrusted(parser) && (!isStream || isStreamWhole(parser, events)));
     if (!isWhole) {
         m_hasLostConnection = parser.need_eof();
--- a/packages/http/chiveshelf/http/Client.cpp
+++ b/packages/http/chiveshelf/http/Client.cpp
@@ -178,6 +178,8 @@
             m_idle.erase(address);
         co_return tl::unexpected(connectionError(address, "request to", ec, Verdict::MayHaveRun));
     }
+    if (hasTooManyFields(connection->parser->get()))
+        co_return failure(ErrorCode::Unavailable, "the response of " + toString(address) + " has too many header fields", Verdict::MayHaveRun);
     co_return std::make_unique<ResponseStream>(*this, address, std::move(connection), limits);
 }
 
--- a/packages/http/chiveshelf/http/Message.h
+++ b/packages/http/chiveshelf/http/Message.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http.hpp>
 
+#include <iterator>
 #include <map>
 #include <string>
 #include <string_view>
@@ -18,6 +19,17 @@
 using Verb = boost::beast::http::verb;
 using Status = boost::beast::http::status;
 
+// Largest number of fields of a response's header and trailers together. Each field takes some 80 bytes besides its text, so a limit on
+// the text alone doesn't bound the memory of short fields. Other servers commonly accept 100.
+constexpr std::size_t maxFields = 256;
+
+// Whether a message has more than maxFields fields.
+template <typename Fields>
+bool hasTooManyFields(const Fields& fields)
+{
+    return static_cast<std::size_t>(std::distance(fields.begin(), fields.end())) > maxFields;
+}
+
 // The path of a request target and its query parameters, percent-decoded.
 struct Target {
     std::string path;
--- a/tests/unit/http/ClientTest.cpp
+++ b/tests/unit/http/ClientTest.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(sendWithEndlessResponseHeaderFails);
     CPPUNIT_TEST(sendWithEndlessChunkHeaderFails);
     CPPUNIT_TEST(sendWithEndlessBodyFailsAtBodyLimit);
+    CPPUNIT_TEST(sendWithHeadOfTooManyFieldsFails);
     CPPUNIT_TEST(sendWithSlowBodyFailsAtTotalLimit);
     CPPUNIT_TEST(sendDeniedByMaySendWritesNothing);
     CPPUNIT_TEST(responseThatArrivedWhileLoopWasBlockedBeyondProgressLimitIsReturned);
@@ -86,6 +87,18 @@
         expectFailure("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4000\r\n" + std::string(16'384, 'a') + "\r\n");
     }
 
+    // Guards against fields that are short as text and take many times as much in memory.
+    void sendWithHeadOfTooManyFieldsFails()
+    {
+        std::string fields;
+        for (int i = 0; i < 1'000; ++i)
+            fields += "a:\r\n";
+        EndlessServer server(m_context, "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 0\r\n\r\n", "", milliseconds(0));
+        const auto result = send(server, {});
+        CPPUNIT_ASSERT(result && !*result);
+        CPPUNIT_ASSERT(result->error().verdict == Verdict::MayHaveRun);
+    }
+
     // Guards against a call without end: a server that keeps sending single bytes never exceeds the progress limit.
     void sendWithSlowBodyFailsAtTotalLimit()
     {
