Bound the bytes of unfinished answers that a process holds for all requests

What callers saw: nothing as long as a runner sent events without end to few requests. To hundreds, the host held up to 256 KB of each, more than its memory.

Cause: each answer had a limit, their sum had none. The same holds for the bodies that http::Client::send reads.

An event that can't be held is given up like one that is too long; a body that can't be held is passed on, and then can't be retried; a call fails.

--- a/packages/core/chiveshelf/core/core.h
+++ b/packages/core/chiveshelf/core/core.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Core types that all other packages use: verdicts, errors, priority classes, addresses, hashes, tasks, mailboxes and structured
+// Core types that all other packages use: verdicts, errors, priority classes, addresses, hashes, budgets of held bytes, tasks, mailboxes and structured
 // logs.
 //
 // Dependencies: Asio, Boost.Log, tl::expected, xxhash.
@@ -8,6 +8,8 @@
 #include "chiveshelf/core/Address.h"
 #include "chiveshelf/core/Error.h"
 #include "chiveshelf/core/Hash.h"
+#include "chiveshelf/core/HeldBytes.h"
+#include "chiveshelf/core/HeldBytesBudget.h"
 #include "chiveshelf/core/Log.h"
 #include "chiveshelf/core/LoopMonitor.h"
 #include "chiveshelf/core/Mailbox.h"
--- a/packages/gateway/chiveshelf/gateway/EventCursor.h
+++ b/packages/gateway/chiveshelf/gateway/EventCursor.h
@@ -23,6 +23,8 @@
     // Discards the incomplete event after the stream was interrupted.
     void discardPartial() { m_partial.clear(); }
 
+    std::size_t partialBytes() const { return m_partial.size(); }
+
     // Whether the incomplete event exceeds maxPartialBytes.
     bool isPartialTooLong() const { return m_partial.size() > maxPartialBytes; }
 
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -927,6 +927,7 @@
     const bool isTracked = mayResume() && isStream;
     std::string piece(readPieceBytes, '\0');
     EventBoundary events;
+    HeldBytes heldBytes(m_context.heldBytes);
     if (isTracked) {
         m_lastEventAt = std::chrono::steady_clock::now();
         armEventTimer(m_lastEventAt + eventTimeout());
@@ -954,7 +955,10 @@
             }
             pending += applyFraming(std::move(whole), framing);
         }
-        const bool isBroken = (ec && ec != beast::http::error::need_buffer) || m_cursor.isPartialTooLong();
+        const bool isHeld = heldBytes.resize(isTracked ? m_cursor.partialBytes() : pending.size());
+        m_context.metrics.unheldResponses += isHeld ? 0 : 1;
+        const bool isEventGivenUp = isTracked && (!isHeld || m_cursor.isPartialTooLong());
+        const bool isBroken = (ec && ec != beast::http::error::need_buffer) || isEventGivenUp;
         if (ec && ec != beast::http::error::need_buffer) {
             recordReadError(ec);
             recordBodyEnd(parser, events, m_readError);
@@ -962,7 +966,8 @@
         // Complete events received before the failure are relayed, since another runner resumes after them.
         if (isBroken && !hasEvents)
             co_return RelayResult::RunnerFailed;
-        const bool isBuffered = !isStream && pending.size() < maxHeldResponseBytes;
+        // A response that can't be held back any more is passed on, and can't be retried after that.
+        const bool isBuffered = !isStream && isHeld && pending.size() < maxHeldResponseBytes;
         if (!pending.empty() && n > 0 && !isBuffered) {
             m_hasResponseStarted = true;
             auto bytes = std::move(pending);
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "chiveshelf/core/TimeLimit.h"
+#include "chiveshelf/core/HeldBytes.h"
 #include "chiveshelf/gateway/BackendPool.h"
 #include "chiveshelf/gateway/CallerConnection.h"
 #include "chiveshelf/gateway/EventBoundary.h"
@@ -23,6 +24,9 @@
 
 // Objects shared by all requests of a gateway.
 struct ForwardContext {
+    // Bytes of incomplete events and answers that all requests together may hold back. A tenth of the memory of a small host.
+    static constexpr std::size_t maxHeldBytes = 16 * 1024 * 1024;
+
     boost::asio::io_context& io;
     const GatewaySettings& settings;
     ServingState& state;
@@ -33,6 +37,7 @@
     GatewayMetrics& metrics;
     // The requests in progress. Shared with them, as coroutines may be destroyed after the gateway.
     std::shared_ptr<std::set<ForwardTask*>> tasks = std::make_shared<std::set<ForwardTask*>>();
+    std::shared_ptr<HeldBytesBudget> heldBytes = std::make_shared<HeldBytesBudget>(maxHeldBytes);
 };
 
 // Forwards one request of a caller, from its arrival to its final response. The placement policies choose the runners, and
--- a/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
+++ b/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
@@ -34,6 +34,8 @@
     std::uint64_t repeats = 0;
     std::uint64_t resumes = 0;
     std::uint64_t strayResponses = 0;
+    // Answers that this host couldn't hold back, because all answers together exceeded their budget.
+    std::uint64_t unheldResponses = 0;
     // Number of predictions of the time to the first byte, and sums of their errors, predicted and measured times, in ms.
     std::uint64_t predictions = 0;
     double predictionErrorMs = 0;
--- a/packages/http/chiveshelf/http/Client.cpp
+++ b/packages/http/chiveshelf/http/Client.cpp
@@ -95,8 +95,9 @@
     co_return std::string();
 }
 
-Client::Client(asio::io_context& context)
+Client::Client(asio::io_context& context, std::size_t maxHeldBytes)
     : m_context(context)
+    , m_heldBytes(std::make_shared<HeldBytesBudget>(maxHeldBytes))
 {
 }
 
@@ -195,12 +196,15 @@
     for (const auto& field : stream.m_connection->parser->get())
         response.set(field.name_string(), field.value());
     response.erase(beast::http::field::transfer_encoding);
+    HeldBytes held(m_heldBytes);
     while (true) {
         auto piece = co_await stream.readSome();
         if (!piece)
             co_return tl::unexpected(piece.error());
         if (piece->empty())
             break;
+        if (!held.resize(response.body().size() + piece->size()))
+            co_return failure(ErrorCode::Unavailable, "no memory is left for the response of " + toString(address), Verdict::MayHaveRun);
         response.body() += *piece;
     }
     if (stream.m_connection->parser->keep_alive())
--- a/packages/http/chiveshelf/http/Client.h
+++ b/packages/http/chiveshelf/http/Client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chiveshelf/core/HeldBytes.h"
 #include "chiveshelf/http/Message.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -69,13 +70,16 @@
 // connection has often dropped the state of the others too.
 class Client {
 public:
-    explicit Client(boost::asio::io_context&);
+    // Bytes of response bodies that all calls of send() together may hold by default. A fifth of the memory of a small host.
+    static constexpr std::size_t defaultMaxHeldBytes = 32 * 1024 * 1024;
+
+    explicit Client(boost::asio::io_context&, std::size_t maxHeldBytes = defaultMaxHeldBytes);
     ~Client();
     Client(const Client&) = delete;
     Client& operator=(const Client&) = delete;
 
     // Sends a request and reads the whole response. Fails with Timeout if a time limit expires, and with Unavailable if the
-    // response exceeds the size limit. `maySend` is called once the connection is established, immediately before the request is
+    // response exceeds the size limit, or all responses together exceed theirs. `maySend` is called once the connection is established, immediately before the request is
     // written; if it returns false, nothing is sent and the call fails with Unavailable and NotRun.
     boost::asio::awaitable<Result<Response>> send(Address, Request, CallLimits, std::function<bool()> maySend = {});
 
@@ -92,6 +96,7 @@
     boost::asio::awaitable<Result<std::unique_ptr<ResponseStream::Connection>>> connect(Address, CallLimits);
 
     boost::asio::io_context& m_context;
+    std::shared_ptr<HeldBytesBudget> m_heldBytes;
     std::map<Address, std::vector<std::unique_ptr<ResponseStream::Connection>>> m_idle;
 };
 
--- a/tests/unit/http/ClientTest.cpp
+++ b/tests/unit/http/ClientTest.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(sendWithEndlessBodyFailsAtBodyLimit);
     CPPUNIT_TEST(sendWithHeadOfTooManyFieldsFails);
     CPPUNIT_TEST(sendWithSlowBodyFailsAtTotalLimit);
+    CPPUNIT_TEST(sendWithoutMemoryForBodyFails);
     CPPUNIT_TEST(sendDeniedByMaySendWritesNothing);
     CPPUNIT_TEST(responseThatArrivedWhileLoopWasBlockedBeyondProgressLimitIsReturned);
     CPPUNIT_TEST_SUITE_END();
@@ -105,6 +106,21 @@
         expectFailure("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n", milliseconds(50));
     }
 
+    // Guards against bodies that are each within their limit and together use up the memory of the process.
+    void sendWithoutMemoryForBodyFails()
+    {
+        const auto body = std::string(100 * 1'024, 'a');
+        const auto answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        EndlessServer first(m_context, answer, "", milliseconds(0));
+        const auto sound = send(first, {});
+        CPPUNIT_ASSERT(sound && *sound);
+        http::Client small(m_context, 50 * 1'024);
+        EndlessServer second(m_context, answer, "", milliseconds(0));
+        const auto result = send(second, {}, &small);
+        CPPUNIT_ASSERT(result && !*result);
+        CPPUNIT_ASSERT(result->error().verdict == Verdict::MayHaveRun);
+    }
+
     // Guards against a rollout order that is sent although its sender lost the lease while the connection was being established.
     void sendDeniedByMaySendWritesNothing()
     {
@@ -134,16 +150,18 @@
     }
 
 private:
-    std::optional<Result<http::Response>> send(EndlessServer& server, std::function<bool()> maySend)
+    std::optional<Result<http::Response>> send(EndlessServer& server, std::function<bool()> maySend, http::Client* client = nullptr)
     {
         std::optional<Result<http::Response>> out;
         http::CallLimits limits { milliseconds(200), milliseconds(200) };
         limits.bodyBytes = 1'024 * 1'024;
         const auto call = [&]() -> asio::awaitable<void> {
             auto request = http::makeRequest(http::Verb::get, "/");
-            auto result = co_await m_client.send(server.address(), std::move(request), limits, std::move(maySend));
+            auto result = co_await (client ? *client : m_client).send(server.address(), std::move(request), limits, std::move(maySend));
             out.emplace(std::move(result));
         };
+        // The context is stopped if an earlier call has ended and left no work.
+        m_context.restart();
         asio::co_spawn(m_context, call(), asio::detached);
         const auto end = std::chrono::steady_clock::now() + milliseconds(2'000);
         while (!out && std::chrono::steady_clock::now() < end)
