Limit the answers of runners to calls of the own interface

Cause: calls for a runner's load, its status, orders and exports took bodies of up to 64 MB, the default of http::Client, although their answers are short. The body of an error was read without a time limit as long as single bytes arrived.

Change: these calls take 256 KB. An error is read up to 64 KB and for one progress limit. The default for all other calls is 8 MB; streams of tokens, of which only an incomplete event is held, keep 64 MB.

Evidence: by reading; the limits of http::Client themselves are tested in ClientTest (sendWithEndlessBodyFailsAtBodyLimit, sendWithSlowBodyFailsAtTotalLimit). Not played against the own interface.

--- a/fakes/fakes/FakeRunner.cpp
+++ b/fakes/fakes/FakeRunner.cpp
@@ -31,8 +31,8 @@
     constexpr auto endedSequenceLifetime = std::chrono::seconds(30);
     // Maximum number of commands, and of violations, in the statistics.
     constexpr std::size_t maximumRecords = 200;
-    // Limits for connecting and for each wait for bytes.
-    constexpr http::CallLimits importLimits { std::chrono::milliseconds(200), std::chrono::milliseconds(500) };
+    // Limits for connecting, for each wait for bytes and for the length of a block.
+    constexpr http::CallLimits importLimits { std::chrono::milliseconds(200), std::chrono::milliseconds(500), true, 64ull * 1024 * 1024 };
     constexpr http::CallLimits exportLimits { std::chrono::milliseconds(200), std::chrono::milliseconds(10'000) };
     constexpr std::int64_t defaultImportLimitMs = 5'000;
 
--- a/packages/dispatch/chiveshelf/dispatch/LocalScheduler.cpp
+++ b/packages/dispatch/chiveshelf/dispatch/LocalScheduler.cpp
@@ -15,7 +15,8 @@
 namespace {
 
     constexpr auto pollInterval = std::chrono::milliseconds(250);
-    constexpr http::CallLimits pollLimits { std::chrono::milliseconds(200), std::chrono::milliseconds(500) };
+    // The load of a runner is a short JSON object.
+    constexpr http::CallLimits pollLimits { std::chrono::milliseconds(200), std::chrono::milliseconds(500), true, 256 * 1024 };
 
 }
 
--- a/packages/http/chiveshelf/http/Client.h
+++ b/packages/http/chiveshelf/http/Client.h
@@ -23,8 +23,8 @@
     std::chrono::milliseconds progress { 2'000 };
     // Whether the call may use a pooled connection. If a new connection can't be established, it is certain that nothing was sent.
     bool isReuseAllowed = true;
-    // Maximum length of the response body, in bytes.
-    std::uint64_t bodyBytes = 64ull * 1024 * 1024;
+    // Maximum length of the response body, in bytes. By default twice the longest request that callers may send.
+    std::uint64_t bodyBytes = 8ull * 1024 * 1024;
     // Maximum duration of send(), even while bytes keep arriving; 0 means four times `progress`.
     std::chrono::milliseconds total { 0 };
 };
@@ -54,6 +54,9 @@
     // Changes the limit on each wait for bytes.
     void setProgressLimit(std::chrono::milliseconds limit) { m_limits.progress = limit; }
 
+    // Sets the time until which the complete response has to be read.
+    void setDeadline(std::chrono::steady_clock::time_point deadline) { m_deadline = deadline; }
+
 private:
     friend class Client;
 
--- a/packages/runner/chiveshelf/runner/HttpRunner.cpp
+++ b/packages/runner/chiveshelf/runner/HttpRunner.cpp
@@ -11,8 +11,13 @@
 
     // Runners do not send longer events. A stream with a longer one is treated as malformed.
     constexpr std::size_t maxEventBytes = 1024 * 1024;
+    // A whole stream, of which only an incomplete event is held.
+    constexpr std::uint64_t maxStreamBytes = 64ull * 1024 * 1024;
+    // The body of an error is a short JSON object.
+    constexpr std::size_t maxErrorBytes = 64 * 1024;
+    constexpr std::uint64_t maxReportBytes = 256 * 1024;
     // A runner responds to an export after the block is written, which takes long over a slow link.
-    constexpr http::CallLimits exportLimits { std::chrono::milliseconds(300), std::chrono::milliseconds(15'000) };
+    constexpr http::CallLimits exportLimits { std::chrono::milliseconds(300), std::chrono::milliseconds(15'000), true, maxReportBytes };
 
     json importsJson(const CompletionRequest& request)
     {
@@ -25,7 +30,7 @@
 
     // A runner responds to control requests immediately, even under load. With these limits, a controller can renew its lease in time
     // while a runner is unresponsive.
-    constexpr http::CallLimits controlLimits { std::chrono::milliseconds(200), std::chrono::milliseconds(500) };
+    constexpr http::CallLimits controlLimits { std::chrono::milliseconds(200), std::chrono::milliseconds(500), true, maxReportBytes };
 
     json toJson(const CompletionRequest& request)
     {
@@ -124,14 +129,16 @@
 
 asio::awaitable<Result<std::unique_ptr<HttpTokenStream>>> HttpRunner::openStream(Address address, http::Request request, http::CallLimits limits)
 {
+    limits.bodyBytes = maxStreamBytes;
     auto response = co_await m_client.open(std::move(address), std::move(request), limits);
     if (!response)
         co_return tl::unexpected(response.error());
     const auto status = (*response)->status();
     if (status == 200)
         co_return std::make_unique<HttpTokenStream>(std::move(*response));
+    (*response)->setDeadline(std::chrono::steady_clock::now() + limits.progress);
     std::string body;
-    while (true) {
+    while (body.size() < maxErrorBytes) {
         auto bytes = co_await (*response)->readSome();
         if (!bytes || bytes->empty())
             break;
