Close a connection of http::Client on which more than the response arrived

Cause: bytes that a server had sent after its response stayed in the buffer of the pooled connection and were read as the response to the next request.

--- a/packages/http/chiveshelf/http/Client.cpp
+++ b/packages/http/chiveshelf/http/Client.cpp
@@ -207,7 +207,8 @@
             co_return failure(ErrorCode::Unavailable, "no memory is left for the response of " + toString(address), Verdict::MayHaveRun);
         response.body() += *piece;
     }
-    if (stream.m_connection->parser->keep_alive())
+    // Bytes after the response belong to no request.
+    if (stream.m_connection->parser->keep_alive() && stream.m_connection->buffer.size() == 0)
         returnIdleConnection(address, std::move(stream.m_connection));
     co_return response;
 }
--- a/tests/unit/http/ClientTest.cpp
+++ b/tests/unit/http/ClientTest.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(sendWithHeadOfTooManyFieldsFails);
     CPPUNIT_TEST(sendWithSlowBodyFailsAtTotalLimit);
     CPPUNIT_TEST(sendWithoutMemoryForBodyFails);
+    CPPUNIT_TEST(connectionWithBytesAfterResponseIsNotReused);
     CPPUNIT_TEST(sendDeniedByMaySendWritesNothing);
     CPPUNIT_TEST(responseThatArrivedWhileLoopWasBlockedBeyondProgressLimitIsReturned);
     CPPUNIT_TEST_SUITE_END();
@@ -121,6 +122,16 @@
         CPPUNIT_ASSERT(result->error().verdict == Verdict::MayHaveRun);
     }
 
+    // Guards against taking what a server sent after its response for the response to the next request.
+    void connectionWithBytesAfterResponseIsNotReused()
+    {
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+        EndlessServer server(m_context, answer + answer, "", milliseconds(0));
+        const auto result = send(server, {});
+        CPPUNIT_ASSERT(result && *result);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_client.idleConnections());
+    }
+
     // Guards against a rollout order that is sent although its sender lost the lease while the connection was being established.
     void sendDeniedByMaySendWritesNothing()
     {
