Keep runners' limits when hosts stand still together

Hosts that see the same permit wait a random delay for it. If many stand still at once, as over large tables, these delays pass for all of them, and each sends one request before it has read what the others sent.

A host now records every 50 ms that it handles notices. After 150 ms without that it has no permit until it is awake again and a new random delay is over.

It wasn't played on real processes that stand still together.

--- a/packages/gateway/chiveshelf/gateway/FleetLimits.cpp
+++ b/packages/gateway/chiveshelf/gateway/FleetLimits.cpp
@@ -141,6 +141,12 @@
     }
 }
 
+void FleetLimits::recordAwake(TimePoint now)
+{
+    for (const auto& [id, runner] : m_directory.all())
+        runner->requestLimit().recordAwake(now, m_random());
+}
+
 void FleetLimits::logChange(const BackendState& runner, const LimitStatement& former, std::uint64_t sent, std::string_view source)
 {
     const auto& record = runner.record();
--- a/packages/gateway/chiveshelf/gateway/FleetLimits.h
+++ b/packages/gateway/chiveshelf/gateway/FleetLimits.h
@@ -40,6 +40,9 @@
 
     void applyNotice(const LimitNotice&, TimePoint now);
 
+    // Records that this host handles notices, to be called at RequestLimit::awakeInterval.
+    void recordAwake(TimePoint now);
+
 private:
     // Time after its last notice for which a host counts as heard from.
     std::chrono::milliseconds heardTime() const;
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "chiveshelf/core/TimeLimit.h"
 #include "chiveshelf/core/HeldBytes.h"
+#include "chiveshelf/core/TimeLimit.h"
 #include "chiveshelf/gateway/BackendPool.h"
 #include "chiveshelf/gateway/CallerConnection.h"
 #include "chiveshelf/gateway/EventBoundary.h"
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -166,6 +166,7 @@
         spawnLoop(m_context, "host_exchange.notice_loop", [this] { return noticeLoop(); });
     if (started)
         m_tables.start();
+        spawnLoop(m_context, "host_exchange.awake_loop", [this] { return awakeLoop(); });
     return started;
 }
 
@@ -465,6 +466,17 @@
     return limitsRemoteNotices() ? hugeFleetRemoteInterval : noticeIntervalFor(m_hosts.size());
 }
 
+asio::awaitable<void> HostExchange::awakeLoop()
+{
+    asio::steady_timer timer(m_context);
+    while (!m_isStopped) {
+        boost::system::error_code ec;
+        m_limits.recordAwake(std::chrono::steady_clock::now());
+        timer.expires_after(RequestLimit::awakeInterval);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
 asio::awaitable<void> HostExchange::noticeLoop()
 {
     asio::steady_timer timer(m_context);
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -114,6 +114,8 @@
 
 private:
     boost::asio::awaitable<void> noticeLoop();
+    // Tells the limits of runners that this host handles notices.
+    boost::asio::awaitable<void> awakeLoop();
     // Returns the other hosts that hold the record of a stream's origin.
     std::vector<Address> originHolders(std::uint64_t stream) const;
     // Sends load notices to hosts that get the next ones after `interval`.
--- a/packages/placement/chiveshelf/placement/Placement.cpp
+++ b/packages/placement/chiveshelf/placement/Placement.cpp
@@ -26,7 +26,7 @@
         if (runner->isLeaving() || (!runner->isPaused(context.now) && !isLimited))
             continue;
         permitsPerSecond += isLimited ? limit.permitsPerSecond() : 0;
-        const auto runnerEnd = isLimited ? std::max(runner->pauseEnd(), limit.nextPermitAt()) : runner->pauseEnd();
+        const auto runnerEnd = isLimited ? std::max(runner->pauseEnd(), limit.awaitedPermitAt(context.now)) : runner->pauseEnd();
         if (end && runnerEnd >= *end)
             continue;
         end = runnerEnd;
--- a/packages/placement/chiveshelf/placement/RequestLimit.cpp
+++ b/packages/placement/chiveshelf/placement/RequestLimit.cpp
@@ -21,6 +21,8 @@
     // Time for which a host takes no further permit, as a share of the interval, and its upper bound.
     constexpr double holdIntervals = 0.5;
     constexpr milliseconds maxHold { 200 };
+    // Time without handled reports from which on a host counts as stalled. Throttled processes pause for up to 100 ms at a time.
+    constexpr milliseconds stallLimit { 150 };
     // Debt beyond this time is dropped. It is the time over which runners count their requests.
     constexpr milliseconds maxDebtTime { 4'000 };
 
@@ -98,6 +100,24 @@
     return std::clamp<nanoseconds>(time, minLongestDelay, maxLongestDelay);
 }
 
+nanoseconds RequestLimit::randomDelay(double random) const
+{
+    const auto hosts = static_cast<double>(m_hosts);
+    return m_hosts == 1 ? nanoseconds(0) : scaled(longestDelay(), std::log1p(random * hosts) / std::log1p(hosts));
+}
+
+bool RequestLimit::hasStalled(TimePoint now) const
+{
+    return m_awakeAt != TimePoint {} && now - m_awakeAt > stallLimit;
+}
+
+void RequestLimit::recordAwake(TimePoint now, double random)
+{
+    if (hasStalled(now))
+        m_holdUntil = std::max(m_holdUntil, now + randomDelay(random));
+    m_awakeAt = now;
+}
+
 TimePoint RequestLimit::nextPermitAt() const
 {
     return std::max(m_nextPermitAt + m_delay, m_holdUntil);
@@ -109,8 +129,7 @@
     // Permits that no host took in time expire, except for one.
     const auto start = std::max(m_nextPermitAt, now - longestDelay() - gap);
     m_nextPermitAt = std::min(start + gap * static_cast<std::int64_t>(requests), now + std::max<nanoseconds>(gap, maxDebtTime));
-    const auto hosts = static_cast<double>(m_hosts);
-    m_delay = m_hosts == 1 ? nanoseconds(0) : scaled(longestDelay(), std::log1p(random * hosts) / std::log1p(hosts));
+    m_delay = randomDelay(random);
 }
 
 void RequestLimit::recordSend(TimePoint now, double random)
--- a/packages/placement/chiveshelf/placement/RequestLimit.h
+++ b/packages/placement/chiveshelf/placement/RequestLimit.h
@@ -2,6 +2,7 @@
 
 #include "chiveshelf/core/Time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -48,11 +49,20 @@
     void setHosts(std::size_t total, std::size_t reachable, TimePoint now);
 
     // Returns whether this host may send a request to the runner.
-    bool hasPermit(TimePoint now) const { return !perSecond() || now >= nextPermitAt(); }
+    bool hasPermit(TimePoint now) const { return !perSecond() || (now >= nextPermitAt() && !hasStalled(now)); }
+
+    // Records that this host handles the reports of other hosts, to be called at `awakeInterval`. If it stood still before, it takes its
+    // next permit after a new random delay: other hosts may have stood still with it, and their reports may not have been read yet.
+    void recordAwake(TimePoint now, double random);
+
+    static constexpr std::chrono::milliseconds awakeInterval { 50 };
 
     // Returns the time from which on this host may send a request, if no host sends one before.
     TimePoint nextPermitAt() const;
 
+    // Returns when a host without a permit may get one: nextPermitAt(), or for a host that has stalled the time by which it knows more.
+    TimePoint awaitedPermitAt(TimePoint now) const { return std::max(nextPermitAt(), hasStalled(now) ? now + awakeInterval : now); }
+
     // Returns the permits per second that all hosts get together, and the average time between two permits of all hosts. Only valid
     // while there is a limit.
     double permitsPerSecond() const;
@@ -82,8 +92,11 @@
     void charge(std::uint64_t requests, TimePoint now, double random);
     // Keeps the number of permits in debt when the interval has changed.
     void rescaleDebt(std::chrono::nanoseconds formerInterval, TimePoint now);
-    // Returns the longest random delay before a host takes a permit.
+    // Whether this host has not handled reports for so long that its random delay has no effect.
+    bool hasStalled(TimePoint now) const;
+    // Returns the longest random delay before a host takes a permit, and a random one.
     std::chrono::nanoseconds longestDelay() const;
+    std::chrono::nanoseconds randomDelay(double random) const;
 
     LimitStatement m_statement;
     std::size_t m_hosts = 1;
@@ -94,6 +107,8 @@
     std::chrono::nanoseconds m_delay { 0 };
     // Until when this host takes no permit, so that the reports of other hosts arrive before it takes another one.
     TimePoint m_holdUntil {};
+    // When this host last handled reports, or the epoch if it is not told.
+    TimePoint m_awakeAt {};
     std::uint64_t m_sent = 0;
     std::uint64_t m_sentBeforeChange = 0;
     std::map<std::uint64_t, PeerCount> m_peers;
--- a/tests/unit/gateway/FleetLimitsTest.cpp
+++ b/tests/unit/gateway/FleetLimitsTest.cpp
@@ -30,6 +30,11 @@
     double lossShare = 0.02;
     // If set, hosts handle requests and notices only at multiples of this time, as processes do that have used up their processor time.
     milliseconds stallPeriod { 0 };
+    // Times at which each host stands still once, for up to `longestStall`, as when all decode the same tables. Each begins up to
+    // `stallSpread` later. What arrived meanwhile is handled at the end, requests before notices.
+    std::vector<milliseconds> stallsAt;
+    milliseconds longestStall { 0 };
+    milliseconds stallSpread { 0 };
     // Whether the first half of the hosts is cut off from the second.
     bool isDivided = false;
     milliseconds length { 16'000 };
@@ -58,6 +63,10 @@
             auto others = hashes;
             others.erase(static_cast<std::uint64_t>(i) + 1);
             host->limits->setHosts(std::move(others), m_interval);
+            for (const auto time : scenario.stallsAt) {
+                const auto from = start + time + share(scenario.stallSpread);
+                host->stalls.push_back({ from, from + scenario.longestStall / 2 + share(scenario.longestStall / 2) });
+            }
             m_hosts.push_back(std::move(host));
         }
     }
@@ -68,6 +77,7 @@
             scheduleArrival(i, start + m_scenario.loadFrom);
             const auto firstNotice = milliseconds(static_cast<std::int64_t>(uniform() * static_cast<double>(m_interval.count())));
             at(start + firstNotice, [this, i] { sendNotices(i); });
+            at(start, [this, i] { tick(i); });
             // Each host has an answer from before the load.
             at(start, [this, i] { m_hosts[static_cast<std::size_t>(i)]->limits->applyAnswer(runner(i), m_schedule.at(start), m_now, m_now); });
         }
@@ -94,6 +104,8 @@
     struct Host {
         BackendDirectory directory;
         std::unique_ptr<FleetLimits> limits;
+        // Begin and end of each.
+        std::vector<std::pair<TimePoint, TimePoint>> stalls;
     };
 
     struct Event {
@@ -106,13 +118,19 @@
 
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
+    TimePoint::duration share(milliseconds time) { return std::chrono::duration_cast<TimePoint::duration>(time * uniform()); }
+
     BackendState& runner(int host) { return *m_hosts[static_cast<std::size_t>(host)]->directory.find(runnerId); }
 
     void at(TimePoint time, std::function<void()> run) { m_events.push({ time, ++m_eventCount, std::move(run) }); }
 
     // Returns when a host handles an event that reaches it at `time`.
-    TimePoint handledAt(TimePoint time) const
+    TimePoint handledAt(int host, TimePoint time) const
     {
+        for (const auto& [from, to] : m_hosts[static_cast<std::size_t>(host)]->stalls) {
+            if (time >= from && time < to)
+                time = to;
+        }
         const auto period = m_scenario.stallPeriod;
         if (period.count() == 0)
             return time;
@@ -132,7 +150,7 @@
             return;
         const std::chrono::duration<double> gap(std::exponential_distribution<double>(rateOf(host))(m_random));
         const auto time = from + std::chrono::duration_cast<TimePoint::duration>(gap);
-        at(handledAt(time), [this, host, time] {
+        at(handledAt(host, time), [this, host, time] {
             scheduleArrival(host, time);
             arrive(host);
         });
@@ -148,7 +166,7 @@
             broadcast(host, limits.noticeFor(runner(host), m_now));
         m_audit.recordArrival(runnerId, host, m_now);
         const auto stated = m_schedule.at(m_now);
-        at(handledAt(m_now + milliseconds(50)), [this, host, stated, sentAt] {
+        at(handledAt(host, m_now + milliseconds(50)), [this, host, stated, sentAt] {
             auto& answered = *m_hosts[static_cast<std::size_t>(host)]->limits;
             if (stated)
                 m_audit.recordStatement(runnerId, host, m_now);
@@ -157,6 +175,15 @@
         });
     }
 
+    void tick(int host)
+    {
+        m_hosts[static_cast<std::size_t>(host)]->limits->recordAwake(m_now);
+        const auto next = m_now + RequestLimit::awakeInterval;
+        const auto handled = handledAt(host, next);
+        // After all else that waited for the end of the stall.
+        at(handled == next ? handled : handled + std::chrono::microseconds(2), [this, host] { tick(host); });
+    }
+
     void sendNotices(int host)
     {
         for (const auto& notice : m_hosts[static_cast<std::size_t>(host)]->limits->takeNotices(m_now))
@@ -176,10 +203,19 @@
         }
         for (auto& group : receivers) {
             const std::chrono::duration<double, std::milli> delay(1 + uniform() * static_cast<double>(m_scenario.maxDelay.count()));
-            at(handledAt(m_now + std::chrono::duration_cast<TimePoint::duration>(delay)), [this, shared, group = std::move(group)] {
-                for (const auto to : group)
-                    m_hosts[static_cast<std::size_t>(to)]->limits->applyNotice(*shared, m_now);
-            });
+            const auto arrival = m_now + std::chrono::duration_cast<TimePoint::duration>(delay);
+            std::map<TimePoint, std::vector<int>> byTime;
+            for (const auto to : group) {
+                const auto time = handledAt(to, arrival);
+                // After the requests that arrived in the same stall.
+                byTime[m_scenario.stallsAt.empty() || time == arrival ? time : time + std::chrono::microseconds(1)].push_back(to);
+            }
+            for (auto& [time, members] : byTime) {
+                at(time, [this, shared, members = std::move(members)] {
+                    for (const auto to : members)
+                        m_hosts[static_cast<std::size_t>(to)]->limits->applyNotice(*shared, m_now);
+                });
+            }
         }
     }
 
@@ -201,6 +237,7 @@
     CPPUNIT_TEST(sparseLoadIsNotRefused);
     CPPUNIT_TEST(loadAfterIdleTimeKeepsTheLimit);
     CPPUNIT_TEST(stalledHostsKeepTheLimit);
+    CPPUNIT_TEST(fleetThatStallsOverLargeTablesKeepsTheLimit);
     CPPUNIT_TEST(dividedFleetKeepsAndUsesTheLimit);
     CPPUNIT_TEST(largeFleetUsesTheLimitAndKeepsIt);
     CPPUNIT_TEST(limitThatRisesAndFallsIsFollowed);
@@ -261,6 +298,22 @@
         }
     }
 
+    // Guards against hosts that each take a permit after a stall, before they have read what the others took meanwhile.
+    void fleetThatStallsOverLargeTablesKeepsTheLimit()
+    {
+        for (const auto limit : { 1.0, 2.0, 3.6, 8.0 }) {
+            Scenario scenario;
+            scenario.hosts = 60;
+            scenario.limits = { { milliseconds(0), limit } };
+            scenario.load = 300;
+            scenario.stallsAt = { milliseconds(30'000), milliseconds(31'000), milliseconds(36'000) };
+            scenario.longestStall = milliseconds(500);
+            scenario.stallSpread = milliseconds(500);
+            scenario.length = seconds(40);
+            expectKeptAndUsed(scenario, 0.8, 10);
+        }
+    }
+
     // Guards against parts of a divided fleet that each use the whole limit.
     void dividedFleetKeepsAndUsesTheLimit()
     {
