--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -162,11 +162,11 @@
     auto started = m_datagrams.start(m_settings.peerAddress);
     if (started)
         started = m_server.start(m_settings.peerAddress);
-    if (started)
-        spawnLoop(m_context, "host_exchange.notice_loop", [this] { return noticeLoop(); });
-    if (started)
-        m_tables.start();
-        spawnLoop(m_context, "host_exchange.awake_loop", [this] { return awakeLoop(); });
+    if (!started)
+        return started;
+    spawnLoop(m_context, "host_exchange.notice_loop", [this] { return noticeLoop(); });
+    spawnLoop(m_context, "host_exchange.awake_loop", [this] { return awakeLoop(); });
+    m_tables.start();
     return started;
 }
 
--- a/tests/support/GatewayFleet.cpp
+++ b/tests/support/GatewayFleet.cpp
@@ -75,11 +75,6 @@
     return { m_network + std::to_string(group) + "." + std::to_string(number), static_cast<std::uint16_t>(port) };
 }
 
-Address GatewayFleet::callerAddress(int number) const
-{
-    return address(hostGroup, number, callerPort);
-}
-
 std::size_t GatewayFleet::addRunner(const std::string& id, const std::string& pool, fakeplatform::Runner::Handler handler)
 {
     const auto runnerAddress = address(runnerGroup, static_cast<int>(m_runners.size()) + 1, runnerPort);
--- a/tests/support/GatewayFleet.h
+++ b/tests/support/GatewayFleet.h
@@ -79,9 +79,6 @@
     // Sends a request to a host. `onEnd` is called when it ended.
     void send(int host, std::string bytes, std::function<void(const CallerResponse&)> onEnd);
 
-    // Where a host takes the requests of callers.
-    chiveshelf::Address callerAddress(int number) const;
-
     boost::asio::io_context& context() { return m_context; }
     void runFor(std::chrono::milliseconds duration);
 
