Don't decode a text of the tables whose version is in force

Hosts that got tables from another host decoded the same tables' text again in each later full read, such as after a watch that failed.

The version is read first, if it is among the first fields of the text, and a text that is not newer is skipped. If it comes later, the text is decoded as before.

--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -505,6 +505,9 @@
     const auto hash = hash64(text);
     if (std::exchange(m_tablesTextHash, hash) == hash)
         return;
+    // Tables that came from another host are in the store, too, and a full read brings their text.
+    if (const auto version = platform::peekTablesVersion(text); version && *version <= m_state.tablesVersion())
+        return;
     ++m_decodedTablesCount;
     const auto start = now();
     auto tables = platform::decodeTables(text);
--- a/tests/unit/gateway/TablesSpreadTest.cpp
+++ b/tests/unit/gateway/TablesSpreadTest.cpp
@@ -32,6 +32,10 @@
         runFor(milliseconds(500));
         CPPUNIT_ASSERT(m_store->readCount() > reads);
         CPPUNIT_ASSERT_EQUAL(1.0, gauge("tables_texts_decoded", m_network + ".1"));
+        // Another text of the version in force, as after an update from another host.
+        m_store->put("op/config", std::string(fakeplatform::tables) + " ");
+        runFor(milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(1.0, gauge("tables_texts_decoded", m_network + ".1"));
         m_store->put("op/config", fakeplatform::sellTables(9));
         runFor(milliseconds(200));
         CPPUNIT_ASSERT_EQUAL(2.0, gauge("tables_texts_decoded", m_network + ".1"));
--- a/tests/unit/platform/PlatformFormatsTest.cpp
+++ b/tests/unit/platform/PlatformFormatsTest.cpp
@@ -47,6 +47,7 @@
 public:
     void tablesFromPlatformAreDecoded()
     {
+        CPPUNIT_ASSERT(peekTablesVersion(tablesText) == std::uint64_t(7));
         const auto tables = decodeTables(tablesText);
         CPPUNIT_ASSERT(tables);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), tables->version);
@@ -68,6 +69,10 @@
 
     void invalidTablesAreRejectedEntirely()
     {
+        CPPUNIT_ASSERT(!peekTablesVersion("{"));
+        CPPUNIT_ASSERT(!peekTablesVersion(R"({"version":"7"})"));
+        CPPUNIT_ASSERT(!peekTablesVersion(R"({"limits":{"version":7}})"));
+        CPPUNIT_ASSERT(!peekTablesVersion(R"([{"version":7}])"));
         CPPUNIT_ASSERT(!decodeTables("{"));
         CPPUNIT_ASSERT(!decodeTables("[]"));
         CPPUNIT_ASSERT(!decodeTables(R"({"routes":[]})"));
