--- a/tests/integration/EndlessAnswerTest.cpp
+++ b/tests/integration/EndlessAnswerTest.cpp
@@ -211,7 +211,8 @@
         const auto text = "peak " + std::to_string(peak / 1'024) + " kB, before " + std::to_string(before / 1'024) + " kB, faulty answers " + std::to_string(m_faultyAnswers)
             + ", ends" + ends + ", sound " + std::to_string(m_soundTimes.size()) + ", slowest "
             + std::to_string(m_soundTimes.empty() ? 0 : std::max_element(m_soundTimes.begin(), m_soundTimes.end())->count()) + " ms";
-        std::cout << "\n" << text << std::endl;
+        std::cout << "\n"
+                  << text << std::endl;
         CPPUNIT_ASSERT_MESSAGE(text, m_fleet->process(host).isRunning());
         CPPUNIT_ASSERT_MESSAGE(text, peak > 0 && peak < maxPeakBytes);
         CPPUNIT_ASSERT_MESSAGE(text, m_faultyAnswers >= m_requestCount);
