Apply the text that a host's own watch returns after a notice without it

Found in review: of two hosts that watch the store, the faster one's notice moves the position of the other to the change of the tables, whose text the other's own answer then held but dropped as known. If the first host was lost right then, the whole data centre waited for other sources, past the bound.

The text of the tables is applied whatever its revision; versions only rise. TablesSpreadTest::textOfOwnWatchIsAppliedAfterNoticeWithoutIt failed before.

--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -250,7 +250,9 @@
 {
     bool hasChanged = false;
     for (const auto& change : batch.changes) {
-        if (change.item.revision <= m_cursor.position().revision)
+        // The position may have moved on by a notice of another host, which came without the text of the tables.
+        const bool hasTablesText = change.item.key == platform::tablesKey() && !change.item.value.empty();
+        if (change.item.revision <= m_cursor.position().revision && !hasTablesText)
             continue;
         // Decoding tables takes long. Those between the known ones and the last ones of the batch are out of date already.
         if (change.item.key == platform::tablesKey() && isSuperseded(batch.changes, change))
--- a/tests/unit/spread/TablesSpreadTest.cpp
+++ b/tests/unit/spread/TablesSpreadTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(largeTablesReachAllHostsAsUpdates);
     CPPUNIT_TEST(hostThatStartsWithoutStoreGetsWholeTables);
     CPPUNIT_TEST(hostWithoutReachablePeersReadsSingleItem);
+    CPPUNIT_TEST(textOfOwnWatchIsAppliedAfterNoticeWithoutIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -116,6 +117,25 @@
         channel.stop();
     }
 
+    // Guards against a host that drops the text which its own watch returns, because the notice of another host moved its position.
+    void textOfOwnWatchIsAppliedAfterNoticeWithoutIt()
+    {
+        startGateway();
+        chiveshelf::peer::DatagramChannel channel(*m_context);
+        CPPUNIT_ASSERT(channel.start({ m_network + ".5", 7'003 }));
+        chiveshelf::StoreNotice notice;
+        notice.from = { m_store->era(), m_store->revision() };
+        m_store->delayNextAnswer("/kv-watch", milliseconds(500));
+        m_store->put("op/config", largeTables(11, 10));
+        notice.to = { m_store->era(), m_store->revision() };
+        notice.hasChanges = true;
+        notice.changes.push_back({ "op/config", "", m_store->revision(), false });
+        channel.send({ m_network + ".1", 7'003 }, notice);
+        runUntil([&] { return gauge("tables_version", m_network + ".1") == 11; }, seconds(2));
+        CPPUNIT_ASSERT_EQUAL(11.0, gauge("tables_version", m_network + ".1"));
+        channel.stop();
+    }
+
 private:
     static constexpr int hostCount = 10;
 
