Don't send on a request whose caller left while it was read

If the rest of a request and the close arrived while the loop was held, the request was sent on and ran for nobody. The connection is checked again just before each send.

CallerIdleTest::requestWhoseCallerGivesUpWhileItIsReadIsNotForwarded failed before.

--- a/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
@@ -240,6 +240,12 @@
         awaitReadable();
 }
 
+void CallerConnection::checkDisconnect()
+{
+    if (m_onDisconnected && m_socket.is_open() && isClosedByCaller())
+        handleDisconnect();
+}
+
 std::function<void(boost::system::error_code)> CallerConnection::makeDisconnectCheck()
 {
     m_isAwaitingReadable = true;
--- a/packages/gateway/chiveshelf/gateway/CallerConnection.h
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.h
@@ -78,6 +78,9 @@
     // hide the close.
     void watchDisconnect(std::function<void()> onDisconnected);
     void stopWatching() { m_onDisconnected = nullptr; }
+
+    // Checks at once whether the caller has closed the connection, before the loop tells.
+    void checkDisconnect();
     bool isDisconnected() const { return m_isDisconnected; }
 
     // Closes the connection with a reset, so that the caller sees that a response in progress is incomplete.
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -534,6 +534,7 @@
     bool isConnected = co_await connect(placement);
     if (isConnected)
         isConnected = co_await isRightIncarnation(placement);
+    m_caller->checkDisconnect();
     isConnected = isConnected && !isInterrupted();
     const auto now = std::chrono::steady_clock::now();
     const bool isTaken = !isCounted && !runner.requestLimit().hasPermit(now);
--- a/tests/unit/stalls/CallerIdleTest.cpp
+++ b/tests/unit/stalls/CallerIdleTest.cpp
@@ -15,6 +15,7 @@
 class CallerIdleTest : public fakeplatform::GatewayFixture {
     CPPUNIT_TEST_SUITE(CallerIdleTest);
     CPPUNIT_TEST(requestOfCallerThatHasGivenUpIsNotForwarded);
+    CPPUNIT_TEST(requestWhoseCallerGivesUpWhileItIsReadIsNotForwarded);
     CPPUNIT_TEST(requestThatCrossesIdleCloseIsNotRead);
     CPPUNIT_TEST(requestWithinIdleTimeAndMarginIsAnswered);
     CPPUNIT_TEST(headerCompletedWhileLoopIsBlockedBeyondItsTimeIsAnswered);
@@ -83,6 +84,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), requestCount());
     }
 
+    // Guards against sending on a request whose caller left while the rest of it lay unread.
+    void requestWhoseCallerGivesUpWhileItIsReadIsNotForwarded()
+    {
+        startRunnerAndGateway();
+        CPPUNIT_ASSERT_EQUAL(200U, fetch(post("/book/1")).status);
+        auto socket = connectCaller();
+        const auto request = post("/book/2");
+        asio::write(*socket, asio::buffer(request.substr(0, request.size() - 2)));
+        runFor(milliseconds(50));
+        block(milliseconds(100), [&] {
+            asio::write(*socket, asio::buffer(request.substr(request.size() - 2)));
+            socket->close();
+        });
+        runFor(milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), requestCount());
+    }
+
     // Guards against an idle close that reads a crossing request without an answer, so that the caller may not send it again.
     void requestThatCrossesIdleCloseIsNotRead()
     {
