Judge an answer of the store as current when it arrives, not after it is decoded

Found in review: a watching host with a slow processor decoded tables for longer than the bound, took its own answer for out of date and told nobody of it. The others then took it for silent and all watched the store. The time is taken before the changes are applied.

--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -227,14 +227,15 @@
                 co_await pauseBeforeRetry();
             co_return;
         }
+        // If this process was suspended, the answer may have been waiting for long and must not be announced as current.
+        const bool isCurrent = bootTime() - before <= wait + maxAnswerDelay;
         onContact();
         if (!m_cursor.continues(from, batch->position))
             continue;
         applyBatch(*batch);
         const ChangeBatch relayed { withoutValues(batch->changes, platform::tablesKey()), batch->position };
         m_log.add(from, relayed.position, relayed.changes);
-        // If this process was suspended, the answer may have been waiting for long and must not be announced as current.
-        if (bootTime() - before <= wait + maxAnswerDelay)
+        if (isCurrent)
             announce(from, relayed);
         const bool isBatching = !batch->changes.empty() && m_exchange.hostCount() >= largeFleetHosts;
         if (isBatching)
