--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -1,273 +1,37 @@
 // Many clients send bodies within the limits of the configuration at the same time. See claim.txt.
 
-#include "../standins/Platform.h"
-
-#include <csignal>
-#include <cstdlib>
-#include <iostream>
-#include <set>
+#include "../standins/Desk.h"
 
 using namespace review;
 
 namespace {
 
-// glowline-lanterns: memory_mb of a front machine, clients of the zone whose one machine takes them all, and the largest burst.
-constexpr std::int64_t memoryLimitBytes = 110'000'000;
+// glowline-lanterns: clients of the zone whose one machine takes them all, and the largest burst.
 constexpr int usualClients = 21;
 constexpr double burstFactor = 2.6;
 // limits.bodyBytes of the configuration.
 constexpr std::size_t bodyLimitBytes = 4'194'304;
-constexpr int rounds = 3;
-// LOST: "more than three times".
-constexpr int allowedLosses = 3;
-
-const char* const tables = R"({"version":1,"routes":[
-{"name":"charge","host":"desk.example","pathPrefix":"/charge/","kind":"non_idempotent","timeoutMs":1200,"goalMs":150,"priority":2,"service":"stall-desk","attempts":1,"public":false},
-{"name":"status","host":"desk.example","pathPrefix":"/status/","kind":"idempotent","timeoutMs":1200,"goalMs":150,"priority":2,"service":"stall-desk","attempts":2,"public":false}],
-"services":[{"name":"stall-desk","healthPath":"/healthz","maxConns":96,"protocol":"h1","tls":false}],
-"limits":{"headerBytes":16384,"bodyBytes":4194304,"headerMs":3000,"idleMs":15000},
-"tenants":[{"name":"stalls","apiKeys":["key1"],"priority":1}]})";
 
-// A runner of stall-desk: six slots, a queue of 24, 30 ms of work.
-class Runner {
+class Case : public DeskCase {
 public:
-    Runner(std::string id, const std::string& ip, Record& record)
-        : m_id(std::move(id))
-        , m_record(record)
-        , m_server(ip, [this](Connection& connection) { serve(connection); })
-    {
-    }
-
-    int port() const { return m_server.port(); }
-    bool hasRun(const std::string& request)
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_runs.contains(request);
-    }
+    using DeskCase::DeskCase;
 
 private:
-    static constexpr int slots = 6;
-    static constexpr int places = 30;
-    static constexpr int workMs = 30;
-
-    void serve(Connection& connection)
-    {
-        while (const auto request = connection.read()) {
-            const auto id = request->header("x-request-id");
-            const auto headers = "X-Request-Id: " + id + "\r\nX-Instance-Id: " + m_id + "\r\n";
-            if (request->header("x-expect-instance") != m_id) {
-                if (!connection.write(responseText(421, "", headers)))
-                    return;
-                continue;
-            }
-            if (!take(id)) {
-                if (!connection.write(responseText(503, "", headers + "X-Not-Executed: 1\r\n")))
-                    return;
-                continue;
-            }
-            sleepMs(workMs);
-            release();
-            if (!connection.write(responseText(200, "done " + id, headers + "X-Server-Seal: " + m_id + "." + id + "\r\n")))
-                return;
-        }
-    }
-
-    bool take(const std::string& id)
+    void play() override
     {
-        std::unique_lock lock(m_mutex);
-        if (m_taken >= places)
-            return false;
-        ++m_taken;
-        m_freed.wait(lock, [&] { return m_running < slots; });
-        ++m_running;
-        m_runs.insert(id);
-        m_record.line("runner " + m_id + " runs " + id);
-        return true;
-    }
-
-    void release()
-    {
-        const std::lock_guard lock(m_mutex);
-        --m_running;
-        --m_taken;
-        m_freed.notify_one();
-    }
-
-    std::string m_id;
-    Record& m_record;
-    std::mutex m_mutex;
-    std::condition_variable m_freed;
-    int m_taken = 0;
-    int m_running = 0;
-    std::set<std::string> m_runs;
-    Server m_server;
-};
-
-// The platform's machine: kills a process that uses more than its memory, and starts it again.
-class Machine {
-public:
-    Machine(Gateway& gateway, Record& record)
-        : m_gateway(gateway)
-        , m_record(record)
-        , m_thread([this] { watch(); })
-    {
-    }
-    ~Machine()
-    {
-        m_isStopped = true;
-        m_thread.join();
-    }
-    Machine(const Machine&) = delete;
-    Machine& operator=(const Machine&) = delete;
-
-    int kills() const { return m_kills; }
-    std::int64_t peakBytes() const { return m_peakBytes; }
-
-private:
-    void watch()
-    {
-        while (!m_isStopped) {
-            sleepMs(2);
-            const auto bytes = m_gateway.memoryBytes();
-            m_peakBytes = std::max(m_peakBytes.load(), bytes);
-            if (bytes <= memoryLimitBytes)
-                continue;
-            m_gateway.end(SIGKILL);
-            ++m_kills;
-            m_record.line("platform kills " + m_gateway.site().name + ", which uses " + std::to_string(bytes) + " bytes of " + std::to_string(memoryLimitBytes));
-            sleepMs(500);
-            m_gateway.start(false);
-        }
-    }
-
-    Gateway& m_gateway;
-    Record& m_record;
-    std::atomic<bool> m_isStopped { false };
-    std::atomic<int> m_kills { 0 };
-    std::atomic<std::int64_t> m_peakBytes { 0 };
-    std::thread m_thread;
-};
-
-class Case {
-public:
-    Case(const std::string& program, const std::string& folder, const std::string& logs, bool isTrouble)
-        : m_isTrouble(isTrouble)
-        , m_record(folder + "/record.txt")
-        , m_store("127.0.61.1")
-    {
-        for (int i = 0; i < 3; ++i)
-            m_runners.push_back(std::make_unique<Runner>("i-desk" + std::to_string(i), "127.0.61.2", m_record));
-        beat();
-        m_store.put("op/config", tables);
-        const std::vector<std::string> ips { "127.0.61.11", "127.0.61.12" };
-        const int listenPort = freePort(ips[0]);
-        const int adminPort = freePort(ips[0]);
-        const int peerPort = freePort(ips[0]);
-        for (const auto& ip : ips) {
-            GatewaySite site { "front-" + ip.substr(ip.rfind('.') + 1), "spanish-town", ip, listenPort, adminPort, peerPort, ips[0] + ":1," + ips[1] + ":1",
-                "127.0.61.1:" + std::to_string(m_store.port()) };
-            m_gateways.push_back(std::make_unique<Gateway>(program, site, logs + "/" + site.name + ".log"));
-            m_gateways.back()->start(true);
-        }
-        std::thread([this] {
-            while (true) {
-                sleepMs(1200);
-                beat();
-            }
-        }).detach();
-    }
-
-    int run()
-    {
-        for (const auto& gateway : m_gateways) {
-            if (!gateway->awaitReady(10'000))
-                return 2;
-        }
-        std::vector<std::unique_ptr<Machine>> machines;
-        for (const auto& gateway : m_gateways)
-            machines.push_back(std::make_unique<Machine>(*gateway, m_record));
-        // Traffic before the first trouble, longer than stableMs.
-        std::vector<std::thread> usual;
-        for (int i = 0; i < 4 * static_cast<int>(m_gateways.size()); ++i)
-            usual.emplace_back([this, i] { charge(i); });
-        sleepMs(4'000);
-        for (int round = 0; round < rounds; ++round) {
-            for (const auto& gateway : m_gateways) {
+        for (int round = 0; round < faultEnds; ++round) {
+            for (const auto& gateway : gateways()) {
                 gateway->awaitReady(5'000);
                 sleepMs(1'500);
                 send(*gateway, static_cast<int>(usualClients * burstFactor));
             }
         }
-        sleepMs(1'000);
-        m_isStopped = true;
-        for (auto& thread : usual)
-            thread.join();
-        return judge(machines);
-    }
-
-    void endProcesses()
-    {
-        for (const auto& gateway : m_gateways)
-            gateway->end(SIGKILL);
-    }
-
-private:
-    void beat()
-    {
-        const nlohmann::json entry { { "service", "stall-desk" }, { "zone", "spanish-town" }, { "version", "v1" }, { "capacity", 6 }, { "state", "ready" }, { "coldLeftMs", 0 } };
-        ++m_sequence;
-        for (std::size_t i = 0; i < m_runners.size(); ++i) {
-            auto own = entry;
-            own["address"] = "127.0.61.2:" + std::to_string(m_runners[i]->port());
-            own["sequence"] = m_sequence;
-            own["born"] = 1'700'000'000'000 + static_cast<std::int64_t>(i);
-            m_store.put("servers/i-desk" + std::to_string(i), own.dump());
-        }
-    }
-
-    static std::string requestText(const std::string& path, const std::string& id, const std::string& body)
-    {
-        return "POST " + path + " HTTP/1.1\r\nHost: desk.example\r\nApi-Key: key1\r\nX-Deadline-Ms: 2500\r\nX-Request-Id: " + id
-            + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    }
-
-    // A usual client: short deposits one after another on a kept connection.
-    void charge(int client)
-    {
-        const auto& gateway = *m_gateways[static_cast<std::size_t>(client) % m_gateways.size()];
-        std::unique_ptr<Connection> connection;
-        for (int i = 0; !m_isStopped; ++i) {
-            if (!connection) {
-                const int fd = connectTo(gateway.site().ip, gateway.site().listenPort);
-                if (fd < 0) {
-                    sleepMs(100);
-                    continue;
-                }
-                connection = std::make_unique<Connection>(fd);
-                connection->setReadTimeout(3'000);
-            }
-            const auto id = "charge-" + std::to_string(client) + "-" + std::to_string(i);
-            if (!connection->write(requestText("/charge/1", id, std::string(600, 'c')))) {
-                connection.reset();
-                continue;
-            }
-            const auto response = connection->read();
-            if (!response) {
-                m_record.line("client " + id + ": the connection ended without an answer");
-                const std::lock_guard lock(m_mutex);
-                m_unanswered.push_back(id);
-                connection.reset();
-            } else {
-                ++m_answered;
-            }
-            sleepMs(20);
-        }
     }
 
     // Clients that come at once, or one after another without the trouble, each with one body of the largest allowed size.
     void send(const Gateway& gateway, int clients)
     {
-        m_record.line(std::to_string(clients) + " clients send a body of " + std::to_string(bodyLimitBytes) + " bytes each to " + gateway.site().name);
+        record().line(std::to_string(clients) + " clients send a body of " + std::to_string(bodyLimitBytes) + " bytes each to " + gateway.site().name);
         std::vector<std::thread> threads;
         for (int i = 0; i < clients; ++i) {
             threads.emplace_back([this, &gateway] {
@@ -279,9 +43,9 @@
                 const auto id = "note-" + std::to_string(++m_notes);
                 connection.write(requestText("/status/1", id, std::string(bodyLimitBytes, 'n')));
                 const auto response = connection.read();
-                m_record.line("client " + id + ": " + (response ? response->second : "no answer"));
+                record().line("client " + id + ": " + (response ? response->second : "no answer"));
             });
-            if (!m_isTrouble)
+            if (!hasTrouble())
                 threads.back().join();
         }
         for (auto& thread : threads) {
@@ -290,37 +54,7 @@
         }
     }
 
-    int judge(const std::vector<std::unique_ptr<Machine>>& machines)
-    {
-        int losses = 0;
-        for (const auto& id : m_unanswered) {
-            const bool hasRun = std::any_of(m_runners.begin(), m_runners.end(), [&](const auto& runner) { return runner->hasRun(id); });
-            losses += hasRun ? 1 : 0;
-        }
-        bool isFault = true;
-        for (const auto& machine : machines) {
-            m_record.line("peak memory " + std::to_string(machine->peakBytes()) + " bytes, ends for its memory: " + std::to_string(machine->kills()));
-            isFault = isFault && machine->kills() >= rounds;
-        }
-        m_record.line("deposits answered: " + std::to_string(m_answered) + "; passed on, run and never answered: " + std::to_string(losses));
-        const bool isBroken = losses > allowedLosses || isFault;
-        m_record.line(std::string("LOST ") + (losses > allowedLosses ? "broken" : "held") + "; Fault (two machines, three ends each) " + (isFault ? "broken" : "held"));
-        if (m_answered == 0)
-            return 2;
-        return isBroken ? 1 : 0;
-    }
-
-    bool m_isTrouble;
-    Record m_record;
-    Store m_store;
-    std::vector<std::unique_ptr<Runner>> m_runners;
-    std::vector<std::unique_ptr<Gateway>> m_gateways;
-    std::int64_t m_sequence = 0;
-    std::mutex m_mutex;
-    std::vector<std::string> m_unanswered;
-    std::atomic<int> m_answered { 0 };
     std::atomic<int> m_notes { 0 };
-    std::atomic<bool> m_isStopped { false };
 };
 
 }
@@ -330,10 +64,5 @@
     if (argc != 4)
         return 2;
     std::signal(SIGPIPE, SIG_IGN);
-    const char* trouble = std::getenv("TROUBLE");
-    auto* theCase = new Case(argv[1], argv[2], argv[3], !trouble || std::string(trouble) != "0");
-    const int result = theCase->run();
-    theCase->endProcesses();
-    // Threads of the stand-ins may still use the case.
-    std::_Exit(result);
+    finish(*new Case("127.0.61", argv[1], argv[2], argv[3]));
 }
--- a/review/standins/Http.cpp
+++ b/review/standins/Http.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <cstdlib>
 #include <cstring>
 
@@ -87,6 +88,7 @@
 {
     char piece[65536];
     const auto n = ::recv(m_fd, piece, sizeof(piece), 0);
+    m_hasTimedOut = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     if (n <= 0)
         return false;
     m_buffer.append(piece, static_cast<std::size_t>(n));
--- a/review/standins/Http.h
+++ b/review/standins/Http.h
@@ -35,6 +35,8 @@
 
     // Reads a whole message. Returns nullopt if the connection ended or timed out before its end.
     std::optional<Message> read();
+    // Whether the last read ended by its timeout.
+    bool hasTimedOut() const { return m_hasTimedOut; }
 
 private:
     bool readMore();
@@ -42,6 +44,7 @@
 
     int m_fd;
     std::string m_buffer;
+    bool m_hasTimedOut = false;
 };
 
 // Returns a listening socket, or -1. Port 0 chooses a free port.
