--- a/review/standins/Platform.cpp
+++ b/review/standins/Platform.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -320,6 +321,8 @@
     const int log = ::open(m_logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     const pid_t child = ::fork();
     if (child == 0) {
+        // The process ends with the case, also if that is killed.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::dup2(log, 1);
         ::dup2(log, 2);
         ::execv(arguments[0], arguments.data());
