Remove runners at once that left while only this host was cut from the store

The runner that ran them had been removed from the store over two seconds before and exited.

Cause: after any outage of its own of a second or more, a host kept each missing runner for 2.2 s as if its entry had expired while the store was unavailable. If only this host was cut off, the runners had renewed their entries all the while, and a missing entry means that the runner has left. Besides, failed calls were repeated after up to 0.8 s, so that the grace time began up to 1.3 s after the end of the cut.

Change: a removal is put off only if nothing shows that the runner left. Two things do: a host of the runner's data centre had unbroken contact across the start of the outage (told in load notices), or another entry of the data centre has existed since before an outage that was certainly longer than the lifetime of an entry. Failed calls are repeated after at most 0.2 s. runner_removals_deferred is logged.

The tests of the grace time are unchanged.

--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
@@ -61,6 +61,7 @@
         { "stop-limit-s", "8", "Time from the signal to stop until the process is killed, in s.", false, false, checkDecimal(1, 3'600, "s") },
         { "order-gap-ms", "3000", "Least time between orders of two hosts to one runner, in ms.", false, false, checkNumber(0, 60'000, "ms") },
         { "version-limit-ms", "6000", "Time in which a named version has to be in place, in ms.", false, false, checkNumber(1, 3'600'000, "ms") },
+        { "runner-renew-ms", "1200", "Interval at which runners renew their entries in the store, in ms; they expire after three intervals.", false, false, checkNumber(1, 3'600'000, "ms") },
         { "retry-share", "0.2", "Repeats per request that all hosts together may send to a pool.", false, false, checkDecimal(0, 10, "") },
         { "retry-reserve", "50", "Repeats in each window that all hosts together may send beside the share.", false, false, checkDecimal(0, 1'000'000, "") },
         { "retry-window-s", "10", "Window over which repeats are counted, in s.", false, false, checkDecimal(1, 3'600, "s") },
@@ -95,6 +96,7 @@
     out.stopLimit = seconds(options, "stop-limit-s");
     out.orderGap = milliseconds(options, "order-gap-ms");
     out.versionLimit = milliseconds(options, "version-limit-ms");
+    out.runnerRenewInterval = milliseconds(options, "runner-renew-ms");
     out.retryShare = options.decimal("retry-share");
     out.retryReserve = options.decimal("retry-reserve");
     out.retryWindow = seconds(options, "retry-window-s");
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.h
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.h
@@ -27,6 +27,8 @@
     std::chrono::milliseconds orderGap { 3'000 };
     // Time within which a newly announced model version has to be loaded on the runners.
     std::chrono::milliseconds versionLimit { 6'000 };
+    // Interval at which runners renew their entries in the store. An entry that is not renewed for three intervals expires.
+    std::chrono::milliseconds runnerRenewInterval { 1'200 };
     // Retries that all hosts together may send to a pool per request, plus `retryReserve` in each window.
     double retryShare = 0.2;
     double retryReserve = 50;
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -383,6 +383,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     m_heardAt[notice.host] = now;
+    noteContact(notice, now);
     if (notice.dataCentre == hash64(m_settings.dataCentre) && m_dataCentreHostHashes.insert(notice.host).second)
         updateReceivers();
     // Allows for two lost notices.
@@ -419,6 +420,16 @@
     m_tables.onNews(from.ip, notice.tablesVersion, tablesPullDelay);
 }
 
+void HostExchange::noteContact(const LoadNotice& notice, TimePoint now)
+{
+    std::optional<ContactSpan<TimePoint>> contact;
+    if (notice.answerAgeMs != LoadNotice::noContact) {
+        const auto lastAnswer = now - std::chrono::milliseconds(notice.answerAgeMs);
+        contact = { lastAnswer - std::chrono::milliseconds(notice.contactMs), lastAnswer };
+    }
+    m_state.registry().hostContacts().note(notice.host, notice.dataCentre, contact);
+}
+
 void HostExchange::onParts(const std::vector<PlacedPart>& parts)
 {
     for (const auto& part : parts) {
@@ -587,6 +598,10 @@
     notice.host = m_hostHash;
     notice.dataCentre = hash64(m_settings.dataCentre);
     notice.tablesVersion = m_state.tablesVersion();
+    if (const auto contact = m_state.contactHistory().unbrokenContact()) {
+        notice.contactMs = static_cast<std::uint32_t>(toMilliseconds(contact->lastAnswer - contact->start));
+        notice.answerAgeMs = static_cast<std::uint32_t>(toMilliseconds(bootTime() - contact->lastAnswer));
+    }
     notice.intervalMs = static_cast<std::uint16_t>(interval.count());
     notice.versions = versionAges();
     notice.storeSpeeds = std::move(storeSpeeds);
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -133,6 +133,8 @@
     template <typename Addresses>
     void sendParts(const Addresses&, const std::vector<PlacedPart>&);
     void onLoad(const Address& from, const LoadNotice&);
+    // Records what a notice tells of its sender's contact with the key-value store.
+    void noteContact(const LoadNotice&, TimePoint now);
     void onParts(const std::vector<PlacedPart>&);
     void onRollout(const RolloutNotice&);
     void onLeaving(const LeavingNotice&);
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -130,6 +130,11 @@
     // Hash of the name of the sender's data centre.
     std::uint64_t dataCentre = 0;
     std::uint64_t tablesVersion = 0;
+    // Duration in ms of the sender's unbroken contact with the key-value store up to the latest answer, and the age of that answer. The
+    // age is `noContact` while the sender's calls fail.
+    static constexpr std::uint32_t noContact = std::numeric_limits<std::uint32_t>::max();
+    std::uint32_t contactMs = 0;
+    std::uint32_t answerAgeMs = noContact;
     // Time in ms until the sender's next notice to the same hosts.
     std::uint16_t intervalMs = 0;
     // Inclusive range of the runner numbers that this notice covers.
@@ -144,7 +149,7 @@
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(host, dataCentre, tablesVersion, intervalMs, firstRunner, lastRunner, loads, parts, versions, storeSpeeds);
+        archive(host, dataCentre, tablesVersion, contactMs, answerAgeMs, intervalMs, firstRunner, lastRunner, loads, parts, versions, storeSpeeds);
     }
 };
 
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -23,11 +23,14 @@
     constexpr int streamLifetimeLimits = 2;
     constexpr std::chrono::milliseconds streamLifetimeMargin { 5'000 };
     constexpr std::chrono::milliseconds defaultStreamLifetime { 30'000 };
+    // Intervals of renewal after which the store removes the entry of a silent runner.
+    constexpr int expiredIntervals = 3;
 
 }
 
 ServingState::ServingState(const GatewaySettings& settings)
     : m_settings(settings)
+    , m_registry(expiredIntervals * settings.runnerRenewInterval)
     , m_crashEvidence(crashLifetime, answerLifetime)
     , m_streamOrigins(defaultStreamLifetime)
     , m_softwareHistory(defaultStreamLifetime)
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -39,7 +39,7 @@
     // Delays after failed calls. Failed calls count against the rate limit of the store, but hosts must be up to date within seconds
     // of its return.
     constexpr std::chrono::milliseconds minRetryDelay { 50 };
-    constexpr std::chrono::milliseconds maxRetryDelay { 800 };
+    constexpr std::chrono::milliseconds maxRetryDelay { 200 };
     // How long and how often hosts that started after a restore are told of runners that have left. The store removes entries that are
     // not renewed within seconds.
     constexpr std::chrono::milliseconds leftRunnersTime { 8'000 };
@@ -128,7 +128,7 @@
         co_await sleep(expiryInterval);
         m_state.contactHistory().tick(bootTime());
         if (m_state.registry().expire(now()))
-            m_state.refreshRunners();
+            refreshRunners();
         announceLeftRunners();
         m_state.observeSoftware();
         m_state.streamOrigins().expire(now());
@@ -163,7 +163,7 @@
         m_state.registry().onRestored(now());
     m_state.setStoreEra(position.era);
     logEvent(LogLevel::Info, "store_read", { { "era", position.era }, { "revision", position.revision }, { "previous_era", previous.era }, { "previous_revision", previous.revision }, { "items", items.size() } });
-    applyAll(items);
+    applyAll(items, position.era);
     m_hasRead = true;
     co_return true;
 }
@@ -173,9 +173,10 @@
     std::pair<StorePosition, std::vector<StoredItem>> out;
     std::string after;
     while (true) {
+        const auto sentAt = now();
         const auto page = co_await m_store.read("", after);
         if (!page) {
-            onFailure(page.error(), "read");
+            onFailure(page.error(), "read", sentAt);
             co_return std::nullopt;
         }
         // Later pages may hold newer items; the watch from the first page's position returns these changes again.
@@ -213,13 +214,14 @@
     auto wait = isRelaying() ? firstWatchTimeout : watchTimeout;
     while (!m_isStopped && !m_isReadingAll && !m_cursor.mustRead() && mustWatch()) {
         const auto from = m_cursor.position();
+        const auto sentAt = now();
         const auto before = bootTime();
         const auto batch = co_await m_store.watch("", from, wait);
         if (!batch) {
             if (batch.error().code == ErrorCode::NotFound)
                 logEvent(LogLevel::Info, "store_history_lost", { { "era", from.era }, { "revision", from.revision } });
             else
-                onFailure(batch.error(), "watch");
+                onFailure(batch.error(), "watch", sentAt);
             // The history may be lost when a watch is interrupted; only a full read returns the missed changes at once.
             if (m_cursor.position().era == from.era)
                 m_cursor.requireRead();
@@ -349,29 +351,36 @@
     m_isInContact = true;
 }
 
-void StoreFollower::onFailure(const Error& error, std::string_view call)
+void StoreFollower::onFailure(const Error& error, std::string_view call, TimePoint sentAt)
 {
-    m_state.registry().onContactLost(now());
+    if (m_isInContact)
+        m_positionAtLoss = m_cursor.position();
+    m_state.registry().onCallFailed(sentAt, now());
     m_state.contactHistory().onFailure();
     if (m_isInContact || !m_hasRead)
         logEvent(LogLevel::Warning, "store_call_failed", { { "call", call }, { "error", error.message } });
     m_isInContact = false;
 }
 
-void StoreFollower::applyAll(const std::vector<StoredItem>& items)
+void StoreFollower::applyAll(const std::vector<StoredItem>& items, StoreEra era)
 {
     std::vector<RunnerRecord> runners;
+    std::set<std::string> kept;
     m_hostItems.clear();
     m_leaderKeyFreeSince = now();
     m_relayItems.clear();
     const auto formerSoftware = std::exchange(m_softwareRevisions, {});
-    for (const auto& item : items)
+    for (const auto& item : items) {
+        const auto n = runners.size();
         applyDecoded(ItemChange { item, false }, &runners);
+        if (runners.size() > n && era == m_positionAtLoss.era && item.createdAt <= m_positionAtLoss.revision)
+            kept.insert(runners.back().id);
+    }
     for (const auto& [pool, revision] : formerSoftware) {
         if (!m_softwareRevisions.contains(pool))
             m_state.softwareHistory().setRecord(pool, std::nullopt, now());
     }
-    const auto left = m_state.registry().replaceAll(runners, now());
+    const auto left = m_state.registry().replaceAll(runners, now(), kept);
     m_leftRunners.clear();
     for (const auto& record : left)
         m_leftRunners.push_back(runnerNumber(record));
@@ -456,9 +465,17 @@
     logEvent(LogLevel::Info, "runner_listed", { { "runner", record.id }, { "pool", record.pool }, { "born", record.bornMs }, { "sequence", record.sequence }, { "software", record.softwareVersion }, { "leaving", record.isLeaving ? "yes" : "no" } });
 }
 
-void StoreFollower::finishChanges()
+void StoreFollower::refreshRunners()
 {
     m_state.refreshRunners();
+    const auto deferred = m_state.registry().deferredRemovals();
+    if (std::exchange(m_deferredRemovals, deferred) != deferred)
+        logEvent(LogLevel::Info, "runner_removals_deferred", { { "runners", deferred } });
+}
+
+void StoreFollower::finishChanges()
+{
+    refreshRunners();
     if (!std::exchange(m_haveHostsChanged, false))
         return;
     std::map<std::string, Address> hosts;
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.h
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.h
@@ -84,7 +84,8 @@
     void onCurrentNotice(std::uint64_t host);
     boost::asio::awaitable<void> pauseBeforeRetry();
     void apply(const ItemChange&);
-    void applyAll(const std::vector<StoredItem>&);
+    // Applies all items of the store, which were read in this era.
+    void applyAll(const std::vector<StoredItem>&, StoreEra);
     // Tells all hosts of the runners that have left since the copy from which the store was restored. Hosts that started since then
     // don't know of it.
     void announceLeftRunners();
@@ -95,10 +96,12 @@
     void applySoftwareRecord(const ItemChange&);
     void applyDecoded(const ItemChange&, std::vector<RunnerRecord>* runners);
     void finishChanges();
+    // Makes the registry's runners the ones in use, and logs how many of them are missing in the store.
+    void refreshRunners();
     // Logs a runner that is new, has restarted or leaves.
     void logRunner(const RunnerRecord&) const;
     void onContact();
-    void onFailure(const Error&, std::string_view call);
+    void onFailure(const Error&, std::string_view call, TimePoint sentAt);
 
     boost::asio::io_context& m_context;
     platform::StoreClient& m_store;
@@ -111,6 +114,8 @@
     // bootTime() of the last answer or notice of the store.
     std::chrono::nanoseconds m_lastContactAt { 0 };
     std::chrono::milliseconds m_retryDelay;
+    // The known position when contact with the store was last lost.
+    StorePosition m_positionAtLoss;
     TimePoint m_leaderKeyFreeSince {};
     std::uint64_t m_rank;
     WatcherElection m_election;
@@ -123,6 +128,7 @@
     // Hash of the text of the tables that was decoded last. The same text arrives by watches, full reads and from other hosts.
     std::uint64_t m_tablesTextHash = 0;
     std::size_t m_decodedTablesCount = 0;
+    std::size_t m_deferredRemovals = 0;
     bool m_isReadingAll = false;
     bool m_isPullingChanges = false;
     bool m_isInContact = false;
--- a/packages/keyvalue/chiveshelf/keyvalue/ItemStore.h
+++ b/packages/keyvalue/chiveshelf/keyvalue/ItemStore.h
@@ -10,6 +10,8 @@
     std::string value;
     // Revision of its last change, in the era of the answer that it came with.
     Revision revision = 0;
+    // Revision at which it was created, in the same era. An item that was removed and written again has a later one than before.
+    Revision createdAt = 0;
 
     auto operator<=>(const StoredItem&) const = default;
 };
--- a/packages/placement/chiveshelf/placement/ContactHistory.cpp
+++ b/packages/placement/chiveshelf/placement/ContactHistory.cpp
@@ -7,6 +7,7 @@
     if (m_lastTick.count() > 0 && now - m_lastTick > stallThreshold) {
         m_gapStart = m_lastTick;
         m_gapEnd = now;
+        m_contactStart = now;
     }
     m_lastTick = now;
 }
@@ -19,6 +20,8 @@
         m_gapStart = m_lastAnswer;
         m_gapEnd = now;
     }
+    if (m_hasFailed || m_answers == 0)
+        m_contactStart = now;
     m_hasFailed = false;
     ++m_answers;
     m_lastAnswer = now;
@@ -29,6 +32,13 @@
     m_hasFailed = true;
 }
 
+std::optional<ContactSpan<std::chrono::nanoseconds>> ContactHistory::unbrokenContact() const
+{
+    if (m_hasFailed || m_answers == 0 || m_lastAnswer < m_contactStart)
+        return std::nullopt;
+    return ContactSpan<std::chrono::nanoseconds> { m_contactStart, m_lastAnswer };
+}
+
 std::chrono::nanoseconds ContactHistory::earliestChangeTime(std::chrono::nanoseconds now) const
 {
     return m_gapEnd.count() > 0 && now - m_gapEnd <= lateChangeTime ? m_gapStart : now;
--- a/packages/placement/chiveshelf/placement/ContactHistory.h
+++ b/packages/placement/chiveshelf/placement/ContactHistory.h
@@ -1,10 +1,21 @@
 #pragma once
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
+#include <optional>
 
 namespace chiveshelf {
 
+// A time of unbroken contact with the store, from the first to the latest answer.
+template <typename Time>
+struct ContactSpan {
+    Time start {};
+    Time lastAnswer {};
+
+    auto operator<=>(const ContactSpan&) const = default;
+};
+
 // Records gaps in this host's contact with the store. A change that is received after a gap may have been made at any time during
 // it, so it is dated to the start of the gap. All times are of bootTime(), which includes the time in which the machine was
 // suspended.
@@ -27,12 +38,17 @@
     // Returns whether the store had answered before the answer that is being processed.
     bool hasAnswered() const { return m_answers > 1; }
 
+    // Returns the contact since the last gap, or nothing while calls fail.
+    std::optional<ContactSpan<std::chrono::nanoseconds>> unbrokenContact() const;
+
     // Returns the earliest time at which a change that is received now can have been made.
     std::chrono::nanoseconds earliestChangeTime(std::chrono::nanoseconds now) const;
 
 private:
     std::chrono::nanoseconds m_lastTick { 0 };
     std::chrono::nanoseconds m_lastAnswer { 0 };
+    // The first answer after the last gap.
+    std::chrono::nanoseconds m_contactStart { 0 };
     // The last gap, in which changes could be missed.
     std::chrono::nanoseconds m_gapStart { 0 };
     std::chrono::nanoseconds m_gapEnd { 0 };
--- a/packages/placement/chiveshelf/placement/RunnerRegistry.cpp
+++ b/packages/placement/chiveshelf/placement/RunnerRegistry.cpp
@@ -1,7 +1,5 @@
 #include "chiveshelf/placement/RunnerRegistry.h"
 
-#include <set>
-
 namespace chiveshelf {
 
 namespace {
@@ -38,8 +36,31 @@
 void RunnerRegistry::erase(const std::string& id, TimePoint now)
 {
     auto node = m_records.extract(id);
-    if (!node.empty())
-        m_departures.insert_or_assign(id, Departure { std::move(node.mapped()), now + departureMemory });
+    if (node.empty())
+        return;
+    m_renewedEntries[node.mapped().dataCentre].erase(id);
+    m_departures.insert_or_assign(id, Departure { std::move(node.mapped()), now + departureMemory });
+}
+
+bool RunnerRegistry::hasRenewedNeighbour(const RunnerRecord& record) const
+{
+    const auto it = m_renewedEntries.find(record.dataCentre);
+    if (it == m_renewedEntries.end())
+        return false;
+    return std::any_of(it->second.begin(), it->second.end(), [&](const auto& id) { return id != record.id && !m_pendingRemovals.contains(id); });
+}
+
+bool RunnerRegistry::hasLeft(const RunnerRecord& record, TimePoint now) const
+{
+    // A runner that announced its shutdown does not register again.
+    if (record.isLeaving)
+        return true;
+    if (now < m_restoreGraceEnd)
+        return false;
+    const auto outageStart = m_lostAt.value_or(m_outageStart);
+    if (!m_lostAt && now >= m_graceEnd)
+        return true;
+    return m_hostContacts.hasContactAcross(record.dataCentre, outageStart) || (!m_lostAt && hasRenewedNeighbour(record));
 }
 
 void RunnerRegistry::remove(const std::string& id, TimePoint now)
@@ -47,21 +68,23 @@
     const auto it = m_records.find(id);
     if (it == m_records.end())
         return;
-    // A runner that announced its shutdown does not register again.
-    if (it->second.isLeaving || (now >= m_graceEnd && !m_lostAt)) {
+    if (hasLeft(it->second, now)) {
         m_pendingRemovals.erase(id);
-        erase(it->first, now);
+        erase(id, now);
         return;
     }
-    m_pendingRemovals.emplace(id, m_lostAt ? TimePoint::max() : m_graceEnd);
+    m_pendingRemovals.emplace(id, m_lostAt ? TimePoint::max() : std::max(m_graceEnd, m_restoreGraceEnd));
 }
 
-std::vector<RunnerRecord> RunnerRegistry::replaceAll(const std::vector<RunnerRecord>& records, TimePoint now)
+std::vector<RunnerRecord> RunnerRegistry::replaceAll(const std::vector<RunnerRecord>& records, TimePoint now, const std::set<std::string>& kept)
 {
+    m_renewedEntries.clear();
     std::set<std::string> listed;
     std::vector<RunnerRecord> left;
     for (const auto& record : records) {
         listed.insert(record.id);
+        if (m_certainOutage >= m_entryLifetime && kept.contains(record.id))
+            m_renewedEntries[record.dataCentre].insert(record.id);
         if (put(record) || record.isLeaving)
             continue;
         const auto it = m_records.find(record.id);
@@ -78,10 +101,11 @@
     return left;
 }
 
-void RunnerRegistry::onContactLost(TimePoint now)
+void RunnerRegistry::onCallFailed(TimePoint sentAt, TimePoint now)
 {
     if (!m_lostAt)
         m_lostAt = now;
+    m_lastFailedCall = sentAt;
 }
 
 void RunnerRegistry::onContactRegained(TimePoint now)
@@ -90,9 +114,12 @@
         return;
     if (now - *m_lostAt >= minOutage)
         m_graceEnd = now + reregistrationGrace;
+    m_outageStart = *m_lostAt;
+    m_certainOutage = std::max(m_lastFailedCall - *m_lostAt, std::chrono::nanoseconds(0));
+    m_renewedEntries.clear();
     m_lostAt.reset();
     for (auto& [id, end] : m_pendingRemovals)
-        end = std::min(end, std::max(m_graceEnd, now));
+        end = std::min(end, std::max({ m_graceEnd, m_restoreGraceEnd, now }));
 }
 
 bool RunnerRegistry::expire(TimePoint now)
@@ -100,7 +127,9 @@
     std::erase_if(m_departures, [&](const auto& entry) { return entry.second.forgottenAt <= now; });
     bool hasExpired = false;
     for (auto it = m_pendingRemovals.begin(); it != m_pendingRemovals.end();) {
-        if (it->second > now) {
+        const auto record = m_records.find(it->first);
+        const bool isOver = it->second <= now || record == m_records.end() || hasLeft(record->second, now);
+        if (!isOver) {
             ++it;
             continue;
         }
--- a/tests/support/FakePlatform.cpp
+++ b/tests/support/FakePlatform.cpp
@@ -40,7 +40,10 @@
 
 void Store::put(const std::string& key, const std::string& value)
 {
-    m_state.items[key] = { value, ++m_state.revision, false, 0 };
+    const auto revision = ++m_state.revision;
+    const bool isNew = !contains(key);
+    auto& item = m_state.items[key];
+    item = { value, revision, false, 0, isNew ? revision : item.createdAt };
 }
 
 void Store::remove(const std::string& key)
@@ -105,7 +108,7 @@
     json body { { "items", json::array() }, { "hasMore", false }, { "storeRevision", m_state.revision } };
     for (const auto& [key, item] : m_state.items) {
         if (!item.isRemoved)
-            body["items"].push_back({ { "key", key }, { "value", encode64(item.value) }, { "rev", item.revision }, { "lease", item.lease } });
+            body["items"].push_back({ { "key", key }, { "value", encode64(item.value) }, { "rev", item.revision }, { "createRevision", item.createdAt }, { "lease", item.lease } });
     }
     return http::makeResponse(http::Status::ok, body.dump());
 }
--- a/tests/support/FakePlatform.h
+++ b/tests/support/FakePlatform.h
@@ -82,6 +82,7 @@
         std::uint64_t revision = 0;
         bool isRemoved = false;
         std::uint64_t lease = 0;
+        std::uint64_t createdAt = 0;
     };
 
     // All that a restore takes back.
--- a/tests/support/GatewayFixture.h
+++ b/tests/support/GatewayFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "FakePlatform.h"
+#include "SlowLink.h"
 #include "chiveshelf/gateway/Gateway.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -64,6 +65,7 @@
         m_gateway.reset();
         m_hosts.clear();
         m_runners.clear();
+        m_storeLinks.clear();
         m_store.reset();
         m_context.reset();
     }
@@ -111,7 +113,7 @@
         settings.callerAddress = { hostIp(number), 7'001 };
         settings.adminAddress = { hostIp(number), 7'002 };
         settings.peerAddress = { hostIp(number), 7'003 };
-        settings.storeAddress = { m_network + ".1", 7'000 };
+        settings.storeAddress = m_storeLinks.contains(number) ? storeLinkAddress(number) : chiveshelf::Address { m_network + ".1", 7'000 };
         for (int i = 0; i < contacts; ++i)
             settings.contacts.push_back({ hostIp(i), 7'003 });
         settings.isFirstStart = m_isFirstStart;
@@ -125,6 +127,18 @@
         CPPUNIT_ASSERT(host.gateway->start());
     }
 
+    // Lets a host reach the store, from its next start on, over a link of its own that can be cut.
+    void linkStore(int number)
+    {
+        auto& link = m_storeLinks[number];
+        link = std::make_unique<support::SlowLink>(*m_context, storeLinkBytesPerSecond);
+        link->forward(storeLinkAddress(number), { m_network + ".1", 7'000 }, support::SlowLink::Direction::FromHost);
+    }
+
+    void setStoreCut(int number, bool isCut) { m_storeLinks.at(number)->setCut(isCut); }
+
+    chiveshelf::Address storeLinkAddress(int number) const { return { hostIp(number), 7'005 }; }
+
     // Ends a host without notice: its connections are reset and its tasks are gone.
     void killHost(int number)
     {
@@ -240,6 +254,8 @@
         return **out;
     }
 
+    static constexpr double storeLinkBytesPerSecond = 100e6;
+
     // GatewaySettings::retryReserve of the gateway.
     double m_retryReserve = 50;
     // Number of hosts of a fleet with the usual link and processor; the others have a slow processor and this link.
@@ -250,6 +266,7 @@
     std::string m_network;
     std::unique_ptr<boost::asio::io_context> m_context;
     std::unique_ptr<Store> m_store;
+    std::map<int, std::unique_ptr<support::SlowLink>> m_storeLinks;
     std::vector<std::unique_ptr<Runner>> m_runners;
     std::unique_ptr<chiveshelf::Gateway> m_gateway;
     // A host of a fleet, with a context of its own so that it can be killed. Members are destroyed in reverse order.
--- a/tests/support/SlowLink.cpp
+++ b/tests/support/SlowLink.cpp
@@ -50,6 +50,15 @@
     asio::co_spawn(m_context, accept(acceptor, target, callerSends), asio::detached);
 }
 
+void SlowLink::setCut(bool isCut)
+{
+    m_isCut = isCut;
+    for (const auto& entry : std::exchange(m_sockets, {})) {
+        if (const auto socket = entry.lock())
+            reset(*socket);
+    }
+}
+
 asio::awaitable<void> SlowLink::accept(std::shared_ptr<asio::ip::tcp::acceptor> acceptor, Address target, Direction callerSends)
 {
     while (true) {
@@ -58,6 +67,10 @@
         co_await acceptor->async_accept(*caller, asio::redirect_error(asio::use_awaitable, ec));
         if (ec)
             co_return;
+        if (m_isCut) {
+            reset(*caller);
+            continue;
+        }
         asio::co_spawn(m_context, connect(std::move(caller), target, callerSends), asio::detached);
     }
 }
@@ -67,10 +80,11 @@
     boost::system::error_code ec;
     auto peer = std::make_shared<Socket>(m_context);
     co_await peer->async_connect(http::toEndpoint(target), asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) {
+    if (ec || m_isCut) {
         reset(*caller);
         co_return;
     }
+    m_sockets.insert(m_sockets.end(), { caller, peer });
     caller->set_option(asio::ip::tcp::no_delay(true), ec);
     peer->set_option(asio::ip::tcp::no_delay(true), ec);
     const auto otherDirection = callerSends == Direction::ToHost ? Direction::FromHost : Direction::ToHost;
--- a/tests/support/SlowLink.h
+++ b/tests/support/SlowLink.h
@@ -29,6 +29,9 @@
     // Forwards connections made to `listen` to `target`. `callerSends` is the direction of what the connecting side sends.
     void forward(const chiveshelf::Address& listen, const chiveshelf::Address& target, Direction callerSends);
 
+    // Cuts the link: its connections and all later ones are reset until it is joined again.
+    void setCut(bool isCut);
+
     // Bytes that crossed the link since its construction.
     std::size_t bytes(Direction direction) const { return m_queues[index(direction)].bytes; }
 
@@ -50,6 +53,8 @@
     boost::asio::io_context& m_context;
     double m_bytesPerSecond;
     std::array<Queue, 2> m_queues;
+    std::vector<std::weak_ptr<Socket>> m_sockets;
+    bool m_isCut = false;
 };
 
 }
--- a/tests/unit/placement/PlacementStateTest.cpp
+++ b/tests/unit/placement/PlacementStateTest.cpp
@@ -18,6 +18,7 @@
 
 class PlacementStateTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PlacementStateTest);
+    CPPUNIT_TEST(contactIsBrokenByAFailedCallAndByAStall);
     CPPUNIT_TEST(runnerAfterRepeatedConnectionFailuresIsExcludedForDoubledTime);
     CPPUNIT_TEST(silentRunnerWithUnansweredRequestsIsExcludedThenRetried);
     CPPUNIT_TEST(runnerSendingDataWithUnansweredRequestsIsUsable);
@@ -109,6 +110,25 @@
     }
 
     // All hosts together may make 0.2 retries per request and 54 more in 10 s.
+    // A host that can't vouch for the store must not make others take expired entries for removals.
+    void contactIsBrokenByAFailedCallAndByAStall()
+    {
+        ContactHistory contact;
+        CPPUNIT_ASSERT(!contact.unbrokenContact());
+        contact.onAnswer(seconds(10));
+        contact.onAnswer(milliseconds(10'500));
+        CPPUNIT_ASSERT(contact.unbrokenContact()->start == seconds(10));
+        CPPUNIT_ASSERT(contact.unbrokenContact()->lastAnswer == milliseconds(10'500));
+        contact.onFailure();
+        CPPUNIT_ASSERT(!contact.unbrokenContact());
+        contact.onAnswer(seconds(11));
+        CPPUNIT_ASSERT(contact.unbrokenContact()->start == seconds(11));
+        contact.tick(seconds(13));
+        CPPUNIT_ASSERT(!contact.unbrokenContact());
+        contact.onAnswer(milliseconds(13'100));
+        CPPUNIT_ASSERT(contact.unbrokenContact()->start == seconds(13));
+    }
+
     void retriesOfSevenHostsStayWithinFleetBudget()
     {
         std::vector<FleetRetryBudget> hosts(7, FleetRetryBudget(0.2, 54, seconds(10)));
--- a/tests/unit/placement/RunnerRegistryTest.cpp
+++ b/tests/unit/placement/RunnerRegistryTest.cpp
@@ -1,4 +1,5 @@
 #include "chiveshelf/placement/RunnerRegistry.h"
+#include "chiveshelf/core/Hash.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -13,6 +14,7 @@
     RunnerRecord record;
     record.id = std::move(id);
     record.pool = "pool";
+    record.dataCentre = "z";
     return record;
 }
 
@@ -30,6 +32,16 @@
     CPPUNIT_TEST(entriesWithoutTimeOfStartAreAcceptedInAnyOrder);
     CPPUNIT_TEST(listingFromBeforeDepartureReturnsTheRunnersThatLeft);
     CPPUNIT_TEST(entryMissingInRestoredListingIsKeptUntilGraceEnds);
+    CPPUNIT_TEST(entryMissingAfterOutageOfThisHostAloneIsRemovedImmediately);
+    CPPUNIT_TEST(entryOfOtherDataCentreThanTheHostInContactIsKept);
+    CPPUNIT_TEST(entryIsKeptIfTheOtherHostLostContactToo);
+    CPPUNIT_TEST(entryIsKeptIfTheOtherHostHasHadNoAnswerSinceTheOutageBegan);
+    CPPUNIT_TEST(deferredRemovalTakesEffectWhenAnotherHostTellsOfItsContact);
+    CPPUNIT_TEST(entryMissingBesideOneRenewedInALongOutageIsRemovedImmediately);
+    CPPUNIT_TEST(entryMissingBesideOneThatOutlastedAShortOutageIsKept);
+    CPPUNIT_TEST(entryMissingBesideOneRenewedInOtherDataCentreIsKept);
+    CPPUNIT_TEST(lastOfTheRenewedEntriesIsKept);
+    CPPUNIT_TEST(entryMissingInRestoredListingIsKeptBesideHostInContact);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -137,7 +149,108 @@
         CPPUNIT_ASSERT(m_registry.expire(m_now + RunnerRegistry::reregistrationGrace));
     }
 
+    // A host that was cut from the store alone sent requests to runners that had left.
+    void entryMissingAfterOutageOfThisHostAloneIsRemovedImmediately()
+    {
+        simulateOutage(seconds(5));
+        noteContact("z", seconds(20), milliseconds(0));
+        m_registry.replaceAll({}, m_now);
+        CPPUNIT_ASSERT(m_registry.records().empty());
+    }
+
+    void entryOfOtherDataCentreThanTheHostInContactIsKept()
+    {
+        simulateOutage(seconds(5));
+        noteContact("y", seconds(20), milliseconds(0));
+        m_registry.replaceAll({}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_registry.records().size());
+    }
+
+    void entryIsKeptIfTheOtherHostLostContactToo()
+    {
+        simulateOutage(seconds(5));
+        noteContact("z", seconds(20), milliseconds(0));
+        m_registry.hostContacts().note(otherHost, hash64("z"), std::nullopt);
+        m_registry.replaceAll({}, m_now);
+        noteContact("z", seconds(4), milliseconds(0));
+        CPPUNIT_ASSERT(!m_registry.expire(m_now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_registry.records().size());
+    }
+
+    void entryIsKeptIfTheOtherHostHasHadNoAnswerSinceTheOutageBegan()
+    {
+        simulateOutage(seconds(5));
+        noteContact("z", seconds(20), milliseconds(5'001));
+        m_registry.replaceAll({}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_registry.records().size());
+    }
+
+    void deferredRemovalTakesEffectWhenAnotherHostTellsOfItsContact()
+    {
+        simulateOutage(seconds(5));
+        m_registry.replaceAll({}, m_now);
+        CPPUNIT_ASSERT(!m_registry.expire(m_now));
+        noteContact("z", seconds(20), milliseconds(0));
+        CPPUNIT_ASSERT(m_registry.expire(m_now));
+        CPPUNIT_ASSERT(m_registry.records().empty());
+    }
+
+    // A host without neighbours sent requests to runners that had left.
+    void entryMissingBesideOneRenewedInALongOutageIsRemovedImmediately()
+    {
+        simulateOutage(seconds(5), seconds(4), { "b" });
+        m_registry.replaceAll({ makeRecord("b") }, m_now, { "b" });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_registry.records().size());
+        CPPUNIT_ASSERT(m_registry.records().contains("b"));
+    }
+
+    // No entry need have been renewed in an outage that is shorter than their lifetime.
+    void entryMissingBesideOneThatOutlastedAShortOutageIsKept()
+    {
+        simulateOutage(seconds(5), seconds(3), { "b" });
+        m_registry.replaceAll({ makeRecord("b") }, m_now, { "b" });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_registry.records().size());
+    }
+
+    // The entries of a data centre that was cut off expire, those of the others are renewed.
+    void entryMissingBesideOneRenewedInOtherDataCentreIsKept()
+    {
+        simulateOutage(seconds(5), seconds(4), { "b" });
+        auto record = makeRecord("b");
+        record.dataCentre = "y";
+        m_registry.replaceAll({ record }, m_now, { "b" });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_registry.records().size());
+    }
+
+    // Entries that the store removes one after the other once it is back leave no evidence of a renewal.
+    void lastOfTheRenewedEntriesIsKept()
+    {
+        simulateOutage(seconds(5), seconds(4), { "b" });
+        m_registry.replaceAll({ makeRecord("a"), makeRecord("b") }, m_now, { "a", "b" });
+        m_registry.remove("a", m_now);
+        m_registry.remove("b", m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_registry.records().size());
+        CPPUNIT_ASSERT(m_registry.records().contains("b"));
+    }
+
+    void entryMissingInRestoredListingIsKeptBesideHostInContact()
+    {
+        simulateOutage(seconds(5));
+        m_registry.onRestored(m_now);
+        noteContact("z", seconds(20), milliseconds(0));
+        m_registry.replaceAll({}, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_registry.records().size());
+    }
+
 private:
+    static constexpr std::uint64_t otherHost = 7;
+
+    // Reports another host's contact with the store that began `age` ago, with the latest answer `answerAge` ago.
+    void noteContact(std::string_view dataCentre, milliseconds age, milliseconds answerAge)
+    {
+        m_registry.hostContacts().note(otherHost, hash64(dataCentre), ContactSpan<TimePoint> { m_now - age, m_now - answerAge });
+    }
+
     static RunnerRecord makeReport(std::string id, std::int64_t bornMs, std::int64_t sequence)
     {
         auto record = makeRecord(std::move(id));
@@ -154,6 +267,18 @@
         m_registry.onContactRegained(m_now);
     }
 
+    // The last call that failed was sent `lastFailure` after the first one had failed. These runners are known beside "a".
+    void simulateOutage(milliseconds duration, milliseconds lastFailure, const std::vector<std::string>& moreRunners)
+    {
+        for (const auto& id : moreRunners)
+            m_registry.put(makeRecord(id));
+        m_registry.put(makeRecord("a"));
+        m_registry.onContactLost(m_now);
+        m_registry.onCallFailed(m_now + lastFailure, m_now + duration);
+        m_now += duration;
+        m_registry.onContactRegained(m_now);
+    }
+
     TimePoint m_now = TimePoint() + seconds(100);
     RunnerRegistry m_registry;
 };
