Keep full load notices within the size of a datagram

What callers saw: nothing directly. A load notice that is too long is dropped, so that the other hosts don't see the work of this host and place requests on runners that are full.

Cause: a notice with all its lists full encodes to 1,479 bytes where 1,398 fit.

Change: a notice holds up to 10 parts, the others go into the notices for parts that there are already. The limits stand beside the message, and that of a datagram is public.

--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -37,11 +37,7 @@
     // other request.
     constexpr std::chrono::milliseconds maxAnnouncedTime { 10'000 };
     // Entries per datagram, so that a datagram fits into one Ethernet frame.
-    constexpr std::size_t loadsPerNotice = 20;
-    constexpr std::size_t partsPerLoadNotice = 14;
     constexpr std::size_t partsPerPartsNotice = 50;
-    constexpr std::size_t versionsPerNotice = 3;
-    constexpr std::size_t storeSpeedsPerNotice = 16;
     constexpr double percentPerFactor = 100;
     constexpr unsigned statusUnavailable = 503;
     // Older versions are already loaded everywhere, or their time limit has passed.
@@ -537,7 +533,7 @@
     for (const auto& [model, history] : m_state.versions()) {
         for (const auto& [version, announced] : history.versions()) {
             const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(bootNow - announced.since);
-            if (!announced.isEstimate && age < maxAnnouncedVersionAge && out.size() < versionsPerNotice)
+            if (!announced.isEstimate && age < maxAnnouncedVersionAge && out.size() < LoadNotice::maxVersions)
                 out.push_back({ hash64(model), version, static_cast<std::uint32_t>(age.count()) });
         }
     }
@@ -550,7 +546,7 @@
     if (!m_settings.mechanisms.has(Mechanism::StoreSpeedNotices))
         return out;
     for (const auto& store : m_state.cacheStores()) {
-        if (out.size() >= storeSpeedsPerNotice)
+        if (out.size() >= LoadNotice::maxStoreSpeeds)
             break;
         if (const auto measured = store->speed().takeMeanMeasurement())
             out.push_back({ store->number(), static_cast<std::uint16_t>(*measured * percentPerFactor) });
@@ -581,7 +577,7 @@
     }
     appendUpTo(m_remoteParts, m_pendingParts, maxPendingParts);
     auto storeSpeeds = takeStoreSpeeds();
-    appendUpTo(m_remoteStoreSpeeds, storeSpeeds, storeSpeedsPerNotice);
+    appendUpTo(m_remoteStoreSpeeds, storeSpeeds, LoadNotice::maxStoreSpeeds);
     sendNotice(m_dataCentreHosts, noticeInterval(), std::exchange(m_pendingParts, {}), std::move(storeSpeeds));
     const auto interval = remoteNoticeInterval();
     if (now - m_lastRemoteNoticeAt < interval)
@@ -605,12 +601,12 @@
     notice.intervalMs = static_cast<std::uint16_t>(interval.count());
     notice.versions = versionAges();
     notice.storeSpeeds = std::move(storeSpeeds);
-    const auto n = std::min(parts.size(), partsPerLoadNotice);
+    const auto n = std::min(parts.size(), LoadNotice::maxParts);
     notice.parts.assign(parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(n));
     parts.erase(parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(n));
     std::size_t begin = 0;
     do {
-        const auto end = std::min(begin + loadsPerNotice, loads.size());
+        const auto end = std::min(begin + LoadNotice::maxLoads, loads.size());
         const bool isLast = end == loads.size();
         notice.loads.assign(loads.begin() + static_cast<std::ptrdiff_t>(begin), loads.begin() + static_cast<std::ptrdiff_t>(end));
         notice.lastRunner = isLast ? std::numeric_limits<std::uint32_t>::max() : loads[end - 1].runner;
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -125,6 +125,11 @@
 // host has no work at runners that are in the range of a notice but not listed in it.
 struct LoadNotice {
     static constexpr peer::DatagramType datagramType = peer::DatagramType::LoadNotice;
+    // Entries of a notice, so that it fits into one Ethernet frame.
+    static constexpr std::size_t maxLoads = 20;
+    static constexpr std::size_t maxParts = 10;
+    static constexpr std::size_t maxVersions = 3;
+    static constexpr std::size_t maxStoreSpeeds = 16;
 
     std::uint64_t host = 0;
     // Hash of the name of the sender's data centre.
--- a/packages/peer/chiveshelf/peer/DatagramChannel.cpp
+++ b/packages/peer/chiveshelf/peer/DatagramChannel.cpp
@@ -19,9 +19,6 @@
     constexpr char datagramVersion = 1;
     // Version and type, one byte each.
     constexpr std::size_t headerBytes = 2;
-    // Fits into one Ethernet frame with IPv6 headers. Larger datagrams would be fragmented, and the loss of one fragment would lose
-    // the datagram.
-    constexpr std::size_t maxDatagramBytes = 1'400;
 
 }
 
@@ -78,7 +75,7 @@
 
 void DatagramChannel::sendBytes(const Address& to, DatagramType type, const std::string& payload)
 {
-    if (payload.size() + headerBytes > maxDatagramBytes) {
+    if (payload.size() > maxMessageBytes) {
         logEvent(LogLevel::Error, "datagram_too_long", { { "bytes", payload.size() }, { "type", static_cast<int>(type) } });
         return;
     }
--- a/packages/peer/chiveshelf/peer/DatagramChannel.h
+++ b/packages/peer/chiveshelf/peer/DatagramChannel.h
@@ -49,6 +49,10 @@
 // Delivery is not guaranteed: senders repeat messages that must arrive.
 class DatagramChannel {
 public:
+    // Longest encoded message. With its header of two bytes it fits into one Ethernet frame with IPv6 headers; larger datagrams would be
+    // fragmented, and the loss of one fragment would lose the datagram.
+    static constexpr std::size_t maxMessageBytes = 1'398;
+
     explicit DatagramChannel(boost::asio::io_context&);
     DatagramChannel(const DatagramChannel&) = delete;
     DatagramChannel& operator=(const DatagramChannel&) = delete;
--- a/tests/unit/gateway/CrashNoticesTest.cpp
+++ b/tests/unit/gateway/CrashNoticesTest.cpp
@@ -96,7 +96,7 @@
         CrashNotices other(otherEvidence, 2, ignoreCrash, ignoreAnswers, ignoreTry);
         auto now = start;
         const auto forward = [&](const auto& notice) {
-            if (peer::encode(notice).size() <= maxPayloadBytes)
+            if (peer::encode(notice).size() <= peer::DatagramChannel::maxMessageBytes)
                 other.applyNotice(notice, now);
         };
         CrashNotices notices(evidence, 1, forward, forward, forward);
@@ -115,9 +115,6 @@
     }
 
 private:
-    // What the datagrams between hosts hold at most.
-    static constexpr std::size_t maxPayloadBytes = 1'398;
-
     static std::uint64_t seedCount(std::uint64_t fallback)
     {
         const char* text = std::getenv("CHIVESHELF_TEST_SEEDS");
--- a/tests/unit/gateway/HostExchangeTest.cpp
+++ b/tests/unit/gateway/HostExchangeTest.cpp
@@ -11,6 +11,7 @@
 class HostExchangeTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(HostExchangeTest);
     CPPUNIT_TEST(loadOf45RunnersReachesPeersInSeveralNotices);
+    CPPUNIT_TEST(fullLoadNoticeFitsIntoADatagram);
     CPPUNIT_TEST(placementInSmallFleetReachesAllHostsAtOnce);
     CPPUNIT_TEST(shortPromptInLargeFleetIsAnnouncedWithinDataCentreOnly);
     CPPUNIT_TEST(longPromptInLargeFleetIsAnnouncedToAllHosts);
@@ -51,6 +52,17 @@
         CPPUNIT_ASSERT_EQUAL(n, knownRequests);
     }
 
+    // Guards against notices that are dropped because they are too long, so that other hosts don't see this host's work.
+    void fullLoadNoticeFitsIntoADatagram()
+    {
+        LoadNotice notice;
+        notice.loads.resize(LoadNotice::maxLoads);
+        notice.parts.resize(LoadNotice::maxParts);
+        notice.versions.resize(LoadNotice::maxVersions);
+        notice.storeSpeeds.resize(LoadNotice::maxStoreSpeeds);
+        CPPUNIT_ASSERT(peer::encode(notice).size() <= peer::DatagramChannel::maxMessageBytes);
+    }
+
     void placementInSmallFleetReachesAllHostsAtOnce()
     {
         addRunners(1);
