Don't apply the first-byte limit to a runner that has begun to answer

What callers saw: a stream that had just begun was taken from its sound runner and run again at another one; if no other could go on with it, the caller's connection was reset (a cut answer, LOST for a request on a kept connection).

Cause: the limit for the first byte went on running between the header of a response and the first piece of its body. When it ended there it closed the runner's connection. Bytes that were read together with the header were already out of the socket, where the check for input that has arrived looks, so that events which had arrived were relayed first and the stream was broken off after them. The timer of requests that wait in a runner's queue had the same gap.

Change: the header of a response starts the limit anew for the first piece of the body, and ends the wait in the queue. request_cut tells why the host reset the connection of a caller whose answer had begun; only some of these cases left a line.

HostStallTest::streamThatBeganWithinFirstByteLimitStaysWithItsRunner failed before (two sends instead of one, in 3 of 3 runs) and passes now. shortStreamThatArrivesAsTheFirstByteLimitEndsIsRelayedFromItsRunner passed before, too.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -380,7 +380,7 @@
     // A newer version may be announced, and a part of the prompt quarantined, while the request waits.
     m_queueTimer.expires_after(std::clamp(weightsTimeLeft(placement), hasRunnerInput() ? arrivedInputTime : std::chrono::milliseconds(0), queueCheckInterval));
     m_queueTimer.async_wait([this, placement, alive = m_alive, sends = m_history->sends()](boost::system::error_code ec) {
-        if (ec || !*alive || m_history->sends() != sends || m_hasResponseStarted)
+        if (ec || !*alive || m_history->sends() != sends || m_hasResponseStarted || m_hasResponseHeader)
             return;
         const bool isProven = m_context.state.crashEvidence().isProven(m_crashSubjects, std::chrono::steady_clock::now());
         if (hasRunnerInput() || (weightsTimeLeft(placement).count() > 0 && !isProven)) {
@@ -570,6 +570,7 @@
         m_context.exchange.announcePlacement(placement, m_priority, m_headers.prompt->parts, cacheScopeHash(request.dedicatedOrganisation));
     }
     m_isRunnerOverdue = false;
+    m_hasResponseHeader = false;
     if (m_headers.prompt)
         armQueueTimer(placement);
     if (!co_await writeRequest(placement))
@@ -579,6 +580,9 @@
     std::unique_ptr<Parser> parser;
     if (!co_await readResponseHeader(parser, use))
         co_return recordFailure(use, Verdict::MayHaveRun, m_hasLostConnection, m_isRunnerOverdue ? "silent" : m_readError);
+    // The runner has begun to answer. The start of the body may have been read with the header, so that the old limit doesn't see it.
+    m_hasResponseHeader = true;
+    startFirstByteLimit(placement);
     const auto result = co_await handleResponse(*parser, use);
     stopRunnerTimers();
     co_return result;
@@ -777,7 +781,7 @@
     }
     if (m_hasResponseStarted && !isSuccess(status)) {
         recordFailure(use, Verdict::Ran, false, "resume_refused");
-        m_caller->abort();
+        abortAnswer("resume_refused");
         co_return SendResult::Finished;
     }
     const auto relayResult = co_await relay(parser, use);
@@ -805,11 +809,17 @@
         m_context.metrics.resumes += m_hasResponseStarted ? 1 : 0;
         co_return SendResult::Failed;
     }
-    m_caller->abort();
-    ++m_context.metrics.requests["failed"];
+    abortAnswer(m_isStreamStalled ? "stalled" : "answer_broken");
     co_return SendResult::Finished;
 }
 
+void ForwardTask::abortAnswer(std::string_view reason)
+{
+    ++m_context.metrics.requests["failed"];
+    logOutcome("cut", reason);
+    m_caller->abort();
+}
+
 ForwardTask::Framing ForwardTask::framingFor(const Parser& parser) const
 {
     const auto status = parser.get().result_int();
@@ -1049,8 +1059,7 @@
 asio::awaitable<void> ForwardTask::fail()
 {
     if (m_hasResponseStarted) {
-        m_caller->abort();
-        ++m_context.metrics.requests["failed"];
+        abortAnswer("not_resumed");
         co_return;
     }
     if (m_history->verdict() == Verdict::NotRun) {
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -108,6 +108,8 @@
     boost::asio::awaitable<void> respond(unsigned status, std::string_view code, std::string message, std::optional<std::chrono::milliseconds> retryAfter);
     boost::asio::awaitable<void> refuse(const PlacementRefusal&);
     boost::asio::awaitable<void> fail();
+    // Resets the caller's connection, since an answer that it has begun to get can't be completed.
+    void abortAnswer(std::string_view reason);
     boost::asio::awaitable<void> finishInterrupted();
 
     std::string formatRequest(const Placement&) const;
@@ -203,6 +205,8 @@
     bool m_isExiting = false;
     // Whether this host closed the runner's connection because the runner didn't start its response in time.
     bool m_isRunnerOverdue = false;
+    // Whether the runner has begun to answer the request that was sent last.
+    bool m_hasResponseHeader = false;
     // Whether the stream was closed after eventTimeout(); its retry is already charged to the budget then.
     bool m_isStreamStalled = false;
     // Whether the runner's connection failed while a response was awaited, as opposed to being closed by this host.
--- a/tests/unit/stalls/HostStallTest.cpp
+++ b/tests/unit/stalls/HostStallTest.cpp
@@ -63,6 +63,8 @@
     CPPUNIT_TEST(responseThatArrivedWhileLoopWasBlockedBeyondFirstByteLimitIsRelayed);
     CPPUNIT_TEST(responseThatArrivedWhileLoopWasBlockedBeyondDeadlineIsRelayed);
     CPPUNIT_TEST(eventThatArrivedWhileLoopWasBlockedBeyondEventTimeoutIsRelayedFromSameRunner);
+    CPPUNIT_TEST(shortStreamThatArrivesAsTheFirstByteLimitEndsIsRelayedFromItsRunner);
+    CPPUNIT_TEST(streamThatBeganWithinFirstByteLimitStaysWithItsRunner);
     CPPUNIT_TEST(requestThatIsWrittenForLongerThanFirstByteLimitIsServed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -99,6 +101,21 @@
         return **out;
     }
 
+    // Starts two runners, which send the header of a stream after one pause and its only event after another.
+    void startStreamRunners(milliseconds headerPause, milliseconds eventPause)
+    {
+        const auto event = fakeplatform::chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n";
+        for (int i = 0; i < 2; ++i) {
+            startRunner([=](const auto& request) {
+                std::this_thread::sleep_for(headerPause);
+                if (eventPause.count() == 0)
+                    return Script { fakeplatform::sealedStreamHeader(request) + event };
+                return Script { fakeplatform::sealedStreamHeader(request), Script::End::Keep, event, eventPause };
+            });
+        }
+        startGateway();
+    }
+
     std::unique_ptr<RunnerThread> m_thread = std::make_unique<RunnerThread>();
     std::atomic<int> m_sends = 0;
 
@@ -153,6 +170,28 @@
         CPPUNIT_ASSERT_EQUAL(1, m_sends.load());
     }
 
+    // Guards against a first-byte limit that closes the connection under events which were read together with the response header, so
+    // that a stream that has begun is cut.
+    void shortStreamThatArrivesAsTheFirstByteLimitEndsIsRelayedFromItsRunner()
+    {
+        startStreamRunners(milliseconds(300), milliseconds(0));
+        // The limit of 450 ms ends so shortly before the loop goes on that it isn't extended.
+        const auto response = fetchBesideStall(
+            post("/ask/1"), [this] { return m_sends == 1; }, milliseconds(455));
+        CPPUNIT_ASSERT_EQUAL(200U, response.status);
+        CPPUNIT_ASSERT(response.body == "id: 1\ndata: a\n\n");
+        CPPUNIT_ASSERT_EQUAL(1, m_sends.load());
+    }
+
+    // Guards against a first-byte limit that still runs once the runner has begun to answer.
+    void streamThatBeganWithinFirstByteLimitStaysWithItsRunner()
+    {
+        startStreamRunners(milliseconds(300), milliseconds(300));
+        const auto response = fetch(post("/ask/1"));
+        CPPUNIT_ASSERT(response.body == "id: 1\ndata: a\n\n");
+        CPPUNIT_ASSERT_EQUAL(1, m_sends.load());
+    }
+
     // Guards against a first-byte limit that measures the way of the request to the runner.
     void requestThatIsWrittenForLongerThanFirstByteLimitIsServed()
     {
