Deliver a short answer that arrived when its deadline passed

What callers saw: 504 in place of an answer that had arrived, also for a booking that had run, if the host's loop was busy when the deadline passed.

Cause: a deadline is put off once if input of the runner waits in the socket. A short answer is read together with its header, so that nothing waits in the socket while its body is on the way to the handler.

Change: the deadline is put off as well while the header of a response has been read and nothing of it relayed.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -296,7 +296,7 @@
         if (ec || !*alive)
             return;
         // A response that is here is delivered, also if it is a little late.
-        if ((hasRunnerInput() || m_isResponseWhole) && !std::exchange(m_isDeadlineExtended, true)) {
+        if ((hasRunnerInput() || isBodyExpected() || m_isResponseWhole) && !std::exchange(m_isDeadlineExtended, true)) {
             armDeadlineTimer(std::chrono::steady_clock::now() + arrivedInputTime);
             return;
         }
@@ -314,6 +314,11 @@
     return m_connection && m_connection->socket.is_open() && m_connection->socket.available(ec) > 0;
 }
 
+bool ForwardTask::isBodyExpected() const
+{
+    return m_hasResponseHeader && !m_hasResponseStarted;
+}
+
 void ForwardTask::stopRunnerTimers()
 {
     m_firstByteLimit.reset();
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -148,6 +148,8 @@
     void armDeadlineTimer(TimePoint end);
     // Whether bytes of the runner have arrived that were not read yet.
     bool hasRunnerInput() const;
+    // Whether the header of a response has been read and nothing of it relayed yet. Its body may have been read with it.
+    bool isBodyExpected() const;
     // Cancels the timers that bound how long a runner may take to start its response.
     void stopRunnerTimers();
     // Returns the time left in which the runner may start the request on its current weights.
--- a/tests/unit/stalls/HostStallTest.cpp
+++ b/tests/unit/stalls/HostStallTest.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(eventThatArrivedWhileLoopWasBlockedBeyondEventTimeoutIsRelayedFromSameRunner);
     CPPUNIT_TEST(shortStreamThatArrivesAsTheFirstByteLimitEndsIsRelayedFromItsRunner);
     CPPUNIT_TEST(streamThatBeganWithinFirstByteLimitStaysWithItsRunner);
+    CPPUNIT_TEST(shortResponseThatArrivesAsTheDeadlineEndsIsRelayed);
     CPPUNIT_TEST(requestThatIsWrittenForLongerThanFirstByteLimitIsServed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -192,6 +193,20 @@
         CPPUNIT_ASSERT_EQUAL(1, m_sends.load());
     }
 
+    // Guards against a 504 in place of a short response that was read together with its header.
+    void shortResponseThatArrivesAsTheDeadlineEndsIsRelayed()
+    {
+        startRunner([](const auto& request) {
+            std::this_thread::sleep_for(milliseconds(300));
+            return Script { fakeplatform::sealedResponse(request, 200, "x") };
+        });
+        startGateway();
+        // The route's time limit is 1.5 s.
+        const auto response = fetchBesideStall(
+            post("/book/1"), [this] { return m_sends == 1; }, milliseconds(1'600));
+        CPPUNIT_ASSERT_EQUAL(200U, response.status);
+    }
+
     // Guards against a first-byte limit that measures the way of the request to the runner.
     void requestThatIsWrittenForLongerThanFirstByteLimitIsServed()
     {
