--- a/tests/unit/gateway/FleetLimitsTest.cpp
+++ b/tests/unit/gateway/FleetLimitsTest.cpp
@@ -238,6 +238,7 @@
     CPPUNIT_TEST(loadAfterIdleTimeKeepsTheLimit);
     CPPUNIT_TEST(stalledHostsKeepTheLimit);
     CPPUNIT_TEST(fleetThatStallsOverLargeTablesKeepsTheLimit);
+    CPPUNIT_TEST(lateAndReorderedNoticesBesideStallsKeepTheLimit);
     CPPUNIT_TEST(dividedFleetKeepsAndUsesTheLimit);
     CPPUNIT_TEST(largeFleetUsesTheLimitAndKeepsIt);
     CPPUNIT_TEST(limitThatRisesAndFallsIsFollowed);
@@ -314,6 +315,24 @@
         }
     }
 
+    // Guards against counts that arrive late, out of order or not at all, as over full links beside a change of large tables.
+    void lateAndReorderedNoticesBesideStallsKeepTheLimit()
+    {
+        for (const auto limit : { 2.0, 3.6, 8.0 }) {
+            Scenario scenario;
+            scenario.hosts = 62;
+            scenario.limits = { { milliseconds(0), limit } };
+            scenario.load = 300;
+            scenario.maxDelay = milliseconds(300);
+            scenario.lossShare = 0.1;
+            scenario.stallsAt = { milliseconds(10'000), milliseconds(11'000), milliseconds(16'000) };
+            scenario.longestStall = milliseconds(500);
+            scenario.stallSpread = milliseconds(500);
+            scenario.length = seconds(20);
+            expectKeptAndUsed(scenario, 0.6, 4);
+        }
+    }
+
     // Guards against parts of a divided fleet that each use the whole limit.
     void dividedFleetKeepsAndUsesTheLimit()
     {
