Forget the header of a response once the response has been handled

The mark that a runner has begun to answer held until the next send, so that a deadline which passed while a second runner was being reached was put off by 50 ms. Found by reading; nothing was seen of it. The value that stands for no contact stands beside the other constants of a load notice.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -575,7 +575,6 @@
         m_context.exchange.announcePlacement(placement, m_priority, m_headers.prompt->parts, cacheScopeHash(request.dedicatedOrganisation));
     }
     m_isRunnerOverdue = false;
-    m_hasResponseHeader = false;
     if (m_headers.prompt)
         armQueueTimer(placement);
     if (!co_await writeRequest(placement))
@@ -589,6 +588,7 @@
     m_hasResponseHeader = true;
     startFirstByteLimit(placement);
     const auto result = co_await handleResponse(*parser, use);
+    m_hasResponseHeader = false;
     stopRunnerTimers();
     co_return result;
 }
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -130,14 +130,14 @@
     static constexpr std::size_t maxParts = 10;
     static constexpr std::size_t maxVersions = 3;
     static constexpr std::size_t maxStoreSpeeds = 16;
+    // Age of the latest answer of the store while the sender's calls fail.
+    static constexpr std::uint32_t noContact = std::numeric_limits<std::uint32_t>::max();
 
     std::uint64_t host = 0;
     // Hash of the name of the sender's data centre.
     std::uint64_t dataCentre = 0;
     std::uint64_t tablesVersion = 0;
-    // Duration in ms of the sender's unbroken contact with the key-value store up to the latest answer, and the age of that answer. The
-    // age is `noContact` while the sender's calls fail.
-    static constexpr std::uint32_t noContact = std::numeric_limits<std::uint32_t>::max();
+    // Duration in ms of the sender's unbroken contact with the key-value store up to the latest answer, and the age of that answer.
     std::uint32_t contactMs = 0;
     std::uint32_t answerAgeMs = noContact;
     // Time in ms until the sender's next notice to the same hosts.
