--- a/tests/Tests.cmake
+++ b/tests/Tests.cmake
@@ -23,6 +23,7 @@
 chiveshelf_add_unit_test(scheduling DEPENDS scheduling LIBRARIES rapidcheck)
 chiveshelf_add_unit_test(spread DEPENDS gateway LIBRARIES chiveshelf_test_support NETWORK 84)
 chiveshelf_add_unit_test(stalls DEPENDS gateway LIBRARIES chiveshelf_test_support NETWORK 85)
+chiveshelf_add_unit_test(storecut DEPENDS gateway LIBRARIES chiveshelf_test_support NETWORK 86)
 chiveshelf_add_unit_test(versions DEPENDS gateway LIBRARIES chiveshelf_test_support NETWORK 76)
 chiveshelf_add_unit_test(tables DEPENDS tables LIBRARIES rapidcheck)
 
