Limit requests to runners that warm up, and evacuate data centres

Cause: nothing limits what all hosts together send to a runner that has just started. It is idle, so all of them choose it; and the operator's order to evacuate a data centre was not read. Change: few hosts per runner, chosen by rendezvous hashing, each get a fixed number of requests per second while the runner warms up or may have restarted. On only where the settings state the bound (--cold-over) and the pool its rate. Runners of an evacuated data centre are not usable, and count as warming up after the evacuation.

--- a/packages/gateway/chiveshelf/gateway/FleetLimits.cpp
+++ b/packages/gateway/chiveshelf/gateway/FleetLimits.cpp
@@ -14,6 +14,9 @@
     constexpr int heardIntervals = 3;
     constexpr milliseconds heardMargin { 300 };
 
+    // Time after its start in which a host's list of the other hosts may be incomplete, so that it takes no share in a common bound.
+    constexpr milliseconds settlingTime { 3'000 };
+
     std::string formatLimit(std::optional<double> perSecond)
     {
         return perSecond ? std::to_string(*perSecond) : "none";
@@ -31,6 +34,7 @@
 
 void FleetLimits::setHosts(std::set<std::uint64_t> hosts, milliseconds noticeInterval)
 {
+    m_hostsChanges += hosts == m_hosts ? 0 : 1;
     m_hosts = std::move(hosts);
     m_noticeInterval = noticeInterval;
     std::erase_if(m_heardAt, [this](const auto& entry) { return !m_hosts.contains(entry.first); });
@@ -143,8 +147,30 @@
 
 void FleetLimits::recordAwake(TimePoint now)
 {
-    for (const auto& [id, runner] : m_directory.all())
+    if (m_startedAt == TimePoint {})
+        m_startedAt = now;
+    for (const auto& [id, runner] : m_directory.all()) {
         runner->requestLimit().recordAwake(now, m_random());
+        updateWarmUp(*runner, now);
+    }
+}
+
+void FleetLimits::updateWarmUp(BackendState& runner, TimePoint now)
+{
+    const auto known = m_warmUps.find(runner.number());
+    if (!runner.isWarmingUp(now)) {
+        if (known != m_warmUps.end())
+            m_warmUps.erase(known);
+        runner.warmUpQuota().setShare(0);
+        return;
+    }
+    if (now < m_startedAt + settlingTime || (known != m_warmUps.end() && known->second == m_hostsChanges))
+        return;
+    const auto share = WarmUpQuota::shareOf(runner.warmUpBound()->perSecond, runner.number(), m_host, m_hosts);
+    m_warmUps[runner.number()] = m_hostsChanges;
+    if (share > 0 && share != runner.warmUpQuota().share())
+        logEvent(LogLevel::Info, "runner_warming_up", { { "runner", runner.record().id }, { "pool", runner.record().pool }, { "share_per_second", share } });
+    runner.warmUpQuota().setShare(share);
 }
 
 void FleetLimits::logChange(const BackendState& runner, const LimitStatement& former, std::uint64_t sent, std::string_view source)
--- a/packages/gateway/chiveshelf/gateway/FleetLimits.h
+++ b/packages/gateway/chiveshelf/gateway/FleetLimits.h
@@ -9,7 +9,7 @@
 
 namespace chiveshelf {
 
-// Keeps the limits of requests that runners state for all hosts together. Applies the statements in answers and in the notices of other
+// Keeps the limits of requests that runners state for all hosts together, and this host's shares in the bounds of runners that warm up. Applies the statements in answers and in the notices of other
 // hosts, counts the requests of all hosts, and writes this host's notices. Does no I/O.
 //
 // A notice contains totals, so that a lost one is made up for by the next.
@@ -40,7 +40,8 @@
 
     void applyNotice(const LimitNotice&, TimePoint now);
 
-    // Records that this host handles notices, to be called at RequestLimit::awakeInterval.
+    // Records that this host handles notices, to be called at RequestLimit::awakeInterval. Also updates this host's shares in the bounds
+    // of runners that warm up.
     void recordAwake(TimePoint now);
 
 private:
@@ -49,6 +50,7 @@
     void recordHeard(std::uint64_t host, TimePoint now);
     void countHeardHosts(TimePoint now);
     void updateHosts(RequestLimit&, TimePoint now) const;
+    void updateWarmUp(BackendState&, TimePoint now);
     bool isAnnounced(const BackendState&, TimePoint now) const;
     LimitEntry entryFor(const BackendState&, TimePoint now) const;
     static void logChange(const BackendState&, const LimitStatement& former, std::uint64_t sent, std::string_view source);
@@ -59,6 +61,11 @@
     std::function<double()> m_random;
     std::set<std::uint64_t> m_hosts;
     std::chrono::milliseconds m_noticeInterval { 0 };
+    // Counts the changes of the list of hosts.
+    std::uint64_t m_hostsChanges = 0;
+    // The count of these changes when this host's share in the bound of a runner was last determined, by the runner's number.
+    std::unordered_map<std::uint32_t, std::uint64_t> m_warmUps;
+    TimePoint m_startedAt {};
     // Time of the last notice of each host.
     std::unordered_map<std::uint64_t, TimePoint> m_heardAt;
     // Number of other hosts that are heard from. Counted at the interval of notices.
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -479,7 +479,9 @@
     if (connected)
         co_return true;
     if (!isInterrupted()) {
-        placement.runner->health().onConnectionFailed(std::chrono::steady_clock::now());
+        const auto now = std::chrono::steady_clock::now();
+        placement.runner->health().onConnectionFailed(now);
+        placement.runner->suspectRestart(now);
         logOutcome("connect_failed", record.id);
     }
     co_return false;
@@ -536,19 +538,24 @@
     auto& runner = *placement.runner;
     // Counted before the connection is established, so that requests which arrive meanwhile don't use the same permit.
     const bool isCounted = m_context.exchange.countSend(runner);
+    runner.warmUpQuota().reserve();
     bool isConnected = co_await connect(placement);
     if (isConnected)
         isConnected = co_await isRightIncarnation(placement);
     m_caller->checkDisconnect();
     isConnected = isConnected && !isInterrupted();
     const auto now = std::chrono::steady_clock::now();
-    const bool isTaken = !isCounted && !runner.requestLimit().hasPermit(now);
-    if (!isConnected || runner.isLeaving() || runner.isPaused(now) || isTaken) {
+    // Without this request's own reservation, the quota tells whether there is room for it now.
+    runner.warmUpQuota().cancel();
+    const bool isTaken = (!isCounted && !runner.requestLimit().hasPermit(now)) || (runner.isWarmingUp(now) && !runner.warmUpQuota().hasRoom(now));
+    if (!isConnected || runner.isLeaving() || runner.isPaused(now) || runner.isEvacuated() || isTaken) {
         if (isCounted)
             runner.requestLimit().undoSend();
         closeRunnerConnection();
         co_return false;
     }
+    runner.warmUpQuota().recordSend(now);
+    m_context.metrics.warmUpSends += runner.isWarmingUp(now) ? 1 : 0;
     if (isCounted || m_context.exchange.countSend(runner)) {
         m_context.exchange.announceSend(runner);
         ++m_context.metrics.limitedSends[runner.record().id];
@@ -711,6 +718,7 @@
     if (m_connection)
         m_connection->close();
     if (isBroken) {
+        use.runner().suspectRestart(now);
         logLostRunner(id);
         reportLostRunner(use, now);
     }
--- a/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
+++ b/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
@@ -33,6 +33,8 @@
     LoopDelays loopDelays;
     std::uint64_t repeats = 0;
     std::uint64_t resumes = 0;
+    // Requests sent to runners that were warming up under a bound.
+    std::uint64_t warmUpSends = 0;
     std::uint64_t strayResponses = 0;
     // Answers that this host couldn't hold back, because all answers together exceeded their budget.
     std::uint64_t unheldResponses = 0;
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
@@ -70,6 +70,9 @@
         { "link-mbps", "100", "Speed of this host's link, in Mbit/s; 0 if unknown. At most half of it is used to send tables to other hosts.", false, false, checkDecimal(0, 1'000'000, "Mbit/s") },
         { "cpu-share", "1", "Share of a processor core that the process may use; 0 if unknown. Hosts with more, and faster links, watch the store for the others.", false, false,
             checkDecimal(0, 1'024, "cores") },
+        { "cold-over", "", "Multiple of its rate while it warms up that a runner may get in one second; without it, runners that warm up are not limited.", false, false,
+            checkDecimal(0, 1'000, "") },
+        { "cold-slack", "", "Requests that a runner may get in one second beside that multiple.", false, false, checkDecimal(0, 1'000'000, "") },
         { "without", "", "Mechanisms of the choice of runners that are switched off, separated by commas, to measure what each is worth: " + listMechanismNames() + ".",
             false, false, checkMechanisms },
         { "log-level", "info", "Lowest level that is logged.", false, false, checkOneOf({ "debug", "info", "warning", "error" }) },
@@ -106,6 +109,10 @@
     out.linkMbps = linkMbps > 0 ? linkMbps : out.linkMbps;
     const auto cpuShare = options.decimal("cpu-share");
     out.cpuShare = cpuShare > 0 ? cpuShare : out.cpuShare;
+    if (options.isSet("cold-over"))
+        out.warmUpAllowance = WarmUpAllowance { options.decimal("cold-over"), options.isSet("cold-slack") ? options.decimal("cold-slack") : 0 };
+    else if (options.isSet("cold-slack"))
+        problems.emplace_back("--cold-slack: needs --cold-over");
     for (const auto& entry : splitList(options.text("without"))) {
         if (const auto mechanism = parseMechanism(entry))
             out.mechanisms = out.mechanisms.without(*mechanism);
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.h
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.h
@@ -4,11 +4,23 @@
 #include "chiveshelf/settings/OptionSet.h"
 
 #include <chrono>
+#include <compare>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace chiveshelf {
 
+// Requests that a runner may get in any second while it warms up, as a function of the rate that it sustains.
+struct WarmUpAllowance {
+    double factor = 1;
+    double addend = 0;
+
+    double of(double perSecond) const { return perSecond * factor + addend; }
+
+    auto operator<=>(const WarmUpAllowance&) const = default;
+};
+
 // Validated settings of `chiveshelfd gateway`.
 struct GatewaySettings {
     std::string hostName;
@@ -39,6 +51,8 @@
     // Speed of this host's link, and its share of a processor core.
     double linkMbps = 100;
     double cpuShare = 1;
+    // Nothing if runners that warm up have no bound.
+    std::optional<WarmUpAllowance> warmUpAllowance;
     std::string logLevel = "info";
     // Mechanisms that are enabled in the choice of runners.
     Mechanisms mechanisms;
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -139,6 +139,46 @@
         const auto* row = m_routes ? m_routes->findPool(pool) : nullptr;
         return row && row->engine ? row->engine->memoryTokens : 0;
     });
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto& [id, runner] : m_backendDirectory.all()) {
+        runner->setWarmUpBound(warmUpBound(runner->record().pool), now);
+        const bool isEvacuated = m_evacuatedDataCentres.contains(runner->record().dataCentre);
+        // Runners are idle during an evacuation and may warm up again after it.
+        if (runner->isEvacuated() && !isEvacuated)
+            runner->suspectRestart(now);
+        runner->setEvacuated(isEvacuated);
+    }
+}
+
+std::optional<WarmUpBound> ServingState::warmUpBound(const std::string& pool) const
+{
+    const auto* row = m_settings.warmUpAllowance && m_routes ? m_routes->findPool(pool) : nullptr;
+    if (!row || !row->warmUp)
+        return std::nullopt;
+    return WarmUpBound { row->warmUp->duration, m_settings.warmUpAllowance->of(row->warmUp->perSecond) };
+}
+
+void ServingState::setEvacuated(const std::string& dataCentre, bool isEvacuated)
+{
+    auto dataCentres = m_evacuatedDataCentres;
+    if (isEvacuated)
+        dataCentres.insert(dataCentre);
+    else
+        dataCentres.erase(dataCentre);
+    setEvacuatedDataCentres(std::move(dataCentres));
+}
+
+void ServingState::setEvacuatedDataCentres(std::set<std::string> dataCentres)
+{
+    const auto former = std::exchange(m_evacuatedDataCentres, std::move(dataCentres));
+    for (const auto& dataCentre : m_evacuatedDataCentres) {
+        if (!former.contains(dataCentre))
+            logEvent(LogLevel::Info, "evacuation_begun", { { "data_centre", dataCentre } });
+    }
+    for (const auto& dataCentre : former) {
+        if (!m_evacuatedDataCentres.contains(dataCentre))
+            logEvent(LogLevel::Info, "evacuation_ended", { { "data_centre", dataCentre } });
+    }
 }
 
 std::uint64_t ServingState::newestVersion(const std::string& model) const
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -18,6 +18,7 @@
 
 #include <memory>
 #include <random>
+#include <set>
 
 namespace chiveshelf {
 
@@ -57,6 +58,12 @@
     // later. Ignores versions newer than the newest known one.
     void acceptVersionAge(std::uint64_t modelHash, std::uint64_t version, std::chrono::milliseconds age, std::chrono::nanoseconds bootNow);
 
+    // Sets whether the operator has ordered that the runners of a data centre get no requests. Takes effect with refreshRunners().
+    void setEvacuated(const std::string& dataCentre, bool isEvacuated);
+    // Replaces all such orders by those that the store lists.
+    void setEvacuatedDataCentres(std::set<std::string>);
+    const std::set<std::string>& evacuatedDataCentres() const { return m_evacuatedDataCentres; }
+
     // Gaps in this host's contact with the key-value store. A version received after a gap may have been announced during it.
     ContactHistory& contactHistory() { return m_contactHistory; }
 
@@ -124,6 +131,8 @@
     // Sets how long a stream can last with all its resumptions, by the tables.
     void updateStreamLifetime();
     std::chrono::milliseconds versionGrace() const;
+    // Returns the bound of requests to a pool's runners while they warm up, if the settings ask for one.
+    std::optional<WarmUpBound> warmUpBound(const std::string& pool) const;
 
     const GatewaySettings& m_settings;
     std::shared_ptr<const RouteIndex> m_routes;
@@ -133,6 +142,7 @@
     RunnerRegistry m_registry;
     BackendDirectory m_backendDirectory;
     std::map<std::string, VersionHistory> m_versions;
+    std::set<std::string> m_evacuatedDataCentres;
     std::map<std::string, PoolPolicies> m_policies;
     CacheStores m_cacheStores;
     RunnerClock m_runnerClock;
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -370,9 +370,10 @@
     m_leaderKeyFreeSince = now();
     m_relayItems.clear();
     const auto formerSoftware = std::exchange(m_softwareRevisions, {});
+    std::set<std::string> evacuations;
     for (const auto& item : items) {
         const auto n = runners.size();
-        applyDecoded(ItemChange { item, false }, &runners);
+        applyDecoded(ItemChange { item, false }, &runners, &evacuations);
         if (runners.size() > n && era == m_positionAtLoss.era && item.createdAt <= m_positionAtLoss.revision)
             kept.insert(runners.back().id);
     }
@@ -380,6 +381,7 @@
         if (!m_softwareRevisions.contains(pool))
             m_state.softwareHistory().setRecord(pool, std::nullopt, now());
     }
+    m_state.setEvacuatedDataCentres(std::move(evacuations));
     const auto left = m_state.registry().replaceAll(runners, now(), kept);
     m_leftRunners.clear();
     for (const auto& record : left)
@@ -391,10 +393,10 @@
 
 void StoreFollower::apply(const ItemChange& change)
 {
-    applyDecoded(change, nullptr);
+    applyDecoded(change, nullptr, nullptr);
 }
 
-void StoreFollower::applyDecoded(const ItemChange& change, std::vector<RunnerRecord>* runners)
+void StoreFollower::applyDecoded(const ItemChange& change, std::vector<RunnerRecord>* runners, std::set<std::string>* evacuations)
 {
     const auto& key = change.item.key;
     const bool isHostItem = key.starts_with(hostKeyPrefix) || key == leaderKey;
@@ -423,6 +425,11 @@
         applySoftwareRecord(change);
     } else if (const auto* target = std::get_if<ModelTarget>(&decoded)) {
         m_state.acceptVersion(*target, bootTime());
+    } else if (const auto* evacuation = std::get_if<platform::EvacuationItem>(&decoded)) {
+        if (evacuations)
+            evacuations->insert(evacuation->dataCentre);
+        else
+            m_state.setEvacuated(evacuation->dataCentre, evacuation->isInForce);
     } else if (auto* runner = std::get_if<platform::RunnerItem>(&decoded)) {
         if (runner->record)
             logRunner(*runner->record);
@@ -507,7 +514,7 @@
     if (m_hasRead)
         return;
     for (const auto& [key, text] : items)
-        applyDecoded(ItemChange { StoredItem { key, text, 0 }, false }, nullptr);
+        apply(ItemChange { StoredItem { key, text, 0 }, false });
     finishChanges();
 }
 
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.h
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.h
@@ -94,7 +94,8 @@
     // Reads only the tables from the store and applies them.
     boost::asio::awaitable<void> readTables();
     void applySoftwareRecord(const ItemChange&);
-    void applyDecoded(const ItemChange&, std::vector<RunnerRecord>* runners);
+    // Applies an item. Those of a full read are added to the lists, which replace what was known.
+    void applyDecoded(const ItemChange&, std::vector<RunnerRecord>* runners, std::set<std::string>* evacuations);
     void finishChanges();
     // Makes the registry's runners the ones in use, and logs how many of them are missing in the store.
     void refreshRunners();
--- a/packages/placement/chiveshelf/placement/BackendState.cpp
+++ b/packages/placement/chiveshelf/placement/BackendState.cpp
@@ -3,6 +3,7 @@
 #include "chiveshelf/core/Hash.h"
 
 #include <cmath>
+#include <utility>
 
 namespace chiveshelf {
 
@@ -43,9 +44,23 @@
         else if (known != m_record.modelVersions.end() && known->second < version)
             m_cachedParts.clear();
     }
+    m_isColdLeftNew = m_isColdLeftNew || record.sequence != m_record.sequence;
     m_record = std::move(record);
 }
 
+void BackendState::setWarmUpBound(const std::optional<WarmUpBound>& bound, TimePoint now)
+{
+    m_warmUpBound = bound;
+    if (std::exchange(m_isColdLeftNew, false))
+        m_warmUpEnd = std::max(m_warmUpEnd, now + m_record.coldLeft);
+}
+
+void BackendState::suspectRestart(TimePoint now)
+{
+    if (m_warmUpBound)
+        m_warmUpEnd = std::max(m_warmUpEnd, now + m_warmUpBound->duration);
+}
+
 void BackendState::setPeerWork(std::uint64_t host, const OutstandingWork& work, TimePoint now, std::chrono::milliseconds lifetime)
 {
     // Removes the expired work of hosts that have left.
--- a/packages/placement/chiveshelf/placement/BackendState.h
+++ b/packages/placement/chiveshelf/placement/BackendState.h
@@ -7,6 +7,7 @@
 #include "chiveshelf/placement/RequestLimit.h"
 #include "chiveshelf/placement/RunnerRecord.h"
 #include "chiveshelf/placement/TransferSpeed.h"
+#include "chiveshelf/placement/WarmUpQuota.h"
 
 #include <algorithm>
 #include <optional>
@@ -24,6 +25,16 @@
     auto operator<=>(const LoadReport&) const = default;
 };
 
+// Bound of the requests of all hosts to a runner while it warms up.
+struct WarmUpBound {
+    // Time for which a runner warms up after its start.
+    std::chrono::milliseconds duration { 0 };
+    // Requests that it may get in any second meanwhile.
+    double perSecond = 0;
+
+    auto operator<=>(const WarmUpBound&) const = default;
+};
+
 // Returns the hash that identifies one incarnation of a runner in messages between hosts.
 std::uint32_t runnerNumber(const RunnerRecord&);
 
@@ -116,11 +127,30 @@
     RequestLimit& requestLimit() { return m_requestLimit; }
     const RequestLimit& requestLimit() const { return m_requestLimit; }
 
+    // Sets the bound that applies while the runner warms up, if any, and applies the warm-up time that its latest entry states.
+    void setWarmUpBound(const std::optional<WarmUpBound>&, TimePoint now);
+    const std::optional<WarmUpBound>& warmUpBound() const { return m_warmUpBound; }
+    // Records that the runner may have restarted under its id, which its entry doesn't show yet.
+    void suspectRestart(TimePoint now);
+    // Whether the runner warms up, or may do so, and has a bound for that time.
+    bool isWarmingUp(TimePoint now) const { return m_warmUpBound && now < m_warmUpEnd; }
+
+    // Sets whether the operator has ordered that the runner gets no requests.
+    void setEvacuated(bool isEvacuated) { m_isEvacuated = isEvacuated; }
+    bool isEvacuated() const { return m_isEvacuated; }
+
     // Returns whether the runner may get new work.
-    bool isUsable(TimePoint now) const { return !isLeaving() && !isPaused(now) && m_health.isUsable(now); }
+    bool isUsable(TimePoint now) const { return !isLeaving() && !isPaused(now) && !m_isEvacuated && m_health.isUsable(now); }
+
+    // This host's share of the requests to the runner while it warms up.
+    WarmUpQuota& warmUpQuota() { return m_warmUpQuota; }
+    const WarmUpQuota& warmUpQuota() const { return m_warmUpQuota; }
+
+    // Returns whether the limits of the runner's requests allow one.
+    bool hasPermit(TimePoint now) const { return m_requestLimit.hasPermit(now) && (!isWarmingUp(now) || m_warmUpQuota.hasRoom(now)); }
 
-    // Returns whether this host may send the runner a request now, also within the limit that the runner states.
-    bool mayReceive(TimePoint now) const { return isUsable(now) && m_requestLimit.hasPermit(now); }
+    // Returns whether this host may send the runner a request now, also within the limits that apply to the runner.
+    bool mayReceive(TimePoint now) const { return isUsable(now) && hasPermit(now); }
 
     // Records that the registry lists a later start of this runner.
     void setSuperseded() { m_isSuperseded = true; }
@@ -161,6 +191,12 @@
     TimePoint m_worstSlowdownAt {};
     WeightLoad m_load;
     double m_tokensPerMs = 0;
+    std::optional<WarmUpBound> m_warmUpBound;
+    TimePoint m_warmUpEnd {};
+    WarmUpQuota m_warmUpQuota;
+    // Whether the warm-up time of the record has not been applied yet.
+    bool m_isColdLeftNew = true;
+    bool m_isEvacuated = false;
     bool m_isLeaving = false;
     bool m_isSuperseded = false;
     TimePoint m_pauseEnd {};
--- a/packages/placement/chiveshelf/placement/Placement.cpp
+++ b/packages/placement/chiveshelf/placement/Placement.cpp
@@ -13,6 +13,21 @@
     // Maximum jitter, as a share of the retry delay.
     constexpr double jitterShare = 0.5;
 
+    double permitsPerSecondOf(const BackendState& runner, TimePoint now)
+    {
+        const auto& limit = runner.requestLimit();
+        return runner.isWarmingUp(now) && !limit.perSecond() ? WarmUpQuota::usedRate(runner.warmUpBound()->perSecond) : limit.permitsPerSecond();
+    }
+
+    // Returns when this host, or another one that the caller may reach, may send a limited runner the next request.
+    TimePoint permitAt(const BackendState& runner, const PlacementContext& context)
+    {
+        const auto limitAt = runner.requestLimit().awaitedPermitAt(context.now);
+        if (!runner.isWarmingUp(context.now))
+            return limitAt;
+        return std::max(limitAt, runner.warmUpQuota().nextRoomAt(context.now).value_or(context.now + minRetryAfter));
+    }
+
 }
 
 PlacementRefusal refuseWithoutRunner(const PlacementContext& context, const std::vector<std::shared_ptr<BackendState>>& runners, double random)
@@ -21,12 +36,11 @@
     bool isFirstLimited = false;
     double permitsPerSecond = 0;
     for (const auto& runner : runners) {
-        const auto& limit = runner->requestLimit();
-        const bool isLimited = runner->health().isUsable(context.now) && !limit.hasPermit(context.now);
+        const bool isLimited = !runner->isEvacuated() && runner->health().isUsable(context.now) && !runner->hasPermit(context.now);
         if (runner->isLeaving() || (!runner->isPaused(context.now) && !isLimited))
             continue;
-        permitsPerSecond += isLimited ? limit.permitsPerSecond() : 0;
-        const auto runnerEnd = isLimited ? std::max(runner->pauseEnd(), limit.awaitedPermitAt(context.now)) : runner->pauseEnd();
+        permitsPerSecond += isLimited ? permitsPerSecondOf(*runner, context.now) : 0;
+        const auto runnerEnd = isLimited ? std::max(runner->pauseEnd(), permitAt(*runner, context)) : runner->pauseEnd();
         if (end && runnerEnd >= *end)
             continue;
         end = runnerEnd;
--- a/packages/routing/chiveshelf/routing/RoutingTables.h
+++ b/packages/routing/chiveshelf/routing/RoutingTables.h
@@ -67,6 +67,16 @@
     auto operator<=>(const EngineLimits&) const = default;
 };
 
+// Behaviour of a pool's runners while they warm up.
+struct WarmUpLimits {
+    // Time after its start for which a runner warms up.
+    std::chrono::milliseconds duration { 0 };
+    // Requests per second that a runner sustains meanwhile.
+    double perSecond = 0;
+
+    auto operator<=>(const WarmUpLimits&) const = default;
+};
+
 // A store of cached prompt parts. It keeps parts until they are freed explicitly.
 struct CacheStore {
     Address address;
@@ -85,6 +95,8 @@
     // Maximum number of connections to a runner from all hosts together; 0 if unknown.
     unsigned maxConnections = 0;
     std::optional<EngineLimits> engine;
+    // Set if the runners take fewer requests while they warm up.
+    std::optional<WarmUpLimits> warmUp;
     // Set if the row describes a store of cached parts instead of runners.
     std::optional<CacheStore> store;
 
--- a/packages/routing/chiveshelf/routing/TableFields.h
+++ b/packages/routing/chiveshelf/routing/TableFields.h
@@ -38,6 +38,12 @@
     archive(engine.slots, engine.memoryTokens, engine.bytesPerToken, engine.linkMbps);
 }
 
+template <typename Archive, MaybeConst<WarmUpLimits> Value>
+void serialize(Archive& archive, Value& limits)
+{
+    archive(limits.duration, limits.perSecond);
+}
+
 template <typename Archive, MaybeConst<CacheStore> Value>
 void serialize(Archive& archive, Value& store)
 {
@@ -47,7 +53,7 @@
 template <typename Archive, MaybeConst<RegisteredPool> Value>
 void serialize(Archive& archive, Value& pool)
 {
-    archive(pool.name, pool.maxConnections, pool.engine, pool.store);
+    archive(pool.name, pool.maxConnections, pool.engine, pool.warmUp, pool.store);
 }
 
 template <typename Archive, MaybeConst<Organisation> Value>
