Announce placed prompts to all hosts where cached parts move cheaply

Cause: hosts of other data centres learn of most placements with the next load notice, after up to 0.7 s, while all of them choose among the same engines. Engines with few slots or with room for few long prompts get more than they hold and preempt streams. Change: pools whose table row gives a transfer time of at most 2 us per token announce each placement to all hosts at once, to those of other data centres without the parts. Ruled out: a cost that rises with the occupancy of an engine.

--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -249,6 +249,13 @@
         notice.fetchMs = static_cast<std::uint16_t>(std::clamp<std::int64_t>(placement.predictedFetch.count(), 0, maxAnnouncedTime.count()));
         notice.memoryTokens = static_cast<std::uint32_t>(placement.work.memoryTokens[priorityClass(priority)]);
         m_datagrams.sendToAll(receivers, notice);
+        // The parts follow with the next load notice.
+        const bool isWide = placement.isAnnouncedWidely && receivers.size() < m_hosts.size() && !limitsRemoteNotices();
+        if (isWide && reserveNotices(m_remoteHosts.size(), isLongPrefill)) {
+            notice.parts.clear();
+            notice.fetches.clear();
+            m_datagrams.sendToAll(m_remoteHosts, notice);
+        }
     }
     if (isAnnounced && receivers.size() == m_hosts.size())
         return;
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -60,6 +60,8 @@
     constexpr double maxFetchPrefillFactor = 5;
     constexpr double bitsPerByte = 8;
     constexpr double bitsPerMsAndMbps = 1'000;
+    // With this time to transfer the cache of a token, a prompt of 12,000 tokens moves in 24 ms, about five decode steps.
+    constexpr double cheapTransferMsPerToken = 0.002;
     // Share of the engine's memory that requests may fill before new ones wait. The rest is for tokens still to be generated.
     constexpr double usableMemoryShare = 0.95;
     // Expected growth of the memory use of more urgent requests, as a share of it. This memory is kept free, since otherwise they
@@ -239,6 +241,7 @@
     : m_limits(limits)
     , m_mechanisms(mechanisms)
     , m_fetchMsPerToken(transferMsPerToken(limits, limits.linkMbps))
+    , m_hasCheapTransfers(mechanisms.has(Mechanism::WideNotices) && m_fetchMsPerToken > 0 && m_fetchMsPerToken <= cheapTransferMsPerToken)
 {
 }
 
@@ -444,6 +447,7 @@
     out.prefill = roundedMs(prediction.prefillMs);
     out.streamEffect = chosen->effect;
     out.isSpeedSample = prediction.isPrefillOnly;
+    out.isAnnouncedWidely = m_hasCheapTransfers;
     out.work.requests = 1;
     out.work.prefillTokens[priorityClass(request.priority)] = prediction.uncachedTokens;
     out.work.fetchTokens = prediction.fetchTokens;
--- a/packages/placement/chiveshelf/placement/EnginePlacement.h
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.h
@@ -133,6 +133,10 @@
     Mechanisms m_mechanisms;
     // Nominal time in ms to fetch a token over a runner's link.
     double m_fetchMsPerToken;
+    // Whether cached parts move between engines so fast that prompts take any engine with room, also in another data centre. All hosts
+    // then choose among all engines and have to know of each other's placements at once: without that, engines get more prompts than
+    // their slots and memory hold, and preempt streams.
+    bool m_hasCheapTransfers;
     StreamSeparation m_separation;
 };
 
--- a/packages/placement/chiveshelf/placement/Mechanisms.h
+++ b/packages/placement/chiveshelf/placement/Mechanisms.h
@@ -33,10 +33,12 @@
     PromptNotices,
     // Hosts exchange the measured transfer speed of stores.
     StoreSpeedNotices,
+    // Hosts of other data centres are notified, too, where cached parts move cheaply between engines.
+    WideNotices,
 };
 
-constexpr std::array<std::string_view, 12> mechanismNames { "homes", "store-fetches", "runner-fetches", "saving", "reading-instead", "pause-costs",
-    "stream-separation", "work-times", "failure-shares", "spread-draws", "prompt-notices", "store-speed-notices" };
+constexpr std::array<std::string_view, 13> mechanismNames { "homes", "store-fetches", "runner-fetches", "saving", "reading-instead", "pause-costs",
+    "stream-separation", "work-times", "failure-shares", "spread-draws", "prompt-notices", "store-speed-notices", "wide-notices" };
 
 // Set of the mechanisms that are switched on. All are on by default.
 class Mechanisms {
--- a/packages/placement/chiveshelf/placement/Placement.h
+++ b/packages/placement/chiveshelf/placement/Placement.h
@@ -73,6 +73,8 @@
     // Predicted time of the fetches, and the time they would take at the nominal speed of the links. Used by learn().
     std::chrono::milliseconds predictedFetch { 0 };
     double nominalFetchMs = 0;
+    // Whether hosts of all data centres are told of the placement at once.
+    bool isAnnouncedWidely = false;
     // Whether the time to the first token measures the runner's prefill speed: the prompt neither waits nor fetches.
     bool isSpeedSample = false;
 };
