--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -209,6 +209,10 @@
             { "versions", runner->record().modelVersions }, { "software", runner->record().softwareVersion }, { "requests", runner->requests(now) }, { "prefill_tokens", total.prefillTokens },
             { "prompts", total.prompts }, { "memory_tokens", total.memoryTokens }, { "failure_share", runner->health().failureShare(now) },
             { "tokens_per_ms", runner->tokensPerMs(0) }, { "cached_tokens", runner->cachedParts().tokens() } };
+        if (runner->isEvacuated())
+            out["runners"][id]["evacuated"] = true;
+        if (runner->isWarmingUp(now))
+            out["runners"][id]["warm_up"] = { { "bound_per_second", runner->warmUpBound()->perSecond }, { "share_per_second", runner->warmUpQuota().share() }, { "has_room", runner->warmUpQuota().hasRoom(now) } };
         if (const auto limit = runner->requestLimit().perSecond())
             out["runners"][id]["limit"] = { { "per_second", *limit }, { "sent", runner->requestLimit().sentSinceChange() }, { "has_permit", runner->requestLimit().hasPermit(now) } };
     }
--- a/packages/gateway/chiveshelf/gateway/GatewayMetrics.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewayMetrics.cpp
@@ -47,6 +47,7 @@
     addLoopDelays(registry, metrics.loopDelays);
     addCounter("chiveshelf_gateway_repeats_total", "Sends beyond the first of each request.", static_cast<double>(metrics.repeats));
     addCounter("chiveshelf_gateway_resumes_total", "Streams resumed at another runner.", static_cast<double>(metrics.resumes));
+    addCounter("chiveshelf_gateway_warm_up_sends_total", "Requests sent to runners that were warming up under a bound.", static_cast<double>(metrics.warmUpSends));
     addCounter("chiveshelf_gateway_stray_answers_total", "Answers that belonged to other requests.", static_cast<double>(metrics.strayResponses));
     addCounter("chiveshelf_gateway_unheld_answers_total", "Answers that could not be held back within the memory for all of them.", static_cast<double>(metrics.unheldResponses));
     addCounter("chiveshelf_gateway_predictions_total", "First bytes whose time was predicted.", static_cast<double>(metrics.predictions));
--- a/tests/unit/gateway/GatewaySettingsTest.cpp
+++ b/tests/unit/gateway/GatewaySettingsTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(unknownMechanismIsRejectedWithListOfNames);
     CPPUNIT_TEST(linkAndProcessorAreRead);
     CPPUNIT_TEST(unknownLinkAndProcessorHaveDefaults);
+    CPPUNIT_TEST(warmUpAllowanceIsReadOnlyWhereItIsGiven);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -54,6 +55,18 @@
         CPPUNIT_ASSERT(!parse("--cpu-share=fast").empty());
     }
 
+    // Guards against deployments without such a bound that are limited, and against half a bound.
+    void warmUpAllowanceIsReadOnlyWhereItIsGiven()
+    {
+        CPPUNIT_ASSERT(!read("--cold-over=").warmUpAllowance);
+        CPPUNIT_ASSERT_EQUAL(20.0, read("--cold-over=1.5", "--cold-slack=5").warmUpAllowance->of(10));
+        CPPUNIT_ASSERT(!parse("--cold-over=much").empty());
+        auto problems = parse("--cold-slack=5");
+        CPPUNIT_ASSERT(problems.empty());
+        readGatewaySettings(m_options, problems);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), problems.size());
+    }
+
     // Guards against a host that doesn't send anything because its speed is unknown.
     void unknownLinkAndProcessorHaveDefaults()
     {
@@ -62,19 +75,21 @@
     }
 
 private:
-    std::vector<std::string> parse(const std::string& flag)
+    template <typename... Flags>
+    std::vector<std::string> parse(const Flags&... flags)
     {
         std::vector<std::string> arguments { "chiveshelfd", "--host-name=h", "--data-centre=d", "--listen=127.0.0.1:1", "--admin-listen=127.0.0.1:2",
-            "--peer-listen=127.0.0.1:3", "--store=127.0.0.1:4", flag };
+            "--peer-listen=127.0.0.1:3", "--store=127.0.0.1:4", flags... };
         std::vector<char*> pointers;
         for (auto& argument : arguments)
             pointers.push_back(argument.data());
         return m_options.parse(static_cast<int>(pointers.size()), pointers.data());
     }
 
-    GatewaySettings read(const std::string& flag)
+    template <typename... Flags>
+    GatewaySettings read(const Flags&... flags)
     {
-        auto problems = parse(flag);
+        auto problems = parse(flags...);
         CPPUNIT_ASSERT(problems.empty());
         return readGatewaySettings(m_options, problems);
     }
--- a/tests/unit/platform/PlatformFormatsTest.cpp
+++ b/tests/unit/platform/PlatformFormatsTest.cpp
@@ -30,6 +30,8 @@
     CPPUNIT_TEST(invalidRunnerEntryHasNoRecord);
     CPPUNIT_TEST(removedRunnerEntryHasNoRecord);
     CPPUNIT_TEST(onlyValidAnnouncedVersionIsDecoded);
+    CPPUNIT_TEST(warmUpLimitsAreDecodedOnlyIfBothAreSet);
+    CPPUNIT_TEST(evacuationAndItsEndAreDecoded);
     CPPUNIT_TEST(callerHeadersAreDecoded);
     CPPUNIT_TEST(repeatedSingletonHeaderIsAmbiguous);
     CPPUNIT_TEST(reservedHeadersFromCallerAreNotForwarded);
@@ -94,6 +96,25 @@
         CPPUNIT_ASSERT(decode("servers/x", leaving).record->isLeaving);
     }
 
+    void warmUpLimitsAreDecodedOnlyIfBothAreSet()
+    {
+        const auto warmUpOf = [](const std::string& fields) {
+            return decodeTables(R"({"version":7,"services":[{"name":"a")" + fields + "}]}")->pools.at(0).warmUp;
+        };
+        CPPUNIT_ASSERT((warmUpOf(R"(,"coldStartS":3.5,"coldPerS":10.0)") == WarmUpLimits { milliseconds(3'500), 10 }));
+        CPPUNIT_ASSERT(!warmUpOf(R"(,"coldStartS":0.0,"coldPerS":0.0)"));
+        CPPUNIT_ASSERT(!warmUpOf(R"(,"coldStartS":3.5)"));
+        CPPUNIT_ASSERT(!warmUpOf(""));
+    }
+
+    void evacuationAndItsEndAreDecoded()
+    {
+        const auto begun = std::get<EvacuationItem>(decodeItem({ { "op/evacuate/hartford", "{}", 4 }, false }));
+        CPPUNIT_ASSERT_EQUAL(std::string("hartford"), begun.dataCentre);
+        CPPUNIT_ASSERT(begun.isInForce);
+        CPPUNIT_ASSERT(!std::get<EvacuationItem>(decodeItem({ { "op/evacuate/hartford", "", 5 }, true })).isInForce);
+    }
+
     void invalidRunnerEntryHasNoRecord()
     {
         const std::vector<std::pair<std::string, std::string>> invalidEdits { { R"("capacity":64)", R"("capacity":"64")" }, { R"("capacity":64,)", "" },
