Treat responses with a status outside 100 to 599 as invalid

Cause: Beast parses any three digits as a status, and isRunnerResponse() excluded only the statuses of refusals. A signed response with status 000 was passed on as "HTTP/1.1 0"; with X-Not-Executed the caller got 503; its headers changed the state of the runner. Change: readResponseHeader() checks the status before any header is evaluated. The attempt may have run, counts as a failure of the runner, and the connection is closed.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -3,6 +3,7 @@
 #include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
 #include "chiveshelf/http/Message.h"
+#include "chiveshelf/http/ResponseChecks.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -635,7 +636,12 @@
             co_return false;
         }
         const auto status = parser->get().result_int();
-        if (status >= 100 && status < 200) {
+        // Checked before the headers are evaluated: neither a proof nor a state of the runner counts in a response that isn't valid.
+        if (!http::isValidStatus(status)) {
+            m_readError = "invalid status " + std::to_string(status);
+            co_return false;
+        }
+        if (status < 200) {
             ++interims;
             continue;
         }
--- a/packages/http/chiveshelf/http/http.h
+++ b/packages/http/chiveshelf/http/http.h
@@ -6,5 +6,6 @@
 
 #include "chiveshelf/http/Client.h"
 #include "chiveshelf/http/Message.h"
+#include "chiveshelf/http/ResponseChecks.h"
 #include "chiveshelf/http/Server.h"
 #include "chiveshelf/http/SseParser.h"
