Fail calls whose response has a status outside 100 to 599

Cause: http::Client left the check of the status to its callers, several of which take any status below 300 for a success; the headers of a runner's report were applied. Change: Client::open(), through which calls to runners, stores, the platform and those of chivesctl go, fails with MayHaveRun. Measured: ClientTest::sendWithInvalidStatusFails and InvalidStatusTest::reportOfWeightsFails failed before and pass.

--- a/packages/http/chiveshelf/http/Client.cpp
+++ b/packages/http/chiveshelf/http/Client.cpp
@@ -1,6 +1,7 @@
 #include "chiveshelf/http/Client.h"
 
 #include "chiveshelf/core/Sockets.h"
+#include "chiveshelf/http/ResponseChecks.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -173,6 +174,9 @@
         connection->stream.expires_after(limits.progress);
         co_await beast::http::async_read_header(connection->stream, connection->buffer, *connection->parser,
             redirect_error(use_awaitable, ec));
+        const auto status = connection->parser->get().result_int();
+        if (!ec && !isValidStatus(status))
+            co_return failure(ErrorCode::Unavailable, "the response of " + toString(address) + " has the invalid status " + std::to_string(status), Verdict::MayHaveRun);
     }
     if (ec) {
         if (ec == beast::error::timeout)
--- a/packages/http/chiveshelf/http/Client.h
+++ b/packages/http/chiveshelf/http/Client.h
@@ -82,7 +82,7 @@
     Client& operator=(const Client&) = delete;
 
     // Sends a request and reads the whole response. Fails with Timeout if a time limit expires, and with Unavailable if the
-    // response exceeds the size limit, or all responses together exceed theirs. `maySend` is called once the connection is established, immediately before the request is
+    // response exceeds the size limit, has an invalid status, or all responses together exceed theirs. `maySend` is called once the connection is established, immediately before the request is
     // written; if it returns false, nothing is sent and the call fails with Unavailable and NotRun.
     boost::asio::awaitable<Result<Response>> send(Address, Request, CallLimits, std::function<bool()> maySend = {});
 
--- a/tests/unit/http/ClientTest.cpp
+++ b/tests/unit/http/ClientTest.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(sendWithEndlessChunkHeaderFails);
     CPPUNIT_TEST(sendWithEndlessBodyFailsAtBodyLimit);
     CPPUNIT_TEST(sendWithHeadOfTooManyFieldsFails);
+    CPPUNIT_TEST(sendWithInvalidStatusFails);
     CPPUNIT_TEST(sendWithSlowBodyFailsAtTotalLimit);
     CPPUNIT_TEST(sendWithoutMemoryForBodyFails);
     CPPUNIT_TEST(connectionWithBytesAfterResponseIsNotReused);
@@ -101,6 +102,18 @@
         CPPUNIT_ASSERT(result->error().verdict == Verdict::MayHaveRun);
     }
 
+    // Guards against callers that take any status below 300 for a success.
+    void sendWithInvalidStatusFails()
+    {
+        for (const auto* status : { "000", "001", "099", "600", "999" }) {
+            EndlessServer server(m_context, "HTTP/1.1 " + std::string(status) + " Text\r\nContent-Length: 1\r\n\r\na", "", milliseconds(0));
+            const auto result = send(server, {});
+            CPPUNIT_ASSERT_MESSAGE(status, result && !*result);
+            CPPUNIT_ASSERT_MESSAGE(status, result->error().verdict == Verdict::MayHaveRun);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_client.idleConnections());
+        }
+    }
+
     // Guards against a call without end: a server that keeps sending single bytes never exceeds the progress limit.
     void sendWithSlowBodyFailsAtTotalLimit()
     {
--- a/tests/unit/responses/InvalidStatusTest.cpp
+++ b/tests/unit/responses/InvalidStatusTest.cpp
@@ -1,9 +1,12 @@
 #include "GatewayFixture.h"
 
+#include "platform/RunnerOrders.h"
+
 namespace {
 
 using namespace chiveshelf;
 using fakeplatform::Script;
+namespace asio = boost::asio;
 
 const std::vector<std::string> invalidStatuses { "000", "001", "099", "600", "700", "999" };
 
@@ -21,6 +24,7 @@
     CPPUNIT_TEST(resumptionIsNotPassedOn);
     CPPUNIT_TEST(failureCountsTowardsHealthOfRunner);
     CPPUNIT_TEST(headersOfResponseAreIgnored);
+    CPPUNIT_TEST(reportOfWeightsFails);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -129,6 +133,21 @@
         CPPUNIT_ASSERT_EQUAL(200U, fetch(post("/book/2")).status);
     }
 
+    void reportOfWeightsFails()
+    {
+        fakeplatform::Runner runner(*m_context, [](const auto&) { return response("000", ""); });
+        const Address address { m_network + ".2", 8'100 };
+        CPPUNIT_ASSERT(runner.start(address));
+        http::Client client(*m_context);
+        bool isApplied = false;
+        std::optional<Result<platform::WeightReport>> report;
+        asio::co_spawn(
+            *m_context, [&]() -> asio::awaitable<void> { report = co_await platform::readWeightReport(client, address, [&](const auto&, unsigned) { isApplied = true; }); }, asio::detached);
+        runUntil([&] { return report.has_value(); });
+        CPPUNIT_ASSERT(report && !*report);
+        CPPUNIT_ASSERT(!isApplied);
+    }
+
 private:
     static Script response(const std::string& status, const std::string& moreHeaders, const std::string& before = {})
     {
