Skip interim responses in the HTTP client

Cause: Client::open() read one header and returned it as the final response, also with status 100 or 103, so that the call succeeded with an empty body. Change: up to eight interim responses are skipped, as in ForwardTask; more fail the call with MayHaveRun. Measured: ClientTest::interimResponsesAreSkipped and sendWithEndlessInterimResponsesFails failed before and pass.

--- a/packages/http/chiveshelf/http/Client.cpp
+++ b/packages/http/chiveshelf/http/Client.cpp
@@ -22,6 +22,8 @@
     constexpr std::size_t maxBufferedBytes = 128 * 1024;
     constexpr int defaultTotalToProgressRatio = 4;
     constexpr std::size_t readPieceBytes = 16 * 1024;
+    // Interim responses that are skipped before the final one.
+    constexpr int maxInterimResponses = 8;
 
     Error connectionError(const Address& address, const char* step, const boost::system::error_code& ec, Verdict verdict)
     {
@@ -168,7 +170,7 @@
     boost::system::error_code ec;
     connection->stream.expires_after(limits.progress);
     co_await beast::http::async_write(connection->stream, request, redirect_error(use_awaitable, ec));
-    if (!ec) {
+    for (int interims = 0; !ec && interims <= maxInterimResponses; ++interims) {
         connection->parser = std::make_unique<Parser>();
         connection->parser->body_limit(limits.bodyBytes);
         connection->stream.expires_after(limits.progress);
@@ -177,12 +179,16 @@
         const auto status = connection->parser->get().result_int();
         if (!ec && !isValidStatus(status))
             co_return failure(ErrorCode::Unavailable, "the response of " + toString(address) + " has the invalid status " + std::to_string(status), Verdict::MayHaveRun);
+        if (status >= 200)
+            break;
     }
     if (ec) {
         if (ec == beast::error::timeout)
             m_idle.erase(address);
         co_return tl::unexpected(connectionError(address, "request to", ec, Verdict::MayHaveRun));
     }
+    if (connection->parser->get().result_int() < 200)
+        co_return failure(ErrorCode::Unavailable, "too many interim responses of " + toString(address), Verdict::MayHaveRun);
     if (hasTooManyFields(connection->parser->get()))
         co_return failure(ErrorCode::Unavailable, "the response of " + toString(address) + " has too many header fields", Verdict::MayHaveRun);
     co_return std::make_unique<ResponseStream>(*this, address, std::move(connection), limits);
--- a/packages/http/chiveshelf/http/Client.h
+++ b/packages/http/chiveshelf/http/Client.h
@@ -86,7 +86,7 @@
     // written; if it returns false, nothing is sent and the call fails with Unavailable and NotRun.
     boost::asio::awaitable<Result<Response>> send(Address, Request, CallLimits, std::function<bool()> maySend = {});
 
-    // Sends a request and returns once the response header has been read. `maySend` is used as in send().
+    // Sends a request and returns once the header of the final response has been read. Interim responses are skipped. `maySend` is used as in send().
     boost::asio::awaitable<Result<std::unique_ptr<ResponseStream>>> open(Address, Request, CallLimits, std::function<bool()> maySend = {});
 
     std::size_t idleConnections() const;
--- a/tests/unit/http/ClientTest.cpp
+++ b/tests/unit/http/ClientTest.cpp
@@ -66,6 +66,8 @@
     CPPUNIT_TEST(sendWithEndlessBodyFailsAtBodyLimit);
     CPPUNIT_TEST(sendWithHeadOfTooManyFieldsFails);
     CPPUNIT_TEST(sendWithInvalidStatusFails);
+    CPPUNIT_TEST(interimResponsesAreSkipped);
+    CPPUNIT_TEST(sendWithEndlessInterimResponsesFails);
     CPPUNIT_TEST(sendWithSlowBodyFailsAtTotalLimit);
     CPPUNIT_TEST(sendWithoutMemoryForBodyFails);
     CPPUNIT_TEST(connectionWithBytesAfterResponseIsNotReused);
@@ -114,6 +116,22 @@
         }
     }
 
+    // Guards against taking an interim response for the final one.
+    void interimResponsesAreSkipped()
+    {
+        const std::string interims = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+        EndlessServer server(m_context, interims + "HTTP/1.1 409 Conflict\r\nContent-Length: 1\r\n\r\na", "", milliseconds(0));
+        const auto result = send(server, {});
+        CPPUNIT_ASSERT(result && *result);
+        CPPUNIT_ASSERT_EQUAL(409U, (*result)->result_int());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), (*result)->body());
+    }
+
+    void sendWithEndlessInterimResponsesFails()
+    {
+        expectFailure("", "HTTP/1.1 100 Continue\r\n\r\n");
+    }
+
     // Guards against a call without end: a server that keeps sending single bytes never exceeds the progress limit.
     void sendWithSlowBodyFailsAtTotalLimit()
     {
