Reject responses whose end came before the request was accepted

Cause: isEndTrusted() asked whether the write had failed. A write that is still in the send buffer has not, and a reset after a FIN doesn't show in the read, so that part of a response without a length was passed on as complete. Change: at such an end the bytes that the runner has not acknowledged (SIOCOUTQ) must be 0. Measured: EarlyResponseTest, 7 cases: FIN without reading on, and FIN followed by a reset, failed before; all pass. Both cases of a reset alone, FIN during an unfinished write, FIN after the whole request and an early response on a kept connection passed before, too.

--- a/packages/core/chiveshelf/core/Sockets.cpp
+++ b/packages/core/chiveshelf/core/Sockets.cpp
@@ -2,8 +2,10 @@
 
 #include <cerrno>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace chiveshelf {
@@ -33,6 +35,12 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool isAllAcknowledged(asio::ip::tcp::socket& socket)
+{
+    int n = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &n) == 0 && n == 0;
+}
+
 void enableKeepAliveProbes(asio::ip::tcp::socket& socket, const KeepAliveProbes& probes)
 {
     const int fd = socket.native_handle();
--- a/packages/core/chiveshelf/core/Sockets.h
+++ b/packages/core/chiveshelf/core/Sockets.h
@@ -14,6 +14,9 @@
 // Returns whether an idle connection can be reused: the peer has not closed it, and there are no unexpected bytes to read.
 bool isReusable(boost::asio::ip::tcp::socket&);
 
+// Returns whether the peer has acknowledged all bytes that were written to the socket. False if that can't be determined.
+bool isAllAcknowledged(boost::asio::ip::tcp::socket&);
+
 // Parameters of TCP keep-alive probes. The first probe is sent after the connection was idle for `idle`, further ones at `interval`.
 // The kernel drops the connection after `count` unacknowledged probes.
 struct KeepAliveProbes {
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -2,6 +2,7 @@
 
 #include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Sockets.h"
 #include "chiveshelf/http/Message.h"
 #include "chiveshelf/http/ResponseChecks.h"
 
@@ -930,8 +931,9 @@
 
 bool ForwardTask::isEndTrusted(const Parser& parser) const
 {
-    // A failed write consumes the error of a reset connection, and the read after it reports an orderly end.
-    return !parser.need_eof() || !m_hasWriteFailed;
+    // A failed write consumes the error of a reset connection, and the read after it reports an orderly end. A write that succeeded may
+    // still be in the send buffer, and a reset that follows an orderly close is not reported by the read.
+    return !parser.need_eof() || (!m_hasWriteFailed && isAllAcknowledged(m_connection->socket));
 }
 
 bool ForwardTask::isStreamWhole(const Parser& parser, const EventBoundary& events)
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -138,7 +138,7 @@
     void recordAnswer(RunnerUse&, TimePoint now);
     // Counts and logs how a response body without a length, or one that ended inside an event, ended: "closed", or the read error.
     void recordBodyEnd(const Parser&, const EventBoundary&, std::string_view end);
-    // Whether the end of the runner's connection, if it delimits the body, was an orderly one.
+    // Whether the end of the runner's connection, if it delimits the body, was an orderly one after the whole request was accepted.
     bool isEndTrusted(const Parser&) const;
     // Whether a stream whose body the parser considers complete can be passed on as complete.
     static bool isStreamWhole(const Parser&, const EventBoundary&);
