Fail calls whose response ended before the request was accepted

Cause: http::Client took the end of a connection for the end of a body without a length while the request was still in the send buffer. Change: ResponseStream::readSome() fails with MayHaveRun if the server has not acknowledged the whole request by then.

--- a/packages/http/chiveshelf/http/Client.cpp
+++ b/packages/http/chiveshelf/http/Client.cpp
@@ -72,7 +72,7 @@
 
 asio::awaitable<Result<std::string>> ResponseStream::readSome()
 {
-    if (!m_connection || m_connection->parser->is_done())
+    if (!m_connection)
         co_return std::string();
     auto& parser = *m_connection->parser;
     std::string piece(readPieceBytes, '\0');
@@ -95,6 +95,9 @@
             co_return piece;
         }
     }
+    // The end of the connection delimits the body, and may be that of a server which failed while it received the request.
+    if (parser.need_eof() && !isAllAcknowledged(m_connection->stream.socket()))
+        co_return failure(ErrorCode::Unavailable, toString(m_address) + " closed the connection before it had accepted the whole request", Verdict::MayHaveRun);
     co_return std::string();
 }
 
--- a/tests/unit/http/ClientTest.cpp
+++ b/tests/unit/http/ClientTest.cpp
@@ -59,6 +59,38 @@
     milliseconds m_pause;
 };
 
+// Server that responds without a length before it has read the whole request, and then closes its side of the connection.
+struct EarlyServer {
+    explicit EarlyServer(asio::io_context& context)
+        : m_acceptor(context)
+    {
+        m_acceptor.open(asio::ip::tcp::v4());
+        // Keeps most of a long request in the send buffer of the client.
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(4'096));
+        m_acceptor.bind({ asio::ip::make_address("127.0.0.1"), 0 });
+        m_acceptor.listen();
+        asio::co_spawn(context, serve(), asio::detached);
+    }
+
+    Address address() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
+
+    asio::awaitable<void> serve()
+    {
+        boost::system::error_code ec;
+        asio::ip::tcp::socket socket(m_acceptor.get_executor());
+        co_await m_acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, ec));
+        co_await socket.async_wait(asio::socket_base::wait_read, asio::redirect_error(asio::use_awaitable, ec));
+        const std::string bytes = "HTTP/1.1 200 OK\r\n\r\npart";
+        co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
+        socket.shutdown(asio::socket_base::shutdown_send, ec);
+        asio::steady_timer timer(m_acceptor.get_executor(), milliseconds(300));
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+
+private:
+    asio::ip::tcp::acceptor m_acceptor;
+};
+
 class ClientTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ClientTest);
     CPPUNIT_TEST(sendWithEndlessResponseHeaderFails);
@@ -68,6 +100,7 @@
     CPPUNIT_TEST(sendWithInvalidStatusFails);
     CPPUNIT_TEST(interimResponsesAreSkipped);
     CPPUNIT_TEST(sendWithEndlessInterimResponsesFails);
+    CPPUNIT_TEST(closeBeforeRequestWasAcceptedFails);
     CPPUNIT_TEST(sendWithSlowBodyFailsAtTotalLimit);
     CPPUNIT_TEST(sendWithoutMemoryForBodyFails);
     CPPUNIT_TEST(connectionWithBytesAfterResponseIsNotReused);
@@ -132,6 +165,15 @@
         expectFailure("", "HTTP/1.1 100 Continue\r\n\r\n");
     }
 
+    // Guards against a response that the end of the connection delimits, while the request is still in the send buffer.
+    void closeBeforeRequestWasAcceptedFails()
+    {
+        EarlyServer server(m_context);
+        const auto result = send(server, {}, nullptr, std::string(200'000, 'b'));
+        CPPUNIT_ASSERT(result && !*result);
+        CPPUNIT_ASSERT(result->error().verdict == Verdict::MayHaveRun);
+    }
+
     // Guards against a call without end: a server that keeps sending single bytes never exceeds the progress limit.
     void sendWithSlowBodyFailsAtTotalLimit()
     {
@@ -192,13 +234,14 @@
     }
 
 private:
-    std::optional<Result<http::Response>> send(EndlessServer& server, std::function<bool()> maySend, http::Client* client = nullptr)
+    template <typename Server>
+    std::optional<Result<http::Response>> send(Server& server, std::function<bool()> maySend, http::Client* client = nullptr, const std::string& body = {})
     {
         std::optional<Result<http::Response>> out;
         http::CallLimits limits { milliseconds(200), milliseconds(200) };
         limits.bodyBytes = 1'024 * 1'024;
         const auto call = [&]() -> asio::awaitable<void> {
-            auto request = http::makeRequest(http::Verb::get, "/");
+            auto request = http::makeRequest(body.empty() ? http::Verb::get : http::Verb::post, "/", body);
             auto result = co_await (client ? *client : m_client).send(server.address(), std::move(request), limits, std::move(maySend));
             out.emplace(std::move(result));
         };
