--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -2,7 +2,9 @@
 
 #include "chiveshelf/core/Hash.h"
 #include "chiveshelf/core/Log.h"
+#include "chiveshelf/core/Sockets.h"
 #include "chiveshelf/http/Message.h"
+#include "chiveshelf/http/ResponseChecks.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -642,7 +644,12 @@
             co_return false;
         }
         const auto status = parser->get().result_int();
-        if (status >= 100 && status < 200) {
+        // Checked before the headers are evaluated: neither a proof nor a state of the runner counts in a response that isn't valid.
+        if (!http::isValidStatus(status)) {
+            m_readError = "invalid status " + std::to_string(status);
+            co_return false;
+        }
+        if (status < 200) {
             ++interims;
             continue;
         }
@@ -932,8 +939,9 @@
 
 bool ForwardTask::isEndTrusted(const Parser& parser) const
 {
-    // A failed write consumes the error of a reset connection, and the read after it reports an orderly end.
-    return !parser.need_eof() || !m_hasWriteFailed;
+    // A failed write consumes the error of a reset connection, and the read after it reports an orderly end. A write that succeeded may
+    // still be in the send buffer, and a reset that follows an orderly close is not reported by the read.
+    return !parser.need_eof() || (!m_hasWriteFailed && isAllAcknowledged(m_connection->socket));
 }
 
 bool ForwardTask::isStreamWhole(const Parser& parser, const EventBoundary& events)
