--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -57,10 +57,11 @@
     endif()
 endfunction()
 
-# chiveshelf_add_integration_test(NAME NETWORK N [TIMEOUT S] [PROCESSORS N]) builds tests/integration/NAME.cpp and adds the CTest
-# test integration_NAME. Its processes use the loopback addresses 127.N.0.0/16, so that tests can run in parallel.
+# chiveshelf_add_integration_test(NAME NETWORK N [TIMEOUT S] [PROCESSORS N] [SERIAL]) builds tests/integration/NAME.cpp and adds the
+# CTest test integration_NAME. Its processes use the loopback addresses 127.N.0.0/16, so that tests can run in parallel. A test with SERIAL
+# runs alone.
 function(chiveshelf_add_integration_test NAME)
-    cmake_parse_arguments(ARG "" "NETWORK;TIMEOUT;PROCESSORS" "" ${ARGN})
+    cmake_parse_arguments(ARG "SERIAL" "NETWORK;TIMEOUT;PROCESSORS" "" ${ARGN})
     add_executable(integration_${NAME} tests/integration/${NAME}.cpp tests/support/UnitTestMain.cpp)
     target_link_libraries(integration_${NAME} PRIVATE chiveshelf_test_support cppunit)
     chiveshelf_use_pch(integration_${NAME})
@@ -76,4 +77,7 @@
         TIMEOUT ${ARG_TIMEOUT}
         PROCESSORS ${ARG_PROCESSORS}
         ENVIRONMENT "CHIVESHELF_TEST_NETWORK=${ARG_NETWORK};CHIVESHELF_TEST_BINARIES=${CMAKE_BINARY_DIR}/bin")
+    if(ARG_SERIAL)
+        set_tests_properties(integration_${NAME} PROPERTIES RUN_SERIAL TRUE)
+    endif()
 endfunction()
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
@@ -67,6 +67,7 @@
         { "retry-window-s", "10", "Window over which repeats are counted, in s.", false, false, checkDecimal(1, 3'600, "s") },
         { "first-start", "false", "Whether the whole system starts for the first time: true or false.", false, false, checkOneOf({ "true", "false" }) },
         { "most-descriptors", "4096", "File descriptors that the process may use.", false, false, checkNumber(64, 10'000'000, "") },
+        { "memory-mb", "0", "Memory of this machine, in MB; empty or 0 if unknown, which counts as 160.", false, false, checkNumber(0, 1'000'000'000, "MB") },
         { "link-mbps", "100", "Speed of this host's link, in Mbit/s; 0 if unknown. At most half of it is used to send tables to other hosts.", false, false, checkDecimal(0, 1'000'000, "Mbit/s") },
         { "cpu-share", "1", "Share of a processor core that the process may use; 0 if unknown. Hosts with more, and faster links, watch the store for the others.", false, false,
             checkDecimal(0, 1'024, "cores") },
@@ -102,6 +103,8 @@
     out.retryWindow = seconds(options, "retry-window-s");
     out.isFirstStart = options.text("first-start") == "true";
     out.maxDescriptors = static_cast<std::size_t>(options.number("most-descriptors"));
+    const auto memoryMb = options.number("memory-mb");
+    out.memoryMb = memoryMb > 0 ? static_cast<std::size_t>(memoryMb) : out.memoryMb;
     const auto linkMbps = options.decimal("link-mbps");
     out.linkMbps = linkMbps > 0 ? linkMbps : out.linkMbps;
     const auto cpuShare = options.decimal("cpu-share");
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.h
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.h
@@ -36,6 +36,8 @@
     // Whether the whole system starts for the first time, so that no request was served before this process started.
     bool isFirstStart = false;
     std::size_t maxDescriptors = 4'096;
+    // Memory of this machine. The default is that of a small host.
+    std::size_t memoryMb = 160;
     // Speed of this host's link, and its share of a processor core.
     double linkMbps = 100;
     double cpuShare = 1;
--- a/tests/support/GatewayFleet.cpp
+++ b/tests/support/GatewayFleet.cpp
@@ -184,6 +184,7 @@
     std::vector<std::string> arguments { "gateway", "--host-name=" + hostName(number), "--data-centre=z", "--listen=" + toString(address(hostGroup, number, callerPort)),
         "--admin-listen=" + toString(address(hostGroup, number, adminPort)), "--peer-listen=" + toString(peerAddress(number)) };
     arguments.insert(arguments.end(), moreArguments.begin(), moreArguments.end());
+    arguments.insert(arguments.end(), m_hostArguments.begin(), m_hostArguments.end());
     host.process = std::make_unique<ChildProcess>("chiveshelfd", arguments, m_logFolder + "/" + hostName(number) + ".log");
 }
 
--- a/tests/support/GatewayFleet.h
+++ b/tests/support/GatewayFleet.h
@@ -48,6 +48,9 @@
     // Bytes that crossed a limited link.
     std::size_t linkBytes(int number, SlowLink::Direction direction) const { return m_hosts.at(number).link->bytes(direction); }
 
+    // Adds settings for the hosts that are started from now on.
+    void addHostArguments(const std::vector<std::string>& arguments) { m_hostArguments.insert(m_hostArguments.end(), arguments.begin(), arguments.end()); }
+
     // Gives each of these hosts from now on this share of a processor.
     void limitProcessors(const std::vector<int>& hosts, double share);
 
@@ -110,6 +113,7 @@
 
     std::string m_network;
     std::string m_logFolder;
+    std::vector<std::string> m_hostArguments;
     boost::asio::io_context m_context { 1 };
     fakeplatform::Store m_store { m_context };
     std::vector<RunnerSlot> m_runners;
