Count a body as slow once nothing of it arrived for the length of a window

The window of the rate ended only with the next bytes, so that a body that arrived in one burst and stopped short of its end looked fast for seconds. integration_CallerLimitsTest::stalledBodyGivesWayAndGets408 (next commit) got 503 for the body that had to wait for it, and gets 200 now. unit_core: 34 cases pass.

--- a/packages/core/chiveshelf/core/BodyBudget.cpp
+++ b/packages/core/chiveshelf/core/BodyBudget.cpp
@@ -33,6 +33,7 @@
     : m_budget(std::move(budget))
     , m_onDropped(std::move(onDropped))
     , m_windowStart(now)
+    , m_lastReceived(now)
 {
     m_budget->m_arriving.insert(this);
 }
@@ -60,6 +61,7 @@
 void HeldBody::onReceived(std::size_t n, TimePoint now)
 {
     m_windowBytes += n;
+    m_lastReceived = now;
     if (now - m_windowStart < BodyBudget::rateWindow)
         return;
     m_wasSlow = isBelowRate(now);
@@ -69,6 +71,9 @@
 
 bool HeldBody::isSlow(TimePoint now) const
 {
+    // The present window may have begun with a burst that hides a stop.
+    if (now - m_lastReceived >= BodyBudget::rateWindow)
+        return m_budget->m_limits.minBytesPerSecond > 0;
     return now - m_windowStart < BodyBudget::rateWindow ? m_wasSlow : isBelowRate(now);
 }
 
--- a/packages/core/chiveshelf/core/BodyBudget.h
+++ b/packages/core/chiveshelf/core/BodyBudget.h
@@ -95,6 +95,7 @@
     // Start of the current window of the rate, and the bytes received in it.
     TimePoint m_windowStart;
     std::size_t m_windowBytes = 0;
+    TimePoint m_lastReceived;
     // Whether the rate was too low in the last complete window.
     bool m_wasSlow = false;
 };
--- a/tests/unit/core/BodyBudgetTest.cpp
+++ b/tests/unit/core/BodyBudgetTest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(slowBodyIsKeptWhileOthersFit);
     CPPUNIT_TEST(bodyAtMinimumRateIsNeverDropped);
     CPPUNIT_TEST(bodyThatStopsIsSlowAfterWindow);
+    CPPUNIT_TEST(bodyThatStopsAfterBurstIsSlowAfterWindow);
     CPPUNIT_TEST(completeBodyIsNeverDropped);
     CPPUNIT_TEST(crowdOfStalledOrdinaryBodiesGivesWay);
     CPPUNIT_TEST(endOfBodyGivesItsBytesBack);
@@ -110,6 +111,17 @@
         CPPUNIT_ASSERT(body->isSlow(m_now));
     }
 
+    // Guards against a window that a burst at its start makes look fast for seconds.
+    void bodyThatStopsAfterBurstIsSlowAfterWindow()
+    {
+        auto* const body = add();
+        body->onReceived(4 * mb, m_now);
+        m_now += BodyBudget::rateWindow - milliseconds(1);
+        CPPUNIT_ASSERT(!body->isSlow(m_now));
+        m_now += milliseconds(1);
+        CPPUNIT_ASSERT(body->isSlow(m_now));
+    }
+
     // Guards against a request that is answered as not run after it was sent to a runner.
     void completeBodyIsNeverDropped()
     {
