Bound what callers can make a host hold in memory and connections

A host kept each body whole, 4 MB on up to 1,916 connections, left unread bytes to the kernel, and let unfinished requests occupy all connections for 15 s.

The budget of buffered responses is a part of the same plan. The listening socket has a small receive buffer. A connection beyond the bound displaces one that isn't in use. Large blocks return to the system when freed.

--- a/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
@@ -24,6 +24,13 @@
 
     // Time to receive a complete body after its header; enough for a megabyte over a slow link.
     constexpr std::chrono::milliseconds bodyTimeout { 15'000 };
+    // Retry-After of bodies for which the process has no memory. Within this time, stalled bodies count as slow and give way.
+    constexpr std::chrono::milliseconds noRoomRetryAfter { 1'000 };
+    constexpr std::size_t bodyPieceBytes = 16 * 1024;
+    // The buffer of a connection is kept between requests up to this size.
+    constexpr std::size_t keptBufferBytes = 4 * 1024;
+    // Time after which a connection that sends no complete header may have to give its place to another one.
+    constexpr std::chrono::milliseconds minUnusedTime { 500 };
     // Time that a request may be on its way when the idle time ends, over a full link and to a busy host.
     constexpr std::chrono::milliseconds idleMargin { 1'000 };
     // Time to read what has already arrived when a time limit ends.
@@ -89,6 +96,12 @@
         return "broken_response";
     case CloseReason::CallerGone:
         return "caller_gone";
+    case CloseReason::NoRoom:
+        return "no_room";
+    case CloseReason::SlowBody:
+        return "slow_body";
+    case CloseReason::Displaced:
+        return "displaced";
     case CloseReason::Stopping:
         return "stopping";
     case CloseReason::Error:
@@ -110,8 +123,9 @@
     return out + "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
 }
 
-CallerConnection::CallerConnection(asio::ip::tcp::socket socket)
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket, std::shared_ptr<BodyBudget> budget)
     : m_socket(std::move(socket))
+    , m_budget(std::move(budget))
     , m_timer(m_socket.get_executor())
     , m_disconnectTimer(m_socket.get_executor())
 {
@@ -151,18 +165,135 @@
     });
 }
 
-asio::awaitable<std::optional<CallerRequest>> CallerConnection::refuseRequest(unsigned status, const char* code, const char* message)
+asio::awaitable<std::optional<CallerRequest>> CallerConnection::refuseRequest(unsigned status, const char* code, const char* message, std::optional<std::chrono::milliseconds> retryAfter)
 {
     m_isKeepAlive = false;
-    LocalResponse refusal { status, code, message, std::nullopt };
+    LocalResponse refusal { status, code, message, retryAfter };
     co_await respond(std::move(refusal));
     co_return std::nullopt;
 }
 
+asio::awaitable<std::optional<CallerRequest>> CallerConnection::refuseBody(BodyResult result, const boost::system::error_code& ec)
+{
+    if (result == BodyResult::NoRoom) {
+        m_closeReason = CloseReason::NoRoom;
+        co_return co_await refuseRequest(503, "no_room", "this host has no memory for the request body; it was not read", noRoomRetryAfter);
+    }
+    if (m_isBodyDropped) {
+        m_closeReason = CloseReason::SlowBody;
+        co_return co_await refuseRequest(408, "slow_body", "the request body arrived too slowly while this host was short of memory");
+    }
+    if (m_hasExpired)
+        co_return co_await refuseRequest(408, "timeout", "timed out while receiving the request body");
+    if (const auto refusal = responseForReadError(ec))
+        co_return co_await refuseRequest(refusal->status, refusal->code, refusal->message);
+    if (m_closeReason != CloseReason::Displaced)
+        m_closeReason = CloseReason::Caller;
+    co_return std::nullopt;
+}
+
+asio::awaitable<CallerConnection::BodyResult> CallerConnection::admitBody(const Parser& parser, HeldBody& held, std::string& body)
+{
+    if (const auto length = parser.content_length()) {
+        // The whole length at once, so that a body that doesn't fit is refused before any of it is read.
+        if (!held.resize(*length, std::chrono::steady_clock::now()))
+            co_return BodyResult::NoRoom;
+        body.reserve(*length);
+    }
+    const bool isAwaited = beast::iequals(parser.get()[beast::http::field::expect], "100-continue");
+    if (isAwaited && !co_await write("HTTP/1.1 100 Continue\r\n\r\n"))
+        co_return BodyResult::Failed;
+    co_return BodyResult::Complete;
+}
+
+asio::awaitable<CallerConnection::BodyResult> CallerConnection::readBody(Parser& parser, std::uint64_t maxBytes, HeldBody& held, std::string& body, boost::system::error_code& ec)
+{
+    const auto admission = co_await admitBody(parser, held, body);
+    if (admission != BodyResult::Complete)
+        co_return admission;
+    // Parses as many chunks as have arrived at once. A body of the smallest chunks would take too long otherwise.
+    parser.eager(true);
+    bool isMoreNeeded = m_buffer.size() == 0;
+    while (!parser.is_done()) {
+        if (isMoreNeeded)
+            co_await readPiece(parser, ec);
+        if (ec || m_hasExpired || m_isBodyDropped)
+            co_return BodyResult::Failed;
+        if (!takeBody(parser, maxBytes, held, body, ec))
+            co_return BodyResult::NoRoom;
+        isMoreNeeded = m_buffer.size() == 0 || ec == beast::http::error::need_more;
+        if (ec == beast::http::error::need_more)
+            ec = {};
+        if (ec)
+            co_return BodyResult::Failed;
+    }
+    held.complete();
+    co_return BodyResult::Complete;
+}
+
+asio::awaitable<void> CallerConnection::readPiece(const Parser& parser, boost::system::error_code& ec)
+{
+    // A chunk header or trailers without end.
+    if (m_buffer.size() + bodyPieceBytes > m_buffer.max_size()) {
+        ec = beast::http::error::header_limit;
+        co_return;
+    }
+    const auto left = parser.content_length_remaining();
+    const auto wanted = left ? std::min<std::size_t>(std::max<std::size_t>(*left, 1), bodyPieceBytes) : bodyPieceBytes;
+    const auto n = co_await m_socket.async_read_some(m_buffer.prepare(wanted), redirect_error(use_awaitable, ec));
+    m_buffer.commit(n);
+    if (m_arrivingBody)
+        m_arrivingBody->onReceived(n, std::chrono::steady_clock::now());
+}
+
+bool CallerConnection::takeBody(Parser& parser, std::uint64_t maxBytes, HeldBody& held, std::string& body, boost::system::error_code& ec)
+{
+    const auto size = body.size();
+    const auto left = parser.content_length_remaining();
+    const auto room = left ? std::min<std::size_t>(*left, m_buffer.size()) : m_buffer.size();
+    if (size + room > body.capacity()) {
+        const auto capacity = std::max<std::size_t>(size + room, std::min<std::size_t>(2 * size, maxBytes));
+        if (!held.resize(capacity, std::chrono::steady_clock::now()))
+            return false;
+        body.reserve(capacity);
+    }
+    body.resize(size + room);
+    auto& piece = parser.get().body();
+    piece.data = body.data() + size;
+    piece.size = room;
+    piece.more = true;
+    m_buffer.consume(parser.put(m_buffer.data(), ec));
+    body.resize(size + room - piece.size);
+    return true;
+}
+
+void CallerConnection::dropBody()
+{
+    m_isBodyDropped = true;
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored);
+}
+
+void CallerConnection::releaseBuffer()
+{
+    if (m_buffer.size() == 0 && m_buffer.capacity() > keptBufferBytes)
+        m_buffer.shrink_to_fit();
+}
+
+std::optional<TimePoint> CallerConnection::unusedSince(TimePoint now) const
+{
+    if (!m_isReading)
+        return std::nullopt;
+    const bool isUnused = m_isIdle || (m_arrivingBody ? m_arrivingBody->isSlow(now) : now - m_readSince >= minUnusedTime);
+    return isUnused ? std::optional(m_readSince) : std::nullopt;
+}
+
 asio::awaitable<std::optional<CallerRequest>> CallerConnection::read(CallerLimits limits)
 {
     boost::system::error_code ec;
     m_isIdle = true;
+    m_isReading = true;
+    m_readSince = std::chrono::steady_clock::now();
     if (m_buffer.size() == 0) {
         expireAfter(limits.idleTime + idleMargin);
         co_await m_socket.async_wait(asio::socket_base::wait_read, redirect_error(use_awaitable, ec));
@@ -186,35 +317,36 @@
         co_return std::nullopt;
     }
     m_isIdle = false;
+    m_readSince = std::chrono::steady_clock::now();
     expireAfter(limits.headerTime);
-    beast::http::request_parser<beast::http::string_body> parser;
+    Parser parser;
     m_buffer.max_size(std::max(limits.headerBytes + bufferReserve, m_buffer.size()));
     parser.header_limit(limits.headerBytes);
     parser.body_limit(limits.bodyBytes);
     co_await beast::http::async_read_header(m_socket, m_buffer, parser, redirect_error(use_awaitable, ec));
     if (m_hasExpired)
         co_return co_await refuseRequest(408, "timeout", "timed out while receiving the request header");
-    if (!ec) {
-        expireAfter(bodyTimeout);
-        if (!hasUnambiguousFraming(parser.get()))
-            co_return co_await refuseRequest(400, "invalid_request", "the framing of the request body is ambiguous");
-        if (beast::iequals(parser.get()[beast::http::field::expect], "100-continue") && !co_await write("HTTP/1.1 100 Continue\r\n\r\n"))
-            co_return std::nullopt;
-        if (!parser.is_done())
-            co_await beast::http::async_read(m_socket, m_buffer, parser, redirect_error(use_awaitable, ec));
-    }
-    if (m_hasExpired)
-        co_return co_await refuseRequest(408, "timeout", "timed out while receiving the request body");
-    if (ec) {
-        const auto refusal = responseForReadError(ec);
-        if (refusal)
-            co_return co_await refuseRequest(refusal->status, refusal->code, refusal->message);
-        m_closeReason = CloseReason::Caller;
-        co_return std::nullopt;
+    if (ec)
+        co_return co_await refuseBody(BodyResult::Failed, ec);
+    expireAfter(bodyTimeout);
+    if (!hasUnambiguousFraming(parser.get()))
+        co_return co_await refuseRequest(400, "invalid_request", "the framing of the request body is ambiguous");
+    auto held = std::make_unique<HeldBody>(m_budget, std::chrono::steady_clock::now(), [this] { dropBody(); });
+    m_arrivingBody = held.get();
+    std::string body;
+    const auto result = co_await readBody(parser, limits.bodyBytes, *held, body, ec);
+    m_arrivingBody = nullptr;
+    if (result != BodyResult::Complete) {
+        held.reset();
+        std::string().swap(body);
+        co_return co_await refuseBody(result, ec);
     }
     disableExpiry();
+    releaseBuffer();
+    m_isReading = false;
     m_isKeepAlive = parser.keep_alive();
-    CallerRequest out { parser.release(), std::chrono::steady_clock::now() };
+    beast::http::request<beast::http::string_body> message(std::move(parser.get().base()), std::move(body));
+    CallerRequest out { std::move(message), std::chrono::steady_clock::now(), std::move(held) };
     co_return out;
 }
 
@@ -303,9 +435,9 @@
     return m_buffer.size() > 0 || m_socket.available(ec) > 0;
 }
 
-void CallerConnection::close()
+void CallerConnection::close(CloseReason reason)
 {
-    m_closeReason = CloseReason::Stopping;
+    m_closeReason = reason;
     boost::system::error_code ec;
     m_socket.close(ec);
 }
--- a/packages/gateway/chiveshelf/gateway/CallerConnection.h
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chiveshelf/core/BodyBudget.h"
 #include "chiveshelf/core/Time.h"
 #include "chiveshelf/routing/RoutingTables.h"
 
@@ -10,7 +11,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <functional>
@@ -25,6 +28,8 @@
     boost::beast::http::request<boost::beast::http::string_body> message;
     // Arrival of the last byte.
     TimePoint arrivedAt;
+    // Counts the body against the budget of the process until the request ends.
+    std::unique_ptr<HeldBody> heldBody;
 };
 
 // A response that this host generates itself instead of relaying one of a runner.
@@ -48,6 +53,12 @@
     BrokenResponse,
     // The caller was found to be gone while its request was in progress.
     CallerGone,
+    // The budget of the process had no room for the body.
+    NoRoom,
+    // The body arrived too slowly while others didn't fit.
+    SlowBody,
+    // The connection awaited a request while others needed its place.
+    Displaced,
     // This host shuts down.
     Stopping,
     // An unexpected error.
@@ -59,13 +70,13 @@
 // A connection of a caller. Reads complete requests, writes responses and detects when the caller disconnects.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
-    explicit CallerConnection(boost::asio::ip::tcp::socket);
+    CallerConnection(boost::asio::ip::tcp::socket, std::shared_ptr<BodyBudget>);
     CallerConnection(const CallerConnection&) = delete;
     CallerConnection& operator=(const CallerConnection&) = delete;
 
     // Reads the next request. Returns nullopt if the connection was closed or has to be closed. A malformed, oversized or
-    // incomplete request has then been answered with an error response, if the caller is still connected. A request that arrives
-    // together with the close of its caller is not read.
+    // incomplete request, or one whose body doesn't fit the budget, has then been answered with an error response, if the caller is
+    // still connected. A request that arrives together with the close of its caller is not read.
     boost::asio::awaitable<std::optional<CallerRequest>> read(CallerLimits);
 
     // Writes bytes. Returns false if the caller has disconnected.
@@ -87,7 +98,7 @@
     void abort(CloseReason = CloseReason::BrokenResponse);
 
     // Closes a connection on which no request is in progress.
-    void close();
+    void close(CloseReason = CloseReason::Stopping);
 
     // Closes the connection after giving the caller time to read the last response.
     boost::asio::awaitable<void> closeGracefully();
@@ -97,12 +108,26 @@
     std::size_t droppedBytes() const { return m_droppedBytes; }
 
     bool isIdle() const { return m_isIdle; }
+    // Since when the connection has held its place without use: it is idle, or its request arrives too slowly. Returns nullopt if it is in
+    // use.
+    std::optional<TimePoint> unusedSince(TimePoint now) const;
     bool isKeepAlive() const { return m_isKeepAlive; }
     void setKeepAlive(bool isKeepAlive) { m_isKeepAlive = isKeepAlive; }
     // Whether received bytes are waiting to be read.
     bool hasInput();
 
 private:
+    using Parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+
+    // Outcome of reading a body.
+    enum class BodyResult {
+        Complete,
+        // The budget has no room for it.
+        NoRoom,
+        // The connection failed, the body is invalid, its time is up, or it was dropped.
+        Failed,
+    };
+
     void expireAfter(std::chrono::milliseconds);
     void disableExpiry() { m_expiry = TimePoint::max(); }
     void armTimer();
@@ -115,9 +140,26 @@
     // Checks again after a delay instead of when the socket becomes readable, since it stays readable while bytes are unread.
     void scheduleDisconnectCheck();
     void handleDisconnect();
-    boost::asio::awaitable<std::optional<CallerRequest>> refuseRequest(unsigned status, const char* code, const char* message);
+    // Counts a body against the budget, as far as its length is known, and asks for it if the caller waits for that.
+    boost::asio::awaitable<BodyResult> admitBody(const Parser&, HeldBody&, std::string& body);
+    boost::asio::awaitable<BodyResult> readBody(Parser&, std::uint64_t maxBytes, HeldBody&, std::string& body, boost::system::error_code&);
+    // Reads at most as many bytes as the body still needs, as far as its length is known.
+    boost::asio::awaitable<void> readPiece(const Parser&, boost::system::error_code&);
+    // Moves the received bytes to the body. Returns false if the budget has no room for them.
+    bool takeBody(Parser&, std::uint64_t maxBytes, HeldBody&, std::string& body, boost::system::error_code&);
+    void dropBody();
+    // Returns the memory of the buffer if nothing is buffered.
+    void releaseBuffer();
+    boost::asio::awaitable<std::optional<CallerRequest>> refuseRequest(unsigned status, const char* code, const char* message, std::optional<std::chrono::milliseconds> retryAfter = std::nullopt);
+    // Answers a request whose body was not read to its end.
+    boost::asio::awaitable<std::optional<CallerRequest>> refuseBody(BodyResult, const boost::system::error_code&);
 
     boost::asio::ip::tcp::socket m_socket;
+    std::shared_ptr<BodyBudget> m_budget;
+    // The body that is being read.
+    HeldBody* m_arrivingBody = nullptr;
+    // Since when a request is awaited or read.
+    TimePoint m_readSince {};
     // Bounded, since a caller may send an endless chunk header.
     boost::beast::flat_buffer m_buffer;
     boost::asio::steady_timer m_timer;
@@ -129,6 +171,8 @@
     bool m_isAwaitingReadable = false;
     bool m_isDisconnected = false;
     bool m_isIdle = true;
+    bool m_isReading = false;
+    bool m_isBodyDropped = false;
     bool m_isKeepAlive = true;
     bool m_hasExpired = false;
     // Whether the expiry was put off because bytes had arrived that were not read yet.
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -24,9 +24,6 @@
 
 // Objects shared by all requests of a gateway.
 struct ForwardContext {
-    // Bytes of incomplete events and answers that all requests together may hold back. A tenth of the memory of a small host.
-    static constexpr std::size_t maxHeldBytes = 16 * 1024 * 1024;
-
     boost::asio::io_context& io;
     const GatewaySettings& settings;
     ServingState& state;
@@ -35,9 +32,10 @@
     // For calls to runners that are no requests of callers.
     http::Client& client;
     GatewayMetrics& metrics;
+    // Bounds the bytes of incomplete events and answers that all requests together hold back.
+    std::shared_ptr<HeldBytesBudget> heldBytes;
     // The requests in progress. Shared with them, as coroutines may be destroyed after the gateway.
     std::shared_ptr<std::set<ForwardTask*>> tasks = std::make_shared<std::set<ForwardTask*>>();
-    std::shared_ptr<HeldBytesBudget> heldBytes = std::make_shared<HeldBytesBudget>(maxHeldBytes);
 };
 
 // Forwards one request of a caller, from its arrival to its final response. The placement policies choose the runners, and
--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -11,6 +11,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <malloc.h>
 
 namespace chiveshelf {
 
@@ -72,9 +73,11 @@
     , m_rolloutLeader(context, m_settings, m_client, m_store, m_state, m_storeFollower, m_exchange)
     , m_softwareLedger(context, m_store, m_state, m_storeFollower, m_rolloutLeader)
     , m_cacheFollower(context, m_client, m_state, m_exchange, [this] { return m_rolloutLeader.isLeading(); })
-    , m_forwardContext { context, m_settings, m_state, m_backends, m_exchange, m_client, m_metrics }
+    , m_memoryPlan(planMemory(m_settings))
+    , m_bodyBudget(std::make_shared<BodyBudget>(BodyBudget::Limits { m_memoryPlan.bodyBytes, m_memoryPlan.smallBodyBytes, m_settings.slowBodyBytesPerSecond }))
+    , m_forwardContext { context, m_settings, m_state, m_backends, m_exchange, m_client, m_metrics, std::make_shared<HeldBytesBudget>(m_memoryPlan.responseBytes) }
     , m_server(
-          context, (m_settings.maxDescriptors - std::min(reservedDescriptors, m_settings.maxDescriptors / 2)) / 2,
+          context, { m_memoryPlan.connections, m_settings.receiveBufferBytes }, m_bodyBudget,
           [this] { return m_state.routes() ? m_state.routes()->tables().limits : CallerLimits {}; },
           [this](std::shared_ptr<CallerConnection> caller, CallerRequest request) { return serve(std::move(caller), std::move(request)); })
     , m_admin(context, adminLimits, [this](http::Exchange& exchange) { return serveAdmin(exchange); })
@@ -83,6 +86,20 @@
         [this](const std::vector<std::pair<std::string, std::string>>& items) { m_storeFollower.applyRelayedItems(items); });
 }
 
+MemoryPlan Gateway::planMemory(const GatewaySettings& settings)
+{
+    // Each request in progress may need a second descriptor for its runner.
+    const auto descriptors = (settings.maxDescriptors - std::min(reservedDescriptors, settings.maxDescriptors / 2)) / 2;
+    auto out = MemoryPlan::forMachine(settings.memoryMb, descriptors);
+    if (settings.maxCallers > 0)
+        out.connections = std::min(settings.maxCallers, descriptors);
+    if (settings.bodyMemoryBytes > 0) {
+        out.bodyBytes = settings.bodyMemoryBytes;
+        out.smallBodyBytes = settings.bodyMemoryBytes / 4;
+    }
+    return out;
+}
+
 Result<void> Gateway::start()
 {
     auto started = m_server.start(m_settings.callerAddress);
@@ -220,6 +237,7 @@
     auto metrics = m_metrics;
     metrics.loopDelays = m_loopMonitor.delays();
     metrics.closedCallers = m_server.closedConnections();
+    metrics.refusedConnections = m_server.refusedConnections();
     metrics.tablesArrivals = m_state.tablesArrivals();
     const auto& served = m_exchange.tables().counts();
     metrics.tablesPieces = served.pieces;
@@ -227,6 +245,8 @@
     metrics.tablesBusy = served.busy;
     return formatGatewayMetrics(metrics,
         { { "active_requests", static_cast<double>(m_server.activeRequests()) }, { "connections", static_cast<double>(m_server.connectionCount()) },
+            { "connections_bound", static_cast<double>(m_memoryPlan.connections) }, { "body_bytes", static_cast<double>(m_bodyBudget->held()) },
+            { "body_bytes_bound", static_cast<double>(m_memoryPlan.bodyBytes) },
             { "idle_backend_connections", static_cast<double>(m_backends.idleCount()) },
             { "backend_connects", static_cast<double>(m_backends.connectCount()) }, { "store_calls", static_cast<double>(m_store.callCount()) },
             { "store_era", static_cast<double>(m_store.era()) }, { "store_revision", static_cast<double>(m_storeFollower.position().revision) },
@@ -258,6 +278,9 @@
     if (options.isSet("print-settings"))
         return 0;
     std::signal(SIGPIPE, SIG_IGN);
+    // A fixed threshold makes the allocator return the memory of large bodies to the system. By default the threshold rises with the first
+    // large block that is freed, and later ones stay resident in a fragmented heap.
+    ::mallopt(M_MMAP_THRESHOLD, 128 * 1024);
     initializeLog(settings.hostName, levelFromName(settings.logLevel));
     asio::io_context context(1);
     Gateway gateway(context, std::move(settings));
--- a/packages/gateway/chiveshelf/gateway/Gateway.h
+++ b/packages/gateway/chiveshelf/gateway/Gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chiveshelf/core/MemoryPlan.h"
 #include "chiveshelf/gateway/BackendPool.h"
 #include "chiveshelf/gateway/CacheFollower.h"
 #include "chiveshelf/gateway/ForwardTask.h"
@@ -38,6 +39,7 @@
     bool isReady() const;
     std::string stateText() const;
     std::string metricsText() const;
+    static MemoryPlan planMemory(const GatewaySettings&);
 
     boost::asio::io_context& m_context;
     GatewaySettings m_settings;
@@ -53,6 +55,8 @@
     RolloutLeader m_rolloutLeader;
     SoftwareLedger m_softwareLedger;
     CacheFollower m_cacheFollower;
+    MemoryPlan m_memoryPlan;
+    std::shared_ptr<BodyBudget> m_bodyBudget;
     ForwardContext m_forwardContext;
     GatewayServer m_server;
     http::Server m_admin;
--- a/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
+++ b/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
@@ -24,6 +24,8 @@
     std::map<std::string, std::uint64_t> takeUps;
     // Connections of callers that this host closed, by reason.
     std::map<std::string, std::uint64_t> closedCallers;
+    // Connections of callers that were closed at once, because the bound was reached and none was unused.
+    std::uint64_t refusedConnections = 0;
     // Tables that came into force, by the way that they took: "store", "item", "update" or "whole".
     std::map<std::string, std::uint64_t> tablesArrivals;
     // Pieces of tables sent to other hosts, their bytes, and requests that had to wait for a slot.
--- a/packages/gateway/chiveshelf/gateway/GatewayServer.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewayServer.cpp
@@ -24,6 +24,8 @@
     constexpr std::chrono::milliseconds acceptRetryDelay { 20 };
     // Bounds the kernel memory used for a slowly reading caller.
     constexpr int sendBufferBytes = 128 * 1024;
+    // Shortest time between two log lines about callers that were turned away.
+    constexpr std::chrono::milliseconds logInterval { 1'000 };
     // TCP_USER_TIMEOUT: time within which a caller's host has to acknowledge sent bytes.
     constexpr unsigned userTimeoutMs = 5'000;
 
@@ -55,12 +57,15 @@
 
 }
 
-GatewayServer::GatewayServer(asio::io_context& context, std::size_t maxConnections, std::function<CallerLimits()> limits, Handler handler)
+GatewayServer::GatewayServer(asio::io_context& context, const Bounds& bounds, std::shared_ptr<BodyBudget> bodyBudget, std::function<CallerLimits()> limits, Handler handler)
     : m_context(context)
-    , m_maxConnections(maxConnections)
+    , m_bounds(bounds)
+    , m_bodyBudget(std::move(bodyBudget))
     , m_limits(std::move(limits))
     , m_handler(std::move(handler))
     , m_acceptor(context)
+    , m_connectionLog(logInterval)
+    , m_bodyLog(logInterval)
 {
 }
 
@@ -69,6 +74,9 @@
     auto listening = listenOn(m_acceptor, address);
     if (!listening)
         return listening;
+    // Accepted connections inherit the size. Setting it later would leave room for more bytes in the kernel's backlog.
+    boost::system::error_code ec;
+    m_acceptor.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(m_bounds.receiveBufferBytes)), ec);
     spawnLoop(m_context, "gateway_server.accept_loop", [this] { return acceptLoop(); });
     return {};
 }
@@ -107,16 +115,46 @@
 
 void GatewayServer::addConnection(asio::ip::tcp::socket socket)
 {
-    if (m_connections.size() >= m_maxConnections) {
-        logEvent(LogLevel::Warning, "connection_refused", { { "connections", m_connections.size() } });
-        return;
+    // A displaced connection counts until the loop has ended its reader, so that a burst displaces one for each that is accepted.
+    if (m_connections.size() >= m_bounds.connections) {
+        const bool isDisplaced = displaceConnection();
+        m_refusedConnections += isDisplaced ? 0 : 1;
+        if (const auto n = m_connectionLog.record(std::chrono::steady_clock::now()))
+            logEvent(LogLevel::Warning, "connections_full", { { "connections", m_connections.size() }, { "times", *n }, { "displaced", isDisplaced ? "yes" : "no" } });
+        if (!isDisplaced)
+            return;
     }
     setOptions(socket);
-    auto connection = std::make_shared<CallerConnection>(std::move(socket));
+    auto connection = std::make_shared<CallerConnection>(std::move(socket), m_bodyBudget);
     m_connections.insert(connection);
     spawnTask(m_context, "gateway_server.serve", serve(connection));
 }
 
+bool GatewayServer::displaceConnection()
+{
+    const auto now = std::chrono::steady_clock::now();
+    CallerConnection* best = nullptr;
+    std::pair<bool, TimePoint> bestRank;
+    for (const auto& connection : m_connections) {
+        const auto since = connection->unusedSince(now);
+        if (!since || (connection->isIdle() && connection->hasInput()))
+            continue;
+        const std::pair<bool, TimePoint> rank { connection->isIdle(), *since };
+        if (best && bestRank <= rank)
+            continue;
+        best = connection.get();
+        bestRank = rank;
+    }
+    if (!best)
+        return false;
+    // An idle caller sees an orderly close, as at the end of the idle time.
+    if (best->isIdle())
+        best->close(CloseReason::Displaced);
+    else
+        best->abort(CloseReason::Displaced);
+    return true;
+}
+
 bool GatewayServer::acceptPending()
 {
     bool hasAccepted = false;
@@ -161,6 +199,11 @@
 {
     const auto reason = closeReasonName(connection.closeReason());
     ++m_closedConnections[std::string(reason)];
+    const bool isBodyRefused = connection.closeReason() == CloseReason::NoRoom || connection.closeReason() == CloseReason::SlowBody;
+    if (isBodyRefused) {
+        if (const auto n = m_bodyLog.record(std::chrono::steady_clock::now()))
+            logEvent(LogLevel::Warning, "body_refused", { { "reason", reason }, { "times", *n }, { "held_bytes", m_bodyBudget->held() } });
+    }
     if (connection.droppedBytes() > 0)
         logEvent(LogLevel::Info, "caller_bytes_dropped", { { "reason", reason }, { "bytes", connection.droppedBytes() } });
 }
--- a/packages/gateway/chiveshelf/gateway/GatewayServer.h
+++ b/packages/gateway/chiveshelf/gateway/GatewayServer.h
@@ -2,6 +2,7 @@
 
 #include "chiveshelf/core/Address.h"
 #include "chiveshelf/core/Error.h"
+#include "chiveshelf/core/LogThrottle.h"
 #include "chiveshelf/gateway/CallerConnection.h"
 
 #include <boost/asio/io_context.hpp>
@@ -18,9 +19,18 @@
 public:
     using Handler = std::function<boost::asio::awaitable<void>(std::shared_ptr<CallerConnection>, CallerRequest)>;
 
-    // `limits` is called before each request, since the limits change with the routing tables. Connections beyond
-    // `maxConnections` are closed at once.
-    GatewayServer(boost::asio::io_context&, std::size_t maxConnections, std::function<CallerLimits()> limits, Handler);
+    // Bounds of what the kernel and the process hold for all connections.
+    struct Bounds {
+        std::size_t connections = 0;
+        // Size of the kernel's receive buffer of each connection.
+        std::size_t receiveBufferBytes = 0;
+
+        auto operator<=>(const Bounds&) const = default;
+    };
+
+    // `limits` is called before each request, since the limits change with the routing tables. A connection beyond the bound takes the
+    // place of one that is not in use, or is closed at once.
+    GatewayServer(boost::asio::io_context&, const Bounds&, std::shared_ptr<BodyBudget>, std::function<CallerLimits()> limits, Handler);
     GatewayServer(const GatewayServer&) = delete;
     GatewayServer& operator=(const GatewayServer&) = delete;
 
@@ -44,18 +54,24 @@
 
     std::size_t activeRequests() const { return m_active->size(); }
     std::size_t connectionCount() const { return m_connections.size(); }
+    // Connections that were closed at once, since none could give its place.
+    std::uint64_t refusedConnections() const { return m_refusedConnections; }
     // Closed connections by reason.
     const std::map<std::string, std::uint64_t>& closedConnections() const { return m_closedConnections; }
 
 private:
     boost::asio::awaitable<void> acceptLoop();
     void addConnection(boost::asio::ip::tcp::socket);
+    // Closes a connection that is not in use: the one whose request has been arriving too slowly for longest, or else the one that has been idle for
+    // longest. Returns false if there is none.
+    bool displaceConnection();
     boost::asio::awaitable<void> serve(std::shared_ptr<CallerConnection>);
     // Counts a closed connection, and logs it if the caller may have lost a request by the close.
     void recordClose(const CallerConnection&);
 
     boost::asio::io_context& m_context;
-    std::size_t m_maxConnections;
+    Bounds m_bounds;
+    std::shared_ptr<BodyBudget> m_bodyBudget;
     std::function<CallerLimits()> m_limits;
     Handler m_handler;
     boost::asio::ip::tcp::acceptor m_acceptor;
@@ -64,6 +80,9 @@
     // this object.
     std::shared_ptr<std::set<CallerConnection*>> m_active = std::make_shared<std::set<CallerConnection*>>();
     std::map<std::string, std::uint64_t> m_closedConnections;
+    std::uint64_t m_refusedConnections = 0;
+    LogThrottle m_connectionLog;
+    LogThrottle m_bodyLog;
     bool m_isClosing = false;
 };
 
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
@@ -68,6 +68,10 @@
         { "first-start", "false", "Whether the whole system starts for the first time: true or false.", false, false, checkOneOf({ "true", "false" }) },
         { "most-descriptors", "4096", "File descriptors that the process may use.", false, false, checkNumber(64, 10'000'000, "") },
         { "memory-mb", "0", "Memory of this machine, in MB; empty or 0 if unknown, which counts as 160.", false, false, checkNumber(0, 1'000'000'000, "MB") },
+        { "body-memory-mb", "0", "Memory for the bodies of requests, in MB; 0 for a quarter of the machine's memory.", false, false, checkNumber(0, 1'000'000, "MB") },
+        { "slow-body-kb-s", "64", "Bodies that arrive slower than this are dropped when others don't fit into memory, in KB/s.", false, false, checkNumber(0, 1'000'000, "KB/s") },
+        { "most-callers", "0", "Connections of callers; 0 for as many as memory and descriptors allow.", false, false, checkNumber(0, 1'000'000, "") },
+        { "receive-buffer-kb", "32", "Receive buffer of each connection of a caller, in KB; the kernel uses twice as much.", false, false, checkNumber(4, 65'536, "KB") },
         { "link-mbps", "100", "Speed of this host's link, in Mbit/s; 0 if unknown. At most half of it is used to send tables to other hosts.", false, false, checkDecimal(0, 1'000'000, "Mbit/s") },
         { "cpu-share", "1", "Share of a processor core that the process may use; 0 if unknown. Hosts with more, and faster links, watch the store for the others.", false, false,
             checkDecimal(0, 1'024, "cores") },
@@ -105,6 +109,11 @@
     out.maxDescriptors = static_cast<std::size_t>(options.number("most-descriptors"));
     const auto memoryMb = options.number("memory-mb");
     out.memoryMb = memoryMb > 0 ? static_cast<std::size_t>(memoryMb) : out.memoryMb;
+    out.bodyMemoryBytes = static_cast<std::size_t>(options.number("body-memory-mb")) * 1024 * 1024;
+    out.slowBodyBytesPerSecond = static_cast<std::size_t>(options.number("slow-body-kb-s")) * 1024;
+    out.maxCallers = static_cast<std::size_t>(options.number("most-callers"));
+    const auto receiveBufferKb = options.number("receive-buffer-kb");
+    out.receiveBufferBytes = receiveBufferKb > 0 ? static_cast<std::size_t>(receiveBufferKb) * 1024 : out.receiveBufferBytes;
     const auto linkMbps = options.decimal("link-mbps");
     out.linkMbps = linkMbps > 0 ? linkMbps : out.linkMbps;
     const auto cpuShare = options.decimal("cpu-share");
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.h
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "chiveshelf/core/MemoryPlan.h"
 #include "chiveshelf/placement/Mechanisms.h"
 #include "chiveshelf/settings/OptionSet.h"
 
@@ -38,6 +39,13 @@
     std::size_t maxDescriptors = 4'096;
     // Memory of this machine. The default is that of a small host.
     std::size_t memoryMb = 160;
+    // Memory for the bodies of requests, and bound of callers' connections. 0: as the memory of the machine allows.
+    std::size_t bodyMemoryBytes = 0;
+    std::size_t maxCallers = 0;
+    // Bodies that arrive slower than this are dropped when others don't fit.
+    std::size_t slowBodyBytesPerSecond = 64 * 1024;
+    // Size of the kernel's receive buffer of each connection of a caller.
+    std::size_t receiveBufferBytes = MemoryPlan::receiveBufferBytes;
     // Speed of this host's link, and its share of a processor core.
     double linkMbps = 100;
     double cpuShare = 1;
--- a/tests/integration/CallerLimitsTest.cpp
+++ b/tests/integration/CallerLimitsTest.cpp
@@ -141,6 +141,9 @@
     CPPUNIT_TEST(bytesBehindRequestsInProgressLeaveMemoryBounded);
     CPPUNIT_TEST(manyConnectionsLeaveDescriptorsForOthers);
     CPPUNIT_TEST(singleLargestBodyIsServedInAnyFraming);
+    CPPUNIT_TEST(restOfRefusedBodyIsNotTakenForRequest);
+    CPPUNIT_TEST(restOfRefusedChunkedBodyIsNotTakenForRequest);
+    CPPUNIT_TEST(stalledBodyGivesWayAndGets408);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -227,7 +230,72 @@
         CPPUNIT_ASSERT_EQUAL(200u, exchange(chunked() + chunks(bodyBytes, 1) + end));
     }
 
+    // Guards against a connection that is kept after its body was refused unread, so that the caller runs requests hidden in the body.
+    void restOfRefusedBodyIsNotTakenForRequest()
+    {
+        const auto hidden = announced(1) + "a";
+        const std::string body = hidden + std::string(bodyBytes / 2 - hidden.size(), 'a');
+        checkRefusal(announced(body.size()) + body + announced(1) + "a");
+    }
+
+    void restOfRefusedChunkedBodyIsNotTakenForRequest()
+    {
+        checkRefusal(chunked() + chunks(bodyBytes / 2, 64 * 1'024) + "0\r\n\r\n" + announced(1) + "a");
+    }
+
+    // Guards against a stalled body that keeps others out, or that runs though its caller is told that it has not.
+    void stalledBodyGivesWayAndGets408()
+    {
+        m_fleet->addHostArguments({ "--body-memory-mb=1" });
+        startHost();
+        std::string stalled;
+        boost::asio::co_spawn(m_fleet->context(), sendAndRead(announced(bodyBytes / 2) + std::string(bodyBytes / 2 - 1, 'a'), stalled), boost::asio::detached);
+        m_fleet->runFor(settleTime);
+        CPPUNIT_ASSERT_EQUAL(std::string(), stalled);
+        CPPUNIT_ASSERT_EQUAL(200u, exchange(announced(bodyBytes / 2) + std::string(bodyBytes / 2, 'a')));
+        m_fleet->runFor(settleTime);
+        CPPUNIT_ASSERT_MESSAGE(stalled, stalled.starts_with("HTTP/1.1 408 "));
+        CPPUNIT_ASSERT_EQUAL(1, m_runs);
+    }
+
 private:
+    // Sends `bytes`, whose body doesn't fit beside another one, and checks that they get a single answer and run nothing.
+    void checkRefusal(const std::string& bytes)
+    {
+        m_fleet->addHostArguments({ "--body-memory-mb=1", "--slow-body-kb-s=0" });
+        startHost();
+        std::string other;
+        boost::asio::co_spawn(m_fleet->context(), sendAndRead(announced(bodyBytes / 2) + "a", other), boost::asio::detached);
+        m_fleet->runFor(settleTime);
+        std::string answer;
+        boost::asio::co_spawn(m_fleet->context(), sendAndRead(bytes, answer), boost::asio::detached);
+        m_fleet->runFor(settleTime);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("\r\nRetry-After: ") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("\r\nConnection: close\r\n") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("HTTP/1.1", 1) == std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.ends_with("(end)"));
+        CPPUNIT_ASSERT_EQUAL(0, m_runs);
+    }
+
+    // Sends bytes and collects what is received; "(end)" stands for the end of the connection.
+    boost::asio::awaitable<void> sendAndRead(std::string bytes, std::string& received)
+    {
+        boost::asio::ip::tcp::socket socket(m_fleet->context());
+        boost::system::error_code ec;
+        co_await socket.async_connect(chiveshelf::http::toEndpoint(m_fleet->callerAddress(host)), boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+        co_await boost::asio::async_write(socket, boost::asio::buffer(bytes), boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+        std::string piece(4'096, '\0');
+        while (!m_isOver) {
+            ec = {};
+            const auto n = co_await socket.async_read_some(boost::asio::buffer(piece), boost::asio::redirect_error(boost::asio::use_awaitable, ec));
+            received += piece.substr(0, n);
+            if (ec)
+                break;
+        }
+        received += "(end)";
+    }
+
     void startHost()
     {
         m_fleet->addHostArguments({ "--memory-mb=" + std::to_string(memoryMb) });
--- a/tests/unit/gateway/GatewaySettingsTest.cpp
+++ b/tests/unit/gateway/GatewaySettingsTest.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(unknownMechanismIsRejectedWithListOfNames);
     CPPUNIT_TEST(linkAndProcessorAreRead);
     CPPUNIT_TEST(unknownLinkAndProcessorHaveDefaults);
+    CPPUNIT_TEST(memoryIsReadAndHasDefault);
+    CPPUNIT_TEST(limitsOfCallersAreRead);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -61,6 +63,25 @@
         CPPUNIT_ASSERT_EQUAL(GatewaySettings().cpuShare, read("--cpu-share=0").cpuShare);
     }
 
+    // Guards against a host without any memory for callers because the deployment doesn't state it.
+    void memoryIsReadAndHasDefault()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t(88), read("--memory-mb=88").memoryMb);
+        CPPUNIT_ASSERT_EQUAL(GatewaySettings().memoryMb, read("--memory-mb=0").memoryMb);
+        CPPUNIT_ASSERT_EQUAL(GatewaySettings().memoryMb, read("--memory-mb=").memoryMb);
+        CPPUNIT_ASSERT(!parse("--memory-mb=much").empty());
+        CPPUNIT_ASSERT(!parse("--memory-mb=-1").empty());
+    }
+
+    void limitsOfCallersAreRead()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3 * 1024 * 1024), read("--body-memory-mb=3").bodyMemoryBytes);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8 * 1024), read("--slow-body-kb-s=8").slowBodyBytesPerSecond);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(100), read("--most-callers=100").maxCallers);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(16 * 1024), read("--receive-buffer-kb=16").receiveBufferBytes);
+        CPPUNIT_ASSERT(!parse("--receive-buffer-kb=0").empty());
+    }
+
 private:
     std::vector<std::string> parse(const std::string& flag)
     {
