--- a/packages/core/chiveshelf/core/Sockets.cpp
+++ b/packages/core/chiveshelf/core/Sockets.cpp
@@ -38,7 +38,7 @@
 bool isAllAcknowledged(asio::ip::tcp::socket& socket)
 {
     int n = 0;
-    return ::ioctl(socket.native_handle(), SIOCOUTQ, &n) == 0 && n == 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &n) != 0 || n == 0;
 }
 
 void enableKeepAliveProbes(asio::ip::tcp::socket& socket, const KeepAliveProbes& probes)
--- a/packages/core/chiveshelf/core/Sockets.h
+++ b/packages/core/chiveshelf/core/Sockets.h
@@ -14,7 +14,8 @@
 // Returns whether an idle connection can be reused: the peer has not closed it, and there are no unexpected bytes to read.
 bool isReusable(boost::asio::ip::tcp::socket&);
 
-// Returns whether the peer has acknowledged all bytes that were written to the socket. False if that can't be determined.
+// Returns whether the peer has acknowledged all bytes that were written to the socket. True if the platform can't tell, so that a response whose
+// body ends with its connection stays usable there.
 bool isAllAcknowledged(boost::asio::ip::tcp::socket&);
 
 // Parameters of TCP keep-alive probes. The first probe is sent after the connection was idle for `idle`, further ones at `interval`.
