Displace no connection that is closed already

A displaced connection stays in the list until its reader ends, and would have been chosen again for the next one of a burst, which then exceeds the bound.

--- a/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
@@ -282,7 +282,8 @@
 
 std::optional<TimePoint> CallerConnection::unusedSince(TimePoint now) const
 {
-    if (!m_isReading)
+    // A closed connection gives no further place.
+    if (!m_isReading || !m_socket.is_open())
         return std::nullopt;
     const bool isUnused = m_isIdle || (m_arrivingBody ? m_arrivingBody->isSlow(now) : now - m_readSince >= minUnusedTime);
     return isUnused ? std::optional(m_readSince) : std::nullopt;
