Learn the capacity of runners from finished requests

Cause: ServicePlacement had one service time for all runners of a pool and took their slots as their capacity; the prefill speed of an engine came from the host's own samples only, whatever the load. Off by default: the choice by slots is the same as before. The sum of the requests of other hosts is kept between choices.

--- a/packages/placement/chiveshelf/placement/BackendState.cpp
+++ b/packages/placement/chiveshelf/placement/BackendState.cpp
@@ -52,6 +52,7 @@
     if (!m_peers.contains(host))
         std::erase_if(m_peers, [&](const auto& entry) { return now > entry.second.expiry; });
     m_peers[host] = { work, now + lifetime };
+    m_peerRequests.isValid = false;
 }
 
 void BackendState::addPeerPrompt(std::uint64_t host, const PlacedPrompt& prompt, TimePoint now)
@@ -61,6 +62,7 @@
     if (now > peer.expiry)
         peer = { {}, now + loadLifetime };
     ++peer.work.requests;
+    m_peerRequests.isValid = false;
     ++peer.work.prompts[priorityClass(prompt.priority)];
     peer.work.memoryTokens[priorityClass(prompt.priority)] += prompt.memoryTokens;
 }
@@ -109,9 +111,24 @@
     return 1 + (m_workPercent / 100.0 - 1) * weight;
 }
 
+std::int32_t BackendState::peerRequests(TimePoint now) const
+{
+    auto& sum = m_peerRequests;
+    if (sum.isValid && now >= sum.from && now <= sum.until)
+        return sum.requests;
+    sum = { 0, now, TimePoint::max(), true };
+    for (const auto& [host, peer] : m_peers) {
+        if (now > peer.expiry)
+            continue;
+        sum.requests += peer.work.requests;
+        sum.until = std::min(sum.until, peer.expiry);
+    }
+    return sum.requests;
+}
+
 std::int32_t BackendState::requests(TimePoint now) const
 {
-    const auto known = totalWork(now).requests;
+    const auto known = m_ownWork.requests + peerRequests(now);
     // A report shows the load at the time of one answer, so its weight decreases with its age.
     const auto age = now - m_loadReportAt;
     if (age > loadLifetime)
@@ -136,11 +153,12 @@
     m_cachedParts.clear();
 }
 
-void BackendState::learnSpeed(double tokensPerMs)
+bool BackendState::learnSpeed(double tokensPerMs)
 {
     if (tokensPerMs < minTokensPerMs || tokensPerMs > maxTokensPerMs || tokensPerMs < m_tokensPerMs * minSampleShare)
-        return;
+        return false;
     m_tokensPerMs = m_tokensPerMs == 0 ? tokensPerMs : m_tokensPerMs * (1 - speedSampleWeight) + tokensPerMs * speedSampleWeight;
+    return true;
 }
 
 }
--- a/packages/placement/chiveshelf/placement/BackendState.h
+++ b/packages/placement/chiveshelf/placement/BackendState.h
@@ -5,6 +5,7 @@
 #include "chiveshelf/placement/PartCacheModel.h"
 #include "chiveshelf/placement/PeerQueue.h"
 #include "chiveshelf/placement/RequestLimit.h"
+#include "chiveshelf/placement/RunnerCapacity.h"
 #include "chiveshelf/placement/RunnerRecord.h"
 #include "chiveshelf/placement/TransferSpeed.h"
 
@@ -62,7 +63,11 @@
     std::size_t peerCount() const { return m_peers.size(); }
 
     // Records that another host has no work at this runner.
-    void clearPeerWork(std::uint64_t host) { m_peers.erase(host); }
+    void clearPeerWork(std::uint64_t host)
+    {
+        m_peers.erase(host);
+        m_peerRequests.isValid = false;
+    }
 
     // Returns the known work of all hosts, this one included.
     OutstandingWork totalWork(TimePoint now) const;
@@ -97,8 +102,8 @@
     bool isLoading(TimePoint now) const { return now < m_load.end && version(m_load.model).value_or(0) < m_load.version; }
 
     // Adds a prefill speed sample in tokens per ms, measured on a prompt that did not wait. The speed includes the slowdown by
-    // streams that run at the same time.
-    void learnSpeed(double tokensPerMs);
+    // streams that run at the same time. Returns false if the sample was ignored as a measurement error.
+    bool learnSpeed(double tokensPerMs);
 
     // Returns the prefill speed in tokens per ms, or `fallback` if there is no sample yet.
     double tokensPerMs(double fallback) const { return m_tokensPerMs > 0 ? m_tokensPerMs : fallback; }
@@ -126,6 +131,10 @@
     void setSuperseded() { m_isSuperseded = true; }
     bool isSuperseded() const { return m_isSuperseded; }
 
+    // Learned times of requests. Empty unless the deployment learns the capacity of its runners.
+    RunnerCapacity& capacity() { return m_capacity; }
+    const RunnerCapacity& capacity() const { return m_capacity; }
+
     BackendHealth& health() { return m_health; }
     const BackendHealth& health() const { return m_health; }
     // Speed of transfers to the runner.
@@ -135,11 +144,22 @@
     const PartCacheModel& cachedParts() const { return m_cachedParts; }
 
 private:
+    std::int32_t peerRequests(TimePoint now) const;
+
     struct PeerWork {
         OutstandingWork work;
         TimePoint expiry;
     };
 
+    // Sum of the requests of other hosts. Kept, since each choice needs it for each runner.
+    struct PeerRequests {
+        std::int32_t requests = 0;
+        // Times from which and up to which no stored work expires.
+        TimePoint from {};
+        TimePoint until {};
+        bool isValid = false;
+    };
+
     struct WeightLoad {
         std::string model;
         std::uint64_t version = 0;
@@ -151,6 +171,7 @@
     std::int64_t m_memoryTokens;
     OutstandingWork m_ownWork;
     std::map<std::uint64_t, PeerWork> m_peers;
+    mutable PeerRequests m_peerRequests;
     PeerQueue m_peerQueue;
     LoadReport m_loadReport;
     TimePoint m_loadReportAt {};
@@ -165,6 +186,7 @@
     bool m_isSuperseded = false;
     TimePoint m_pauseEnd {};
     RequestLimit m_requestLimit;
+    RunnerCapacity m_capacity;
     BackendHealth m_health;
     TransferSpeed m_transferSpeed;
     PartCacheModel m_cachedParts;
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -1,6 +1,7 @@
 #include "chiveshelf/placement/EnginePlacement.h"
 
 #include "chiveshelf/core/Hash.h"
+#include "chiveshelf/placement/ServicePlacement.h"
 
 #include <algorithm>
 #include <cmath>
@@ -103,6 +104,15 @@
         return hash64(runner.record().id, part);
     }
 
+    // Unit of the learned times of engines.
+    constexpr double tokensPerSample = 1'000;
+
+    // Returns the average of the speeds learned by load, from the samples of all hosts.
+    double averageLearnedSpeed(const BackendDirectory::RunnerList& runners)
+    {
+        return tokensPerSample / ServicePlacement::referenceMs(runners, tokensPerSample / defaultTokensPerMs);
+    }
+
     double averageSpeed(const BackendDirectory::RunnerList& runners)
     {
         double sum = 0;
@@ -235,9 +245,10 @@
     return dedicatedOrganisation.empty() ? 0 : hash64(dedicatedOrganisation);
 }
 
-EnginePlacement::EnginePlacement(const EngineLimits& limits, Mechanisms mechanisms)
+EnginePlacement::EnginePlacement(const EngineLimits& limits, Mechanisms mechanisms, bool learnsCapacity)
     : m_limits(limits)
     , m_mechanisms(mechanisms)
+    , m_learnsCapacity(learnsCapacity)
     , m_fetchMsPerToken(transferMsPerToken(limits, limits.linkMbps))
 {
 }
@@ -249,6 +260,14 @@
     return request.requiredVersion == 0 || runner.version(request.prompt->model).value_or(0) >= request.requiredVersion;
 }
 
+double EnginePlacement::prefillSpeed(const BackendState& runner, std::int32_t requests, double fallbackSpeed, TimePoint now) const
+{
+    if (!m_learnsCapacity)
+        return runner.tokensPerMs(fallbackSpeed);
+    const auto slots = static_cast<std::int32_t>(runner.record().slots);
+    return fallbackSpeed / runner.capacity().estimate(tokensPerSample / fallbackSpeed, slots, now).factor(requests + 1);
+}
+
 bool EnginePlacement::beginsInTime(const EngineRequest& request, const PlacementContext& context, const BackendState& runner, const Prediction& prediction)
 {
     const auto version = runner.version(request.prompt->model);
@@ -262,7 +281,8 @@
     const auto& prompt = *request.prompt;
     const auto work = runner.totalWork(now);
     const auto slowdown = m_mechanisms.has(Mechanism::MachineSlowdowns) ? runner.slowdown(now) : 1;
-    const auto speed = runner.tokensPerMs(fallbackSpeed) / slowdown;
+    const auto requests = runner.requests(now);
+    const auto speed = prefillSpeed(runner, requests, fallbackSpeed, now) / slowdown;
     Prediction out;
     const auto cached = runner.cachedParts().cachedTokens(prompt.parts, locations.scope);
     const auto ownLinkSlowdown = runner.transferSpeed().linkSlowdown(now);
@@ -294,7 +314,6 @@
     out.waitMs = peerPrefillMs + (aheadTokens + std::min(lessUrgentTokens, chunkTokens) / 2) / speed;
     out.busyMs = totalPeerPrefillMs + (aheadTokens + ownLessUrgentTokens) / speed;
     out.lessUrgentMs = lessUrgentTokens / speed;
-    const auto requests = runner.requests(now);
     out.requests = requests;
     const auto slots = static_cast<std::int32_t>(std::max(m_limits.slots, 1U));
     // The engine admits more urgent prompts first, and preempts less urgent ones to free slots and memory for them.
@@ -427,7 +446,7 @@
 {
     const auto& prompt = *request.prompt;
     const PartLocations locations(request, context, runners, stores, m_limits, m_mechanisms);
-    Choice choice { request, context, {}, {}, averageSpeed(runners), 1 };
+    Choice choice { request, context, {}, {}, m_learnsCapacity ? averageLearnedSpeed(runners) : averageSpeed(runners), 1 };
     std::copy_if(runners.begin(), runners.end(), std::back_inserter(choice.candidates), [&](const auto& runner) { return isCandidate(request, context, *runner); });
     choice.streamShares = m_separation.shares(choice.candidates);
     choice.worstSlowdown = worstSlowdown(choice.candidates, context.now);
@@ -444,6 +463,7 @@
     out.prefill = roundedMs(prediction.prefillMs);
     out.streamEffect = chosen->effect;
     out.isSpeedSample = prediction.isPrefillOnly;
+    out.learnedLoad = m_learnsCapacity ? prediction.requests + 1 : 0;
     out.work.requests = 1;
     out.work.prefillTokens[priorityClass(request.priority)] = prediction.uncachedTokens;
     out.work.fetchTokens = prediction.fetchTokens;
@@ -521,8 +541,12 @@
         std::int64_t tokens = 0;
         for (const auto n : placement.work.prefillTokens)
             tokens += n;
-        if (tokens >= minSampleTokens && measuredMs > requestOverheadMs)
-            runner.learnSpeed(static_cast<double>(tokens) / (measuredMs - requestOverheadMs) * runner.slowdown(now));
+        if (tokens < minSampleTokens || measuredMs <= requestOverheadMs)
+            return;
+        const auto tokensPerMs = static_cast<double>(tokens) / (measuredMs - requestOverheadMs) * runner.slowdown(now);
+        const bool isPlausible = runner.learnSpeed(tokensPerMs);
+        if (isPlausible && placement.learnedLoad > 0)
+            runner.capacity().addOwnSample(placement.learnedLoad, static_cast<std::int32_t>(runner.record().slots), tokensPerSample / tokensPerMs, now);
         return;
     }
     const auto fetchMs = toMilliseconds(placement.predictedFetch);
--- a/packages/placement/chiveshelf/placement/EnginePlacement.h
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.h
@@ -51,7 +51,8 @@
 // at least as urgent), and "a quarter of the runners fail at the same time" (the same rules apply to the remaining runners).
 class EnginePlacement {
 public:
-    explicit EnginePlacement(const EngineLimits&, Mechanisms = {});
+    // `learnsCapacity` tells whether the prefill speed of a runner is learned by its load, and from the samples of all hosts.
+    explicit EnginePlacement(const EngineLimits&, Mechanisms = {}, bool learnsCapacity = false);
 
     // Returns the chosen runner with its transfers, or a refusal. `random` is uniform in 0 to 1. It adds jitter to costs and to the
     // retry delays of refused callers.
@@ -127,10 +128,13 @@
         const PlacementContext&);
     // Returns whether the prompt would begin before the runner's weights expire.
     static bool beginsInTime(const EngineRequest&, const PlacementContext&, const BackendState&, const Prediction&);
+    // Returns the prefill speed of a runner in tokens per ms, without the reported slowdown of its machine.
+    double prefillSpeed(const BackendState&, std::int32_t requests, double fallbackSpeed, TimePoint now) const;
     bool isCandidate(const EngineRequest&, const PlacementContext&, const BackendState&) const;
 
     EngineLimits m_limits;
     Mechanisms m_mechanisms;
+    bool m_learnsCapacity;
     // Nominal time in ms to fetch a token over a runner's link.
     double m_fetchMsPerToken;
     StreamSeparation m_separation;
--- a/packages/placement/chiveshelf/placement/Placement.h
+++ b/packages/placement/chiveshelf/placement/Placement.h
@@ -75,6 +75,10 @@
     double nominalFetchMs = 0;
     // Whether the time to the first token measures the runner's prefill speed: the prompt neither waits nor fetches.
     bool isSpeedSample = false;
+    // Number of requests at the runner, this one included, or 0 if the capacity of runners is not learned.
+    std::int32_t learnedLoad = 0;
+    // Whether the runner was chosen although it is expected to be slow, to find out whether it still is.
+    bool isProbe = false;
 };
 
 // Reason why no runner was chosen.
--- a/tests/unit/placement/PlacementSimulation.cpp
+++ b/tests/unit/placement/PlacementSimulation.cpp
@@ -61,7 +61,7 @@
             for (auto& engine : m_engines)
                 engine.parts.setCapacity(model.memoryTokens);
             for (int i = 0; i < scenario.hosts; ++i)
-                m_hosts.push_back({ makeRunners(), EnginePlacement(limits(), scenario.mechanisms) });
+                m_hosts.push_back({ makeRunners(), EnginePlacement(limits(), scenario.mechanisms, scenario.learnsCapacity) });
         }
 
         std::vector<Outcome> run()
@@ -198,6 +198,7 @@
         void sendLoadNotices()
         {
             for (std::size_t from = 0; from < m_hosts.size(); ++from) {
+                sendCapacities(from);
                 for (std::size_t to = 0; to < m_hosts.size(); ++to) {
                     for (std::size_t i = 0; from != to && i < m_engines.size(); ++i) {
                         auto& receiver = *m_hosts[to].runners[i];
@@ -214,6 +215,18 @@
                 at(m_now + loadNoticeInterval, [this] { sendLoadNotices(); });
         }
 
+        void sendCapacities(std::size_t from)
+        {
+            for (std::size_t i = 0; i < m_engines.size(); ++i) {
+                for (const auto& sample : m_hosts[from].runners[i]->capacity().takeOwnSamples()) {
+                    for (std::size_t to = 0; to < m_hosts.size(); ++to) {
+                        if (to != from)
+                            m_hosts[to].runners[i]->capacity().addPeerSample(sample, m_now);
+                    }
+                }
+            }
+        }
+
         void enqueue(const RequestPtr& request)
         {
             const auto i = engineOf(*request);
@@ -257,7 +270,7 @@
             }
             const auto& model = m_scenario.engines;
             const auto prefillMs = static_cast<double>(model.chunkTokens - budget) / model.tokensPerMs;
-            const auto ms = (model.stepMs + model.stepMsPerStream * static_cast<double>(engine.running.size()) + prefillMs) * slowdown(i);
+            const auto ms = (model.stepMs + model.stepMsPerStream * static_cast<double>(engine.running.size()) + prefillMs) * slowdown(i) * model.slowness[i % model.slowness.size()];
             at(m_now + fromMs(ms), [this, i] { endStep(i); });
         }
 
--- a/tests/unit/placement/PlacementSimulation.h
+++ b/tests/unit/placement/PlacementSimulation.h
@@ -25,6 +25,8 @@
     double stepMs = 5;
     double stepMsPerStream = 0.03;
     double tokensPerMs = 50;
+    // Factors by which the engines are slower, used in turn.
+    std::vector<double> slowness { 1 };
     std::int64_t chunkTokens = 2'048;
     int tokensPerEvent = 4;
     int slots = 48;
@@ -59,6 +61,7 @@
     std::chrono::milliseconds length { 20'000 };
     std::uint64_t seed = 1;
     chiveshelf::Mechanisms mechanisms;
+    bool learnsCapacity = false;
 };
 
 // Outcomes of the requests of one kind.
