--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -566,6 +566,7 @@
     }
     RunnerUse use(placement, std::chrono::steady_clock::now());
     m_hasReachedRunner = true;
+    m_context.metrics.capacityProbes += placement.isProbe ? 1 : 0;
     logResumption(runner->record());
     m_context.exchange.crashNotices().onSend(m_crashSubjects, use.sentAt());
     auto& engine = m_context.state.policies(m_pool).engine;
@@ -579,6 +580,7 @@
         armQueueTimer(placement);
     if (!co_await writeRequest(placement))
         co_return recordFailure(use, Verdict::NotRun, false, "connection_closed");
+    use.recordWritten(std::chrono::steady_clock::now());
     // Only now, so that the time which the request takes to leave this host isn't taken for the runner's.
     startFirstByteLimit(placement);
     std::unique_ptr<Parser> parser;
@@ -802,6 +804,7 @@
         m_history->record(Verdict::Ran);
         if (!isFailure(status))
             recordAnswer(use, end);
+        learnCapacity(status, use);
         releaseConnection(parser, headers, use);
         ++m_context.metrics.requests["answered"];
         logOutcome("answered", runner.record().id);
@@ -886,6 +889,17 @@
         EnginePlacement::learn(placement, m_context.state.cacheStores(), elapsed, std::chrono::steady_clock::now());
 }
 
+void ForwardTask::learnCapacity(unsigned status, const RunnerUse& use)
+{
+    const bool isEngine = m_context.state.policies(m_pool).engine.has_value();
+    if (isEngine || !isSuccess(status) || use.placement().learnedLoad == 0)
+        return;
+    // The end of a stream, or of a response that wasn't held back whole, may depend on the speed of the caller.
+    const auto end = m_isResponseHeld ? std::max(m_lastPieceAt, use.firstByteAt()) : use.firstByteAt();
+    ServicePlacement::learnCapacity(use.placement(), end - use.writtenAt(), std::chrono::steady_clock::now());
+    ++m_context.metrics.capacitySamples;
+}
+
 void ForwardTask::recordBodyPiece(const Parser& parser, RunnerUse& use)
 {
     const auto now = std::chrono::steady_clock::now();
@@ -1010,6 +1024,7 @@
         pending += "0\r\n\r\n";
     if (framing == Framing::Close)
         m_caller->setKeepAlive(false);
+    m_isResponseHeld = !m_hasResponseStarted;
     m_hasResponseStarted = true;
     m_isResponseWhole = true;
     if (!pending.empty() && !co_await m_caller->write(std::move(pending)))
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -132,6 +132,8 @@
     void logLostRunner(const std::string& runner) const;
     SendResult recordRefusal(RunnerUse&, const platform::RunnerHeaders&, unsigned status);
     void handleFirstByte(RunnerUse&);
+    // Learns the capacity of the runner of a plain service from a complete response.
+    void learnCapacity(unsigned status, const RunnerUse&);
     // Records the arrival of a piece of a response body.
     void recordBodyPiece(const Parser&, RunnerUse&);
     // Counts the response, once, as evidence that the request doesn't crash runners.
@@ -227,6 +229,8 @@
     std::chrono::milliseconds m_longestPieceGap { 0 };
     // Whether part of a response was sent to the caller.
     bool m_hasResponseStarted = false;
+    // Whether the whole response arrived before any part of it was sent to the caller.
+    bool m_isResponseHeld = false;
     // Whether the last part of the response is being sent to the caller.
     bool m_isResponseWhole = false;
     bool m_isDeadlineExtended = false;
--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -209,6 +209,12 @@
             { "versions", runner->record().modelVersions }, { "software", runner->record().softwareVersion }, { "requests", runner->requests(now) }, { "prefill_tokens", total.prefillTokens },
             { "prompts", total.prompts }, { "memory_tokens", total.memoryTokens }, { "failure_share", runner->health().failureShare(now) },
             { "tokens_per_ms", runner->tokensPerMs(0) }, { "cached_tokens", runner->cachedParts().tokens() } };
+        if (m_settings.learnsCapacity) {
+            const auto& record = runner->record();
+            const auto reference = ServicePlacement::referenceMs(m_state.backendDirectory().runnersOf(record.pool), 0);
+            const auto& capacity = runner->capacity().estimate(reference, static_cast<std::int32_t>(record.slots), now);
+            out["runners"][id]["capacity"] = { { "mean_ms", runner->capacity().meanMs() }, { "factor_alone", capacity.factor(1) }, { "factor_at_good_load", capacity.factor(capacity.limit()) }, { "good_load", capacity.limit() } };
+        }
         if (const auto limit = runner->requestLimit().perSecond())
             out["runners"][id]["limit"] = { { "per_second", *limit }, { "sent", runner->requestLimit().sentSinceChange() }, { "has_permit", runner->requestLimit().hasPermit(now) } };
     }
--- a/packages/gateway/chiveshelf/gateway/GatewayMetrics.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewayMetrics.cpp
@@ -44,6 +44,8 @@
     addCounter("chiveshelf_gateway_tables_pieces_total", "Pieces of tables sent to other hosts.", static_cast<double>(metrics.tablesPieces));
     addCounter("chiveshelf_gateway_tables_bytes_total", "Bytes of these pieces.", static_cast<double>(metrics.tablesBytes));
     addCounter("chiveshelf_gateway_tables_busy_total", "Requests for pieces that found no slot.", static_cast<double>(metrics.tablesBusy));
+    addCounter("chiveshelf_gateway_capacity_samples_total", "Requests from which this host learned the capacity of a runner.", static_cast<double>(metrics.capacitySamples));
+    addCounter("chiveshelf_gateway_capacity_probes_total", "Requests sent to a runner that was expected to be slow, to find out whether it still is.", static_cast<double>(metrics.capacityProbes));
     addLoopDelays(registry, metrics.loopDelays);
     addCounter("chiveshelf_gateway_repeats_total", "Sends beyond the first of each request.", static_cast<double>(metrics.repeats));
     addCounter("chiveshelf_gateway_resumes_total", "Streams resumed at another runner.", static_cast<double>(metrics.resumes));
--- a/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
+++ b/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
@@ -30,6 +30,10 @@
     std::uint64_t tablesPieces = 0;
     std::uint64_t tablesBytes = 0;
     std::uint64_t tablesBusy = 0;
+    // Requests from which this host learned the capacity of a runner, and requests sent to runners that were expected to be slow, to
+    // find out whether they still are.
+    std::uint64_t capacitySamples = 0;
+    std::uint64_t capacityProbes = 0;
     LoopDelays loopDelays;
     std::uint64_t repeats = 0;
     std::uint64_t resumes = 0;
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
@@ -72,6 +72,7 @@
             checkDecimal(0, 1'024, "cores") },
         { "without", "", "Mechanisms of the choice of runners that are switched off, separated by commas, to measure what each is worth: " + listMechanismNames() + ".",
             false, false, checkMechanisms },
+        { "learn-capacity", "false", "Whether the hosts learn how much load each runner handles well: true or false. Empty means false.", false, false, checkOneOf({ "true", "false" }) },
         { "log-level", "info", "Lowest level that is logged.", false, false, checkOneOf({ "debug", "info", "warning", "error" }) },
         { "print-settings", "", "Print the effective settings with their origin and exit.", false, true, nullptr },
         { "help", "", "Print this help and exit.", false, true, nullptr },
@@ -110,6 +111,7 @@
         if (const auto mechanism = parseMechanism(entry))
             out.mechanisms = out.mechanisms.without(*mechanism);
     }
+    out.learnsCapacity = options.text("learn-capacity") == "true";
     out.logLevel = options.text("log-level");
     checkDifferentAddresses(options, { "listen", "admin-listen", "peer-listen", "store" }, problems);
     return out;
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.h
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.h
@@ -42,6 +42,8 @@
     std::string logLevel = "info";
     // Mechanisms that are enabled in the choice of runners.
     Mechanisms mechanisms;
+    // Whether the choice of runners depends on how long requests took at each of them, instead of their slots alone.
+    bool learnsCapacity = false;
 };
 
 // Returns the option specifications, for parsing and help.
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -42,6 +42,12 @@
     constexpr unsigned statusUnavailable = 503;
     // Older versions are already loaded everywhere, or their time limit has passed.
     constexpr std::chrono::milliseconds maxAnnouncedVersionAge { 20'000 };
+    // Largest number of samples in one entry of a notice. More have no more weight at the receiver.
+    constexpr int maxCapacityCount = 255;
+    constexpr std::chrono::milliseconds capacityLogInterval { 5'000 };
+    // A runner is logged as slow from the first factor on, and as fast again below the second one, so that noise causes no log lines.
+    constexpr double slowFactor = 1.6;
+    constexpr double noLongerSlowFactor = 1.25;
     // Parts beyond this number are not announced with the next notice.
     constexpr std::size_t maxPendingParts = 160;
     // Delay before a host fetches newer tables from another, in which its own watch of the store usually delivers them.
@@ -122,6 +128,10 @@
 Result<void> HostExchange::start()
 {
     m_datagrams.handle<LoadNotice>([this](const Address& from, LoadNotice notice) { onLoad(from, notice); });
+    m_datagrams.handle<CapacityNotice>([this](const Address& from, CapacityNotice notice) {
+        onLoad(from, notice.load);
+        onCapacities(notice.capacities, std::chrono::steady_clock::now());
+    });
     m_datagrams.handle<PartsNotice>([this](const Address&, PartsNotice notice) { onParts(notice.parts); });
     m_datagrams.handle<PlacementNotice>([this](const Address&, PlacementNotice notice) { onPlacement(notice); });
     m_datagrams.handle<CrashNotice>([this](const Address&, CrashNotice notice) { m_crashNotices.applyNotice(notice, std::chrono::steady_clock::now()); });
@@ -497,6 +507,7 @@
         sendLimits(now);
         m_crashNotices.sendRepetitions([this](std::uint32_t runner) { return rendezvousPosition(std::to_string(runner)) == 0; }, now);
         sendNotices();
+        logCapacities(now);
     }
 }
 
@@ -562,6 +573,69 @@
     }
 }
 
+void HostExchange::collectCapacities()
+{
+    if (!m_settings.learnsCapacity)
+        return;
+    const auto add = [](PendingCapacities& pending, std::uint32_t runner, const CapacitySample& sample) {
+        auto& sum = pending[{ runner, sample.range }];
+        const auto n = sum.count + sample.count;
+        sum = { sample.range, static_cast<std::uint16_t>(std::min<int>(n, maxCapacityCount)), (sum.meanMs * sum.count + sample.meanMs * sample.count) / n };
+    };
+    const bool hasRemoteHosts = !isSmallFleet() && !m_dataCentreHosts.empty();
+    for (const auto& [id, runner] : m_state.backendDirectory().all()) {
+        for (const auto& sample : runner->capacity().takeOwnSamples()) {
+            add(m_pendingCapacities, runner->number(), sample);
+            if (hasRemoteHosts)
+                add(m_remoteCapacities, runner->number(), sample);
+        }
+    }
+}
+
+std::vector<RunnerCapacityEntry> HostExchange::takeCapacities(PendingCapacities& pending, std::size_t n)
+{
+    std::vector<RunnerCapacityEntry> out;
+    while (!pending.empty() && out.size() < n) {
+        const auto& [key, sample] = *pending.begin();
+        out.push_back({ key.first, sample.range, static_cast<std::uint8_t>(sample.count), static_cast<float>(sample.meanMs) });
+        pending.erase(pending.begin());
+    }
+    return out;
+}
+
+void HostExchange::onCapacities(const std::vector<RunnerCapacityEntry>& entries, TimePoint now)
+{
+    if (!m_settings.learnsCapacity)
+        return;
+    for (const auto& entry : entries) {
+        if (const auto runner = m_state.backendDirectory().findByNumber(entry.runner))
+            runner->capacity().addPeerSample({ entry.range, entry.count, entry.meanMs }, now);
+    }
+}
+
+void HostExchange::logCapacities(TimePoint now)
+{
+    if (!m_settings.learnsCapacity || now - m_lastCapacityLogAt < capacityLogInterval)
+        return;
+    m_lastCapacityLogAt = now;
+    std::map<std::string, double> references;
+    std::set<std::uint32_t> slow;
+    for (const auto& [id, runner] : m_state.backendDirectory().all()) {
+        const auto& record = runner->record();
+        const auto [it, isNew] = references.try_emplace(record.pool, 0);
+        if (isNew)
+            it->second = ServicePlacement::referenceMs(m_state.backendDirectory().runnersOf(record.pool), 0);
+        const auto& capacity = runner->capacity().estimate(it->second, static_cast<std::int32_t>(record.slots), now);
+        const bool wasSlow = m_slowRunners.contains(runner->number());
+        const bool isSlow = capacity.factor(1) >= (wasSlow ? noLongerSlowFactor : slowFactor);
+        if (isSlow)
+            slow.insert(runner->number());
+        if (isSlow != wasSlow)
+            logEvent(LogLevel::Info, isSlow ? "runner_slow" : "runner_no_longer_slow", { { "runner", id }, { "pool", record.pool }, { "percent", static_cast<std::int64_t>(capacity.factor(1) * percentPerFactor) }, { "good_load", capacity.limit() } });
+    }
+    m_slowRunners = std::move(slow);
+}
+
 bool HostExchange::limitsRemoteNotices() const
 {
     return m_hosts.size() >= hugeFleetHosts && !m_dataCentreHosts.empty();
@@ -570,24 +644,27 @@
 void HostExchange::sendNotices()
 {
     const auto now = std::chrono::steady_clock::now();
+    collectCapacities();
     if (isSmallFleet() || m_dataCentreHosts.empty()) {
-        sendNotice(m_hosts, noticeInterval(), std::exchange(m_pendingParts, {}), takeStoreSpeeds());
+        sendNotice(m_hosts, noticeInterval(), std::exchange(m_pendingParts, {}), takeStoreSpeeds(), m_pendingCapacities);
         m_remoteParts.clear();
+        m_remoteCapacities.clear();
         return;
     }
     appendUpTo(m_remoteParts, m_pendingParts, maxPendingParts);
     auto storeSpeeds = takeStoreSpeeds();
     appendUpTo(m_remoteStoreSpeeds, storeSpeeds, LoadNotice::maxStoreSpeeds);
-    sendNotice(m_dataCentreHosts, noticeInterval(), std::exchange(m_pendingParts, {}), std::move(storeSpeeds));
+    sendNotice(m_dataCentreHosts, noticeInterval(), std::exchange(m_pendingParts, {}), std::move(storeSpeeds), m_pendingCapacities);
     const auto interval = remoteNoticeInterval();
     if (now - m_lastRemoteNoticeAt < interval)
         return;
     m_lastRemoteNoticeAt = now;
-    sendNotice(m_remoteHosts, interval, std::exchange(m_remoteParts, {}), std::exchange(m_remoteStoreSpeeds, {}));
+    sendNotice(m_remoteHosts, interval, std::exchange(m_remoteParts, {}), std::exchange(m_remoteStoreSpeeds, {}), m_remoteCapacities);
 }
 
 template <typename Addresses>
-void HostExchange::sendNotice(const Addresses& receivers, std::chrono::milliseconds interval, std::vector<PlacedPart> parts, std::vector<StoreSpeedEntry> storeSpeeds)
+void HostExchange::sendNotice(const Addresses& receivers, std::chrono::milliseconds interval, std::vector<PlacedPart> parts, std::vector<StoreSpeedEntry> storeSpeeds,
+    PendingCapacities& capacities)
 {
     const auto loads = ownLoads();
     LoadNotice notice;
@@ -604,13 +681,20 @@
     const auto n = std::min(parts.size(), LoadNotice::maxParts);
     notice.parts.assign(parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(n));
     parts.erase(parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(n));
+    const auto loadsPerNotice = LoadNotice::maxLoads - (capacities.empty() ? 0 : CapacityNotice::loadsLeftOut);
     std::size_t begin = 0;
     do {
-        const auto end = std::min(begin + LoadNotice::maxLoads, loads.size());
+        const auto end = std::min(begin + loadsPerNotice, loads.size());
         const bool isLast = end == loads.size();
         notice.loads.assign(loads.begin() + static_cast<std::ptrdiff_t>(begin), loads.begin() + static_cast<std::ptrdiff_t>(end));
         notice.lastRunner = isLast ? std::numeric_limits<std::uint32_t>::max() : loads[end - 1].runner;
-        m_datagrams.sendToAll(receivers, notice);
+        if (capacities.empty()) {
+            m_datagrams.sendToAll(receivers, notice);
+        } else {
+            CapacityNotice extended { notice, {} };
+            extended.capacities = takeCapacities(capacities, extended.maxCapacities());
+            m_datagrams.sendToAll(receivers, extended);
+        }
         if (isLast)
             break;
         notice.firstRunner = notice.lastRunner + 1;
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -113,6 +113,9 @@
     const TablesExchange& tables() const { return m_tables; }
 
 private:
+    // Measured times of requests that are to be sent, by the runner's number and the range of loads.
+    using PendingCapacities = std::map<std::pair<std::uint32_t, std::uint8_t>, CapacitySample>;
+
     boost::asio::awaitable<void> noticeLoop();
     // Tells the limits of runners that this host handles notices.
     boost::asio::awaitable<void> awakeLoop();
@@ -120,7 +123,8 @@
     std::vector<Address> originHolders(std::uint64_t stream) const;
     // Sends load notices to hosts that get the next ones after `interval`.
     template <typename Addresses>
-    void sendNotice(const Addresses&, std::chrono::milliseconds interval, std::vector<PlacedPart> parts, std::vector<StoreSpeedEntry> storeSpeeds);
+    void sendNotice(const Addresses&, std::chrono::milliseconds interval, std::vector<PlacedPart> parts, std::vector<StoreSpeedEntry> storeSpeeds,
+        PendingCapacities& capacities);
     void sendNotices();
     // Whether the fleet is so large that hosts of other data centres get load notices less often and no placement notices.
     bool limitsRemoteNotices() const;
@@ -130,6 +134,13 @@
     // Returns the transfer times of stores of cached parts that this host has measured since the last call.
     std::vector<StoreSpeedEntry> takeStoreSpeeds();
     void onStoreSpeeds(const std::vector<StoreSpeedEntry>&);
+    // Adds the times of requests that this host has measured since the last call to those to be sent.
+    void collectCapacities();
+    // Moves up to `n` entries from `pending`.
+    static std::vector<RunnerCapacityEntry> takeCapacities(PendingCapacities& pending, std::size_t n);
+    void onCapacities(const std::vector<RunnerCapacityEntry>&, TimePoint now);
+    // Logs, at an interval, which runners have become slow or fast compared to their pools.
+    void logCapacities(TimePoint now);
     template <typename Addresses>
     void sendParts(const Addresses&, const std::vector<PlacedPart>&);
     void onLoad(const Address& from, const LoadNotice&);
@@ -194,6 +205,11 @@
     // Parts for the less frequent notices to hosts of other data centres.
     std::vector<PlacedPart> m_remoteParts;
     std::vector<StoreSpeedEntry> m_remoteStoreSpeeds;
+    PendingCapacities m_pendingCapacities;
+    PendingCapacities m_remoteCapacities;
+    // Numbers of the runners that were logged as slow, and the time of the last check.
+    std::set<std::uint32_t> m_slowRunners;
+    TimePoint m_lastCapacityLogAt {};
     TimePoint m_lastRemoteNoticeAt {};
     bool m_isStopped = false;
 };
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -158,6 +158,42 @@
     }
 };
 
+// Times of requests at a runner that the sending host has measured since its last notice; see CapacitySample.
+struct RunnerCapacityEntry {
+    std::uint32_t runner = 0;
+    std::uint8_t range = 0;
+    std::uint8_t count = 0;
+    float meanMs = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(runner, range, count, meanMs);
+    }
+};
+
+// A load notice with capacities of runners. A type of its own, so that load notices are the same as those of hosts that don't learn
+// capacities.
+struct CapacityNotice {
+    static constexpr peer::DatagramType datagramType = peer::DatagramType::CapacityNotice;
+    // Capacities use the room of missing loads. A load takes more bytes than this number of them.
+    static constexpr std::size_t capacitiesPerLoad = 4;
+    // Loads that a notice leaves out while there are capacities to send.
+    static constexpr std::size_t loadsLeftOut = 5;
+
+    LoadNotice load;
+    // At most maxCapacities().
+    std::vector<RunnerCapacityEntry> capacities;
+
+    std::size_t maxCapacities() const { return (LoadNotice::maxLoads - load.loads.size()) * capacitiesPerLoad; }
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(load, capacities);
+    }
+};
+
 // A request that was waiting for its response, or had just begun to get it, when its runner was lost.
 struct CrashNoticeEntry {
     std::uint64_t fingerprint = 0;
--- a/packages/gateway/chiveshelf/gateway/RunnerUse.cpp
+++ b/packages/gateway/chiveshelf/gateway/RunnerUse.cpp
@@ -6,6 +6,7 @@
     : m_placement(placement)
     , m_work(placement.work)
     , m_sentAt(now)
+    , m_writtenAt(now)
 {
     runner().addWork(m_work);
     runner().health().onSent(placement.predicted, now);
--- a/packages/gateway/chiveshelf/gateway/RunnerUse.h
+++ b/packages/gateway/chiveshelf/gateway/RunnerUse.h
@@ -19,6 +19,8 @@
     // send.
     std::chrono::milliseconds recordFirstByte(TimePoint now);
     bool hasFirstByte() const { return m_firstByteAt.has_value(); }
+    // Time of the first byte, or of the send if there was none.
+    TimePoint firstByteAt() const { return m_firstByteAt.value_or(m_sentAt); }
     // Whether the response had begun at least this long before `now`.
     bool isAnswering(std::chrono::milliseconds duration, TimePoint now) const { return m_firstByteAt && now - *m_firstByteAt >= duration; }
 
@@ -31,6 +33,10 @@
 
     TimePoint sentAt() const { return m_sentAt; }
 
+    // Records that the request has left this host. Until then, writtenAt() is the time of the send.
+    void recordWritten(TimePoint now) { m_writtenAt = now; }
+    TimePoint writtenAt() const { return m_writtenAt; }
+
     BackendState& runner() { return *m_placement.runner; }
     const Placement& placement() const { return m_placement; }
 
@@ -38,6 +44,7 @@
     Placement m_placement;
     OutstandingWork m_work;
     TimePoint m_sentAt;
+    TimePoint m_writtenAt;
     std::optional<TimePoint> m_firstByteAt;
     bool m_hasAnswer = false;
     bool m_hasEnded = false;
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -174,9 +174,11 @@
     if (it != m_policies.end())
         return it->second;
     const auto* row = m_routes ? m_routes->findPool(pool) : nullptr;
-    PoolPolicies policies { std::nullopt, {}, FleetRetryBudget(m_settings.retryShare, m_settings.retryReserve, m_settings.retryWindow), {} };
+    // The learned times of engines have another unit, so that requests without a prompt are placed there by slots.
+    const bool isService = !row || !row->engine;
+    PoolPolicies policies { std::nullopt, ServicePlacement(m_settings.learnsCapacity && isService), FleetRetryBudget(m_settings.retryShare, m_settings.retryReserve, m_settings.retryWindow), {} };
     if (row && row->engine) {
-        policies.engine.emplace(*row->engine, m_settings.mechanisms);
+        policies.engine.emplace(*row->engine, m_settings.mechanisms, m_settings.learnsCapacity);
     }
     return m_policies.emplace(pool, std::move(policies)).first->second;
 }
--- a/tests/unit/gateway/GatewaySettingsTest.cpp
+++ b/tests/unit/gateway/GatewaySettingsTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(unknownMechanismIsRejectedWithListOfNames);
     CPPUNIT_TEST(linkAndProcessorAreRead);
     CPPUNIT_TEST(unknownLinkAndProcessorHaveDefaults);
+    CPPUNIT_TEST(capacityIsLearnedOnlyIfStated);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -61,6 +62,15 @@
         CPPUNIT_ASSERT_EQUAL(GatewaySettings().cpuShare, read("--cpu-share=0").cpuShare);
     }
 
+    // Deployment files pass an empty value where they don't state one.
+    void capacityIsLearnedOnlyIfStated()
+    {
+        CPPUNIT_ASSERT(!read("--log-level=info").learnsCapacity);
+        CPPUNIT_ASSERT(!read("--learn-capacity=").learnsCapacity);
+        CPPUNIT_ASSERT(read("--learn-capacity=true").learnsCapacity);
+        CPPUNIT_ASSERT(!parse("--learn-capacity=yes").empty());
+    }
+
 private:
     std::vector<std::string> parse(const std::string& flag)
     {
--- a/tests/unit/gateway/HostExchangeTest.cpp
+++ b/tests/unit/gateway/HostExchangeTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(longPromptInLargeFleetIsAnnouncedToAllHosts);
     CPPUNIT_TEST(announcedPlacementInLoadNoticeIsCountedOnce);
     CPPUNIT_TEST(measuredStoreSlownessIsReportedOnce);
+    CPPUNIT_TEST(measuredCapacityIsReportedOnce);
     CPPUNIT_TEST(workInLargeFleetReachesOwnDataCentreFirst);
     CPPUNIT_TEST(hostThatLostItsRegistrationCountsWhileItsNoticesArrive);
     CPPUNIT_TEST_SUITE_END();
@@ -61,6 +62,37 @@
         notice.versions.resize(LoadNotice::maxVersions);
         notice.storeSpeeds.resize(LoadNotice::maxStoreSpeeds);
         CPPUNIT_ASSERT(peer::encode(notice).size() <= peer::DatagramChannel::maxMessageBytes);
+        for (std::size_t loads = 0; loads <= LoadNotice::maxLoads; ++loads) {
+            notice.loads.resize(loads);
+            CapacityNotice extended { notice, {} };
+            extended.capacities.resize(extended.maxCapacities());
+            if (!extended.capacities.empty())
+                CPPUNIT_ASSERT(peer::encode(extended).size() <= peer::DatagramChannel::maxMessageBytes);
+        }
+    }
+
+    // Guards against samples that never leave a host with work at many runners, and against samples that are reported again.
+    void measuredCapacityIsReportedOnce()
+    {
+        constexpr int n = 45;
+        addRunners(n);
+        OutstandingWork work;
+        work.requests = 1;
+        const auto now = std::chrono::steady_clock::now();
+        for (const auto& [id, runner] : m_first.state.backendDirectory().all()) {
+            runner->addWork(work);
+            runner->capacity().addOwnSample(1, 4, 80, now);
+        }
+        m_first.settings.learnsCapacity = true;
+        m_second.settings.learnsCapacity = true;
+        runFor(milliseconds(500));
+        for (const auto& [id, runner] : m_second.state.backendDirectory().all()) {
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(80, runner->capacity().meanMs(), 0.01);
+            CPPUNIT_ASSERT(runner->capacity().takeOwnSamples().empty());
+        }
+        const auto learnedAt = runner(m_second)->capacity().lastSampleAt();
+        runFor(milliseconds(400));
+        CPPUNIT_ASSERT(runner(m_second)->capacity().lastSampleAt() == learnedAt);
     }
 
     void placementInSmallFleetReachesAllHostsAtOnce()
