Test that only successful requests give samples of a runner's capacity

Cause: a runner that fails at once would seem fast; the wiring in ForwardTask had no test. Change: a gateway test with the setting on, by the metric.

--- a/tests/support/GatewayFixture.h
+++ b/tests/support/GatewayFixture.h
@@ -99,6 +99,7 @@
         settings.peerAddress = { m_network + ".1", 7'003 };
         settings.storeAddress = { m_network + ".1", 7'000 };
         settings.retryReserve = m_retryReserve;
+        settings.learnsCapacity = m_learnsCapacity;
         m_gateway = std::make_unique<chiveshelf::Gateway>(*m_context, settings);
         CPPUNIT_ASSERT(m_gateway->start());
         runFor(std::chrono::milliseconds(150));
@@ -258,6 +259,8 @@
 
     // GatewaySettings::retryReserve of the gateway.
     double m_retryReserve = 50;
+    // GatewaySettings::learnsCapacity of the gateway.
+    bool m_learnsCapacity = false;
     // Number of hosts of a fleet with the usual link and processor; the others have a slow processor and this link.
     int m_fastHosts = 1'000;
     double m_slowLinkMbps = 10;
--- a/tests/unit/gateway/GatewayTest.cpp
+++ b/tests/unit/gateway/GatewayTest.cpp
@@ -13,6 +13,7 @@
 class GatewayTest : public fakeplatform::GatewayFixture {
     CPPUNIT_TEST_SUITE(GatewayTest);
     CPPUNIT_TEST(responseWithContentLengthIsRelayedWhole);
+    CPPUNIT_TEST(onlySuccessfulRequestGivesCapacitySample);
     CPPUNIT_TEST(requestWithoutRouteOrKeyIsRejected);
     CPPUNIT_TEST(forwardedRequestCarriesOrganisationButNotKey);
     CPPUNIT_TEST(nonRepeatableRequestAfterConnectionResetIsSentOnceAndGets502);
@@ -45,6 +46,21 @@
         CPPUNIT_ASSERT_EQUAL(std::string("booked"), response.body);
     }
 
+    // Guards against runners that seem fast because they fail at once.
+    void onlySuccessfulRequestGivesCapacitySample()
+    {
+        m_learnsCapacity = true;
+        unsigned status = 404;
+        addRunner([&](const auto& request) { return Script { fakeplatform::sealedResponse(request, status, "booked"), Script::End::Keep }; });
+        startGateway();
+        const std::string metrics = "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        CPPUNIT_ASSERT_EQUAL(404U, fetch(post("/book/1")).status);
+        CPPUNIT_ASSERT(fetch(metrics, 7'002).body.find("chiveshelf_gateway_capacity_samples_total 0\n") != std::string::npos);
+        status = 200;
+        CPPUNIT_ASSERT_EQUAL(200U, fetch(post("/book/1")).status);
+        CPPUNIT_ASSERT(fetch(metrics, 7'002).body.find("chiveshelf_gateway_capacity_samples_total 1\n") != std::string::npos);
+    }
+
     void requestWithoutRouteOrKeyIsRejected()
     {
         addRunner([](const auto& request) { return Script { fakeplatform::sealedResponse(request, 200, "x"), Script::End::Keep }; });
