--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -230,6 +230,12 @@
             out["runners"][id]["evacuated"] = true;
         if (runner->isWarmingUp(now))
             out["runners"][id]["warm_up"] = { { "bound_per_second", runner->warmUpBound()->perSecond }, { "share_per_second", runner->warmUpQuota().share() }, { "has_room", runner->warmUpQuota().hasRoom(now) } };
+        if (m_settings.learnsCapacity) {
+            const auto& record = runner->record();
+            const auto reference = ServicePlacement::referenceMs(m_state.backendDirectory().runnersOf(record.pool), 0);
+            const auto& capacity = runner->capacity().estimate(reference, static_cast<std::int32_t>(record.slots), now);
+            out["runners"][id]["capacity"] = { { "mean_ms", runner->capacity().meanMs() }, { "factor_alone", capacity.factor(1) }, { "factor_at_good_load", capacity.factor(capacity.limit()) }, { "good_load", capacity.limit() } };
+        }
         if (const auto limit = runner->requestLimit().perSecond())
             out["runners"][id]["limit"] = { { "per_second", *limit }, { "sent", runner->requestLimit().sentSinceChange() }, { "has_permit", runner->requestLimit().hasPermit(now) } };
     }
--- a/tests/unit/gateway/GatewaySettingsTest.cpp
+++ b/tests/unit/gateway/GatewaySettingsTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(warmUpAllowanceIsReadOnlyWhereItIsGiven);
     CPPUNIT_TEST(memoryIsReadAndHasDefault);
     CPPUNIT_TEST(limitsOfCallersAreRead);
+    CPPUNIT_TEST(capacityIsLearnedOnlyIfStated);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -95,6 +96,15 @@
         CPPUNIT_ASSERT(!parse("--receive-buffer-kb=0").empty());
     }
 
+    // Deployment files pass an empty value where they don't state one.
+    void capacityIsLearnedOnlyIfStated()
+    {
+        CPPUNIT_ASSERT(!read("--log-level=info").learnsCapacity);
+        CPPUNIT_ASSERT(!read("--learn-capacity=").learnsCapacity);
+        CPPUNIT_ASSERT(read("--learn-capacity=true").learnsCapacity);
+        CPPUNIT_ASSERT(!parse("--learn-capacity=yes").empty());
+    }
+
 private:
     template <typename... Flags>
     std::vector<std::string> parse(const Flags&... flags)
