--- a/tests/unit/responses/InvalidStatusTest.cpp
+++ b/tests/unit/responses/InvalidStatusTest.cpp
@@ -141,8 +141,11 @@
         http::Client client(*m_context);
         bool isApplied = false;
         std::optional<Result<platform::WeightReport>> report;
-        asio::co_spawn(
-            *m_context, [&]() -> asio::awaitable<void> { report = co_await platform::readWeightReport(client, address, [&](const auto&, unsigned) { isApplied = true; }); }, asio::detached);
+        const auto call = [&]() -> asio::awaitable<void> {
+            platform::AnswerHandler onAnswer = [&](const auto&, unsigned) { isApplied = true; };
+            report = co_await platform::readWeightReport(client, address, std::move(onAnswer));
+        };
+        asio::co_spawn(*m_context, call(), asio::detached);
         runUntil([&] { return report.has_value(); });
         CPPUNIT_ASSERT(report && !*report);
         CPPUNIT_ASSERT(!isApplied);
