Decide which runners to avoid from failed connections of all hosts

Cause: when a quarter of the runners stopped, each host found out on its own, with attempts of 302 ms each. Not in use yet.

--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -226,6 +226,35 @@
     }
 };
 
+// The sending host failed to connect to a runner, or received data of it, `ageMs` before the notice.
+struct SuspicionEntry {
+    std::uint32_t runner = 0;
+    std::uint32_t ageMs = 0;
+    bool isReached = false;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(runner, ageMs, isReached);
+    }
+};
+
+// Failed connections to runners, and the ends of such failures; see RunnerSuspicions.
+struct SuspicionNotice {
+    static constexpr peer::DatagramType datagramType = peer::DatagramType::SuspicionNotice;
+
+    std::uint64_t host = 0;
+    // Hash of the name of the sender's data centre.
+    std::uint64_t dataCentre = 0;
+    std::vector<SuspicionEntry> entries;
+
+    template <typename Archive>
+    void serialize(Archive& archive)
+    {
+        archive(host, dataCentre, entries);
+    }
+};
+
 // A part that a store has just finished storing, or has removed.
 struct CacheNoticeEntry {
     std::string scope;
--- a/packages/peer/chiveshelf/peer/DatagramChannel.h
+++ b/packages/peer/chiveshelf/peer/DatagramChannel.h
@@ -34,6 +34,7 @@
     OriginNotice = 15,
     OriginQuery = 16,
     OriginAnswer = 17,
+    SuspicionNotice = 18,
 };
 
 // Message that is sent as a single datagram, without a reply.
--- a/packages/placement/chiveshelf/placement/placement.h
+++ b/packages/placement/chiveshelf/placement/placement.h
@@ -10,4 +10,5 @@
 #include "chiveshelf/placement/FleetRetryBudget.h"
 #include "chiveshelf/placement/RolloutSchedule.h"
 #include "chiveshelf/placement/RunnerRegistry.h"
+#include "chiveshelf/placement/RunnerSuspicions.h"
 #include "chiveshelf/placement/ServicePlacement.h"
