--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -440,13 +440,16 @@
     context.jitterMs = m_context.exchange.isSmallFleet() ? context.nearJitterMs : std::min(jitterMsPerHost * hosts, maxJitterMs);
     context.isRetry = state.isLikelyRetry(m_route->name, m_headers.timeLeft, m_route->goal);
     const auto candidates = isBound() ? m_binding->candidates() : BackendDirectory::RunnerList();
-    const auto& runners = isBound() ? candidates : state.backendDirectory().runnersOf(m_pool);
+    const auto& allRunners = isBound() ? candidates : state.backendDirectory().runnersOf(m_pool);
     // A runner that broke the stream off may be the only one left at which it can go on.
-    const bool areAllExcluded = isBound() && std::all_of(runners.begin(), runners.end(), [this](const auto& runner) {
+    const bool areAllExcluded = isBound() && std::all_of(allRunners.begin(), allRunners.end(), [this](const auto& runner) {
         return std::find(m_excludedRunners.begin(), m_excludedRunners.end(), runner->record().id) != m_excludedRunners.end();
     });
     if (areAllExcluded)
         context.excluded = {};
+    auto& suspicions = m_context.exchange.suspicions();
+    const auto selected = suspicions.hasReports() ? suspicions.selectRunners(allRunners, context) : BackendDirectory::RunnerList();
+    const auto& runners = suspicions.hasReports() ? selected : allRunners;
     if (!policies.engine || !m_headers.prompt)
         return policies.service.choose(context, runners, state.random());
     const auto request = engineRequest();
@@ -481,7 +484,9 @@
     if (connected)
         co_return true;
     if (!isInterrupted()) {
-        placement.runner->health().onConnectionFailed(std::chrono::steady_clock::now());
+        const auto failedAt = std::chrono::steady_clock::now();
+        placement.runner->health().onConnectionFailed(failedAt);
+        m_context.exchange.suspicions().onConnectionFailed(placement.runner->number(), now, failedAt);
         logOutcome("connect_failed", record.id);
     }
     co_return false;
@@ -631,7 +636,9 @@
             recordReadError(ec);
             co_return false;
         }
-        use.runner().health().onDataReceived(std::chrono::steady_clock::now());
+        const auto receivedAt = std::chrono::steady_clock::now();
+        use.runner().health().onDataReceived(receivedAt);
+        m_context.exchange.suspicions().onRunnerData(use.runner().number(), receivedAt);
         if (http::hasTooManyFields(parser->get())) {
             m_readError = "too many header fields";
             co_return false;
@@ -898,6 +905,7 @@
     const auto now = std::chrono::steady_clock::now();
     use.runner().health().onDataReceived(now);
     m_context.exchange.crashNotices().onRunnerData(use.runner().number(), now);
+    m_context.exchange.suspicions().onRunnerData(use.runner().number(), now);
     if (use.hasFirstByte())
         m_longestPieceGap = std::max(m_longestPieceGap, std::chrono::duration_cast<std::chrono::milliseconds>(now - m_lastPieceAt));
     m_lastPieceAt = now;
--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -221,6 +221,7 @@
     metrics.loopDelays = m_loopMonitor.delays();
     metrics.closedCallers = m_server.closedConnections();
     metrics.tablesArrivals = m_state.tablesArrivals();
+    metrics.suspicionEvents = m_exchange.suspicions().events();
     const auto& served = m_exchange.tables().counts();
     metrics.tablesPieces = served.pieces;
     metrics.tablesBytes = served.bytes;
@@ -233,6 +234,7 @@
             { "tables_version", static_cast<double>(m_state.tablesVersion()) },
             { "tables_texts_decoded", static_cast<double>(m_storeFollower.decodedTablesCount()) }, { "runners", static_cast<double>(m_state.backendDirectory().all().size()) },
             { "hosts", static_cast<double>(m_exchange.hostCount()) },
+            { "suspected_runners", static_cast<double>(m_exchange.suspicions().suspectedCount(std::chrono::steady_clock::now())) },
             { "stream_origins", static_cast<double>(m_state.streamOriginCount()) }, { "store_reached", m_storeFollower.isInContact() ? 1.0 : 0.0 },
             { "leading", m_rolloutLeader.isLeading() ? 1.0 : 0.0 } });
 }
--- a/packages/gateway/chiveshelf/gateway/GatewayMetrics.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewayMetrics.cpp
@@ -41,6 +41,7 @@
     addCounters("chiveshelf_gateway_stream_take_ups_total", "Streams that callers resume, by how their origin is known.", "origin", metrics.takeUps);
     addCounters("chiveshelf_gateway_closed_callers_total", "Connections of callers that this host closed, by reason.", "reason", metrics.closedCallers);
     addCounters("chiveshelf_gateway_tables_arrivals_total", "Tables that came into force, by way.", "way", metrics.tablesArrivals);
+    addCounters("chiveshelf_gateway_suspicion_events_total", "Failed connections to runners that hosts share, by event.", "event", metrics.suspicionEvents);
     addCounter("chiveshelf_gateway_tables_pieces_total", "Pieces of tables sent to other hosts.", static_cast<double>(metrics.tablesPieces));
     addCounter("chiveshelf_gateway_tables_bytes_total", "Bytes of these pieces.", static_cast<double>(metrics.tablesBytes));
     addCounter("chiveshelf_gateway_tables_busy_total", "Requests for pieces that found no slot.", static_cast<double>(metrics.tablesBusy));
--- a/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
+++ b/packages/gateway/chiveshelf/gateway/GatewayMetrics.h
@@ -26,6 +26,8 @@
     std::map<std::string, std::uint64_t> closedCallers;
     // Tables that came into force, by the way that they took: "store", "item", "update" or "whole".
     std::map<std::string, std::uint64_t> tablesArrivals;
+    // Events of the sharing of failed connections; see SuspicionNotices::events().
+    std::map<std::string, std::uint64_t> suspicionEvents;
     // Pieces of tables sent to other hosts, their bytes, and requests that had to wait for a slot.
     std::uint64_t tablesPieces = 0;
     std::uint64_t tablesBytes = 0;
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
@@ -66,6 +66,8 @@
         { "retry-reserve", "50", "Repeats in each window that all hosts together may send beside the share.", false, false, checkDecimal(0, 1'000'000, "") },
         { "retry-window-s", "10", "Window over which repeats are counted, in s.", false, false, checkDecimal(1, 3'600, "s") },
         { "first-start", "false", "Whether the whole system starts for the first time: true or false.", false, false, checkOneOf({ "true", "false" }) },
+        { "share-failures", "false", "Whether hosts tell each other which runners they can't connect to: true or false; empty means false.", false, false,
+            checkOneOf({ "true", "false" }) },
         { "most-descriptors", "4096", "File descriptors that the process may use.", false, false, checkNumber(64, 10'000'000, "") },
         { "link-mbps", "100", "Speed of this host's link, in Mbit/s; 0 if unknown. At most half of it is used to send tables to other hosts.", false, false, checkDecimal(0, 1'000'000, "Mbit/s") },
         { "cpu-share", "1", "Share of a processor core that the process may use; 0 if unknown. Hosts with more, and faster links, watch the store for the others.", false, false,
@@ -101,6 +103,7 @@
     out.retryReserve = options.decimal("retry-reserve");
     out.retryWindow = seconds(options, "retry-window-s");
     out.isFirstStart = options.text("first-start") == "true";
+    out.isFailureSharing = options.text("share-failures") == "true";
     out.maxDescriptors = static_cast<std::size_t>(options.number("most-descriptors"));
     const auto linkMbps = options.decimal("link-mbps");
     out.linkMbps = linkMbps > 0 ? linkMbps : out.linkMbps;
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.h
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.h
@@ -35,6 +35,8 @@
     std::chrono::milliseconds retryWindow { 10'000 };
     // Whether the whole system starts for the first time, so that no request was served before this process started.
     bool isFirstStart = false;
+    // Whether hosts share failed connections to runners.
+    bool isFailureSharing = false;
     std::size_t maxDescriptors = 4'096;
     // Speed of this host's link, and its share of a processor core.
     double linkMbps = 100;
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -92,6 +92,9 @@
     , m_crashNotices(
           state.crashEvidence(), m_hostHash, [this](const CrashNotice& notice) { sendToAll(notice); }, [this](const AnswersNotice& notice) { sendToAll(notice); },
           [this](const TryNotice& notice) { sendToAll(notice); })
+    , m_suspicions(
+          settings.isFailureSharing, m_hostHash, hash64(settings.dataCentre), [this](const SuspicionNotice& notice) { sendToAll(notice); },
+          [this](std::uint32_t runner) { return triesSuspected(runner); })
     , m_origins(context, state.streamOrigins(),
           OriginExchange::Port { [this](std::uint64_t stream) { return originHolders(stream); },
               [this](const Address& to, const OriginNotice& notice) { m_datagrams.send(to, notice); },
@@ -127,6 +130,8 @@
     m_datagrams.handle<CrashNotice>([this](const Address&, CrashNotice notice) { m_crashNotices.applyNotice(notice, std::chrono::steady_clock::now()); });
     m_datagrams.handle<AnswersNotice>([this](const Address&, AnswersNotice notice) { m_crashNotices.applyNotice(notice, std::chrono::steady_clock::now()); });
     m_datagrams.handle<TryNotice>([this](const Address&, TryNotice notice) { m_crashNotices.applyNotice(notice, std::chrono::steady_clock::now()); });
+    if (m_settings.isFailureSharing)
+        m_datagrams.handle<SuspicionNotice>([this](const Address&, SuspicionNotice notice) { m_suspicions.applyNotice(notice, std::chrono::steady_clock::now()); });
     m_datagrams.handle<RolloutNotice>([this](const Address&, RolloutNotice notice) { onRollout(notice); });
     m_datagrams.handle<LeavingNotice>([this](const Address&, LeavingNotice notice) { onLeaving(notice); });
     m_datagrams.handle<LimitNotice>([this](const Address&, LimitNotice notice) { m_limits.applyNotice(notice, std::chrono::steady_clock::now()); });
@@ -278,6 +283,13 @@
         std::count_if(m_hosts.begin(), m_hosts.end(), [&](const auto& host) { return hash64(host.first, seed) > own; }));
 }
 
+bool HostExchange::triesSuspected(std::uint32_t runner) const
+{
+    const auto seed = hash64(std::to_string(runner));
+    const auto own = hash64(m_settings.hostName, seed);
+    return std::none_of(m_dataCentreHosts.begin(), m_dataCentreHosts.end(), [&](const auto& host) { return hash64(host.first, seed) > own; });
+}
+
 std::vector<Address> HostExchange::originHolders(std::uint64_t stream) const
 {
     std::vector<std::pair<std::uint64_t, Address>> hosts;
@@ -496,6 +508,7 @@
             updateHosts(now);
         sendLimits(now);
         m_crashNotices.sendRepetitions([this](std::uint32_t runner) { return rendezvousPosition(std::to_string(runner)) == 0; }, now);
+        m_suspicions.sendRepetitions(now);
         sendNotices();
     }
 }
--- a/packages/gateway/chiveshelf/gateway/HostExchange.h
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.h
@@ -5,6 +5,7 @@
 #include "chiveshelf/gateway/HostMessages.h"
 #include "chiveshelf/gateway/OriginExchange.h"
 #include "chiveshelf/gateway/ServingState.h"
+#include "chiveshelf/gateway/SuspicionNotices.h"
 #include "chiveshelf/gateway/TablesExchange.h"
 #include "chiveshelf/peer/PeerClient.h"
 #include "chiveshelf/peer/PeerServer.h"
@@ -82,6 +83,10 @@
     // The evidence of crashed runners that the hosts share.
     CrashNotices& crashNotices() { return m_crashNotices; }
 
+    // The failed connections to runners that the hosts share.
+    SuspicionNotices& suspicions() { return m_suspicions; }
+    const SuspicionNotices& suspicions() const { return m_suspicions; }
+
     // The origins of streams that the hosts share.
     OriginExchange& origins() { return m_origins; }
 
@@ -116,6 +121,8 @@
     boost::asio::awaitable<void> noticeLoop();
     // Tells the limits of runners that this host handles notices.
     boost::asio::awaitable<void> awakeLoop();
+    // Whether this host keeps trying a runner that is suspected. One host of each data centre does, by rendezvous hashing.
+    bool triesSuspected(std::uint32_t runner) const;
     // Returns the other hosts that hold the record of a stream's origin.
     std::vector<Address> originHolders(std::uint64_t stream) const;
     // Sends load notices to hosts that get the next ones after `interval`.
@@ -171,6 +178,7 @@
     TablesReader m_tablesReader;
     FleetLimits m_limits;
     CrashNotices m_crashNotices;
+    SuspicionNotices m_suspicions;
     OriginExchange m_origins;
     TablesExchange m_tables;
     TimePoint m_lastLimitNoticeAt {};
--- a/tests/unit/gateway/GatewaySettingsTest.cpp
+++ b/tests/unit/gateway/GatewaySettingsTest.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(unknownMechanismIsRejectedWithListOfNames);
     CPPUNIT_TEST(linkAndProcessorAreRead);
     CPPUNIT_TEST(unknownLinkAndProcessorHaveDefaults);
+    CPPUNIT_TEST(sharingOfFailuresIsOffUnlessSetToTrue);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -61,6 +62,16 @@
         CPPUNIT_ASSERT_EQUAL(GatewaySettings().cpuShare, read("--cpu-share=0").cpuShare);
     }
 
+    // Guards against a deployment without the value, in whose template it expands to nothing.
+    void sharingOfFailuresIsOffUnlessSetToTrue()
+    {
+        CPPUNIT_ASSERT(!read("--link-mbps=1").isFailureSharing);
+        CPPUNIT_ASSERT(!read("--share-failures=").isFailureSharing);
+        CPPUNIT_ASSERT(!read("--share-failures=false").isFailureSharing);
+        CPPUNIT_ASSERT(read("--share-failures=true").isFailureSharing);
+        CPPUNIT_ASSERT(!parse("--share-failures=yes").empty());
+    }
+
 private:
     std::vector<std::string> parse(const std::string& flag)
     {
--- a/tests/unit/gateway/HostExchangeTest.cpp
+++ b/tests/unit/gateway/HostExchangeTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(measuredStoreSlownessIsReportedOnce);
     CPPUNIT_TEST(workInLargeFleetReachesOwnDataCentreFirst);
     CPPUNIT_TEST(hostThatLostItsRegistrationCountsWhileItsNoticesArrive);
+    CPPUNIT_TEST(failedConnectionIsSuspicionInOwnDataCentreUntilAnyHostGetsData);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -153,6 +154,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_first.exchange.hostCount());
     }
 
+    // Guards against notices that are not sent or not handled, and against data that ends the suspicion at one host only.
+    void failedConnectionIsSuspicionInOwnDataCentreUntilAnyHostGetsData()
+    {
+        addRunners(1);
+        enlargeFleet(0);
+        const auto suspected = [](Host& host) { return host.exchange.suspicions().suspectedCount(std::chrono::steady_clock::now()); };
+        const auto number = runner(m_first)->number();
+        const auto now = std::chrono::steady_clock::now();
+        m_first.exchange.suspicions().onConnectionFailed(number, now, now);
+        runFor(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, suspected(m_first));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, suspected(m_second));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, suspected(m_remote));
+        m_second.exchange.suspicions().onRunnerData(number, std::chrono::steady_clock::now());
+        runFor(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, suspected(m_first) + suspected(m_second) + suspected(m_remote));
+    }
+
 private:
     struct Host {
         Host(boost::asio::io_context& context, std::string name, std::string dataCentre, std::string ip)
@@ -168,6 +187,7 @@
             out.hostName = std::move(name);
             out.dataCentre = std::move(dataCentre);
             out.peerAddress = { std::move(ip), 17'700 };
+            out.isFailureSharing = true;
             return out;
         }
 
