--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.cpp
@@ -66,6 +66,8 @@
         { "retry-reserve", "50", "Repeats in each window that all hosts together may send beside the share.", false, false, checkDecimal(0, 1'000'000, "") },
         { "retry-window-s", "10", "Window over which repeats are counted, in s.", false, false, checkDecimal(1, 3'600, "s") },
         { "first-start", "false", "Whether the whole system starts for the first time: true or false.", false, false, checkOneOf({ "true", "false" }) },
+        { "share-failures", "false", "Whether hosts tell each other which runners they can't connect to: true or false; empty means false.", false, false,
+            checkOneOf({ "true", "false" }) },
         { "most-descriptors", "4096", "File descriptors that the process may use.", false, false, checkNumber(64, 10'000'000, "") },
         { "memory-mb", "0", "Memory of this machine, in MB; empty or 0 if unknown, which counts as 160.", false, false, checkNumber(0, 1'000'000'000, "MB") },
         { "body-memory-mb", "0", "Memory for the bodies of requests, in MB; 0 for a quarter of the machine's memory.", false, false, checkNumber(0, 1'000'000, "MB") },
@@ -110,6 +112,7 @@
     out.retryReserve = options.decimal("retry-reserve");
     out.retryWindow = seconds(options, "retry-window-s");
     out.isFirstStart = options.text("first-start") == "true";
+    out.isFailureSharing = options.text("share-failures") == "true";
     out.maxDescriptors = static_cast<std::size_t>(options.number("most-descriptors"));
     const auto memoryMb = options.number("memory-mb");
     out.memoryMb = memoryMb > 0 ? static_cast<std::size_t>(memoryMb) : out.memoryMb;
--- a/packages/gateway/chiveshelf/gateway/GatewaySettings.h
+++ b/packages/gateway/chiveshelf/gateway/GatewaySettings.h
@@ -48,6 +48,8 @@
     std::chrono::milliseconds retryWindow { 10'000 };
     // Whether the whole system starts for the first time, so that no request was served before this process started.
     bool isFirstStart = false;
+    // Whether hosts share failed connections to runners.
+    bool isFailureSharing = false;
     std::size_t maxDescriptors = 4'096;
     // Memory of this machine. The default is that of a small host.
     std::size_t memoryMb = 160;
--- a/packages/peer/chiveshelf/peer/DatagramChannel.h
+++ b/packages/peer/chiveshelf/peer/DatagramChannel.h
@@ -35,6 +35,7 @@
     OriginQuery = 16,
     OriginAnswer = 17,
     CapacityNotice = 18,
+    SuspicionNotice = 19,
 };
 
 // Message that is sent as a single datagram, without a reply.
--- a/tests/unit/gateway/GatewaySettingsTest.cpp
+++ b/tests/unit/gateway/GatewaySettingsTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(memoryIsReadAndHasDefault);
     CPPUNIT_TEST(limitsOfCallersAreRead);
     CPPUNIT_TEST(capacityIsLearnedOnlyIfStated);
+    CPPUNIT_TEST(sharingOfFailuresIsOffUnlessSetToTrue);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -105,6 +106,16 @@
         CPPUNIT_ASSERT(!parse("--learn-capacity=yes").empty());
     }
 
+    // Guards against a deployment without the value, in whose template it expands to nothing.
+    void sharingOfFailuresIsOffUnlessSetToTrue()
+    {
+        CPPUNIT_ASSERT(!read("--link-mbps=1").isFailureSharing);
+        CPPUNIT_ASSERT(!read("--share-failures=").isFailureSharing);
+        CPPUNIT_ASSERT(!read("--share-failures=false").isFailureSharing);
+        CPPUNIT_ASSERT(read("--share-failures=true").isFailureSharing);
+        CPPUNIT_ASSERT(!parse("--share-failures=yes").empty());
+    }
+
 private:
     template <typename... Flags>
     std::vector<std::string> parse(const Flags&... flags)
