Check the warm-up settings on an option set without earlier errors

The test parsed an invalid value first, which stayed in its option set, so that the check of a single flag failed in the whole test run. GatewaySettingsTest passes (10 cases).

--- a/tests/unit/gateway/GatewaySettingsTest.cpp
+++ b/tests/unit/gateway/GatewaySettingsTest.cpp
@@ -64,11 +64,11 @@
     {
         CPPUNIT_ASSERT(!read("--cold-over=").warmUpAllowance);
         CPPUNIT_ASSERT_EQUAL(20.0, read("--cold-over=1.5", "--cold-slack=5").warmUpAllowance->of(10));
-        CPPUNIT_ASSERT(!parse("--cold-over=much").empty());
-        auto problems = parse("--cold-slack=5");
+        auto problems = parse("--cold-over=", "--cold-slack=5");
         CPPUNIT_ASSERT(problems.empty());
         readGatewaySettings(m_options, problems);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), problems.size());
+        CPPUNIT_ASSERT(!parse("--cold-over=much").empty());
     }
 
     // Guards against a host that doesn't send anything because its speed is unknown.
