Give a reservation in a warm-up quota back by its destructor

An exception between the reservation and its end would have kept the room for as long as the runner lives. Found by reading, no test shows it; behaviour is otherwise the same. unit_placement, unit_fleet and unit_gateway pass.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -546,7 +546,7 @@
     auto& runner = *placement.runner;
     // Counted before the connection is established, so that requests which arrive meanwhile don't use the same permit.
     const bool isCounted = m_context.exchange.countSend(runner);
-    runner.warmUpQuota().reserve();
+    std::optional<WarmUpReservation> reservation(runner.warmUpQuota());
     bool isConnected = co_await connect(placement);
     if (isConnected)
         isConnected = co_await isRightIncarnation(placement);
@@ -554,7 +554,7 @@
     isConnected = isConnected && !isInterrupted();
     const auto now = std::chrono::steady_clock::now();
     // Without this request's own reservation, the quota tells whether there is room for it now.
-    runner.warmUpQuota().cancel();
+    reservation.reset();
     const bool isTaken = (!isCounted && !runner.requestLimit().hasPermit(now)) || (runner.isWarmingUp(now) && !runner.warmUpQuota().hasRoom(now));
     if (!isConnected || runner.isLeaving() || runner.isPaused(now) || runner.isEvacuated() || isTaken) {
         if (isCounted)
--- a/packages/placement/chiveshelf/placement/WarmUpQuota.h
+++ b/packages/placement/chiveshelf/placement/WarmUpQuota.h
@@ -54,4 +54,20 @@
     std::deque<TimePoint> m_sends;
 };
 
+// Keeps room in a quota while a request is prepared, also if the preparation ends by an exception.
+class WarmUpReservation {
+public:
+    explicit WarmUpReservation(WarmUpQuota& quota)
+        : m_quota(quota)
+    {
+        m_quota.reserve();
+    }
+    ~WarmUpReservation() { m_quota.cancel(); }
+    WarmUpReservation(const WarmUpReservation&) = delete;
+    WarmUpReservation& operator=(const WarmUpReservation&) = delete;
+
+private:
+    WarmUpQuota& m_quota;
+};
+
 }
