--- a/tests/integration/CallerLimitsTest.cpp
+++ b/tests/integration/CallerLimitsTest.cpp
@@ -20,6 +20,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using support::CallerResponse;
+using support::statusBytes;
 
 // A quarter of the usual limit, so that a small crowd exceeds the memory.
 constexpr std::size_t bodyBytes = 1'024 * 1'024;
@@ -42,19 +43,6 @@
 "services":[{"name":"sound","maxConns":2000}],
 "tenants":[{"name":"gallery","apiKeys":["key1"]}]})";
 
-// Returns a number of kB from the status file of a process, in bytes.
-std::size_t statusBytes(int process, const std::string& name)
-{
-    std::ifstream file("/proc/" + std::to_string(process) + "/status");
-    std::string word;
-    while (file >> word) {
-        std::size_t n = 0;
-        if (word == name + ":" && file >> n)
-            return n * 1'024;
-    }
-    return 0;
-}
-
 std::size_t descriptorCount(int process)
 {
     std::error_code ec;
--- a/tests/integration/EndlessAnswerTest.cpp
+++ b/tests/integration/EndlessAnswerTest.cpp
@@ -8,7 +8,6 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <fstream>
 #include <iostream>
 
 namespace {
@@ -18,6 +17,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using support::CallerResponse;
+using support::statusBytes;
 
 const char* const tables = R"({"version":3,"routes":[
 {"name":"sound","host":"desk.example","pathPrefix":"/sound/","kind":"idempotent","timeoutMs":3000,"goalMs":300,"priority":2,"service":"sound","attempts":1},
@@ -59,19 +59,6 @@
     return out;
 }
 
-// Returns a number of kB from the status file of a process.
-std::size_t statusBytes(int process, const std::string& name)
-{
-    std::ifstream file("/proc/" + std::to_string(process) + "/status");
-    std::string word;
-    while (file >> word) {
-        std::size_t n = 0;
-        if (word == name + ":" && file >> n)
-            return n * 1'024;
-    }
-    return 0;
-}
-
 // Runners that send bytes without end to hundreds of requests of one host at once.
 class EndlessAnswerTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(EndlessAnswerTest);
--- a/tests/support/ChildProcess.cpp
+++ b/tests/support/ChildProcess.cpp
@@ -81,4 +81,16 @@
     return child.exit_code();
 }
 
+std::size_t statusBytes(int process, const std::string& name)
+{
+    std::ifstream file("/proc/" + std::to_string(process) + "/status");
+    std::string word;
+    while (file >> word) {
+        std::size_t n = 0;
+        if (word == name + ":" && file >> n)
+            return n * 1'024;
+    }
+    return 0;
+}
+
 }
--- a/tests/support/ChildProcess.h
+++ b/tests/support/ChildProcess.h
@@ -35,4 +35,7 @@
 // Runs a binary of the build, waits until it exits and returns its exit code. `output` receives its stdout.
 int runToCompletion(const std::string& binary, const std::vector<std::string>& arguments, std::string& output);
 
+// Returns a number of kB from the status file of a process, in bytes, or 0 if there is none.
+std::size_t statusBytes(int process, const std::string& name);
+
 }
