--- a/review/6/case.py
+++ b/review/6/case.py
@@ -128,4 +128,4 @@
     return BROKEN if broken else HELD
 
 
-run_case(FOLDER, play)
+run_case(os.path.join(FOLDER, "record.txt"), play)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -94,4 +94,4 @@
     return BROKEN if denied > allowed else HELD
 
 
-run_case(FOLDER, play)
+run_case(os.path.join(FOLDER, "record.txt"), play)
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -24,11 +24,11 @@
 
 
 class Record:
-    """record.txt in the folder of the case: what was sent, answered and run."""
+    """record.txt in the folder of a case: what was sent, answered and run."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.start = time.monotonic()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def now(self):
         return time.monotonic() - self.start
@@ -329,8 +329,8 @@
 class World:
     """The stand-ins and gateways of one script."""
 
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="review2-")
         self.network = f"127.{random.randrange(64, 240)}.{random.randrange(1, 250)}"
         self.peer_port = free_ports(f"{self.network}.11", 1)[0]
@@ -359,11 +359,11 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run_case(folder, play, limit=115):
+def run_case(record_path, play, limit=115):
     """Runs `await play(world)`, which returns HELD, BROKEN or NOT_RUN, and exits with its result."""
 
     async def main():
-        world = World(folder)
+        world = World(record_path)
         try:
             return await asyncio.wait_for(play(world), limit)
         except (asyncio.TimeoutError, OSError) as error:
