Free parts of old weights only after all fetches of them have ended

Cause: the host with the rollout lease took a version for unused as soon as no runner of its own list had it. Other hosts know other runners: one that the key-value store turned away still used a runner that had left without a notice, and one behind a cut used runners whose entries had expired.

Change: CacheRetention bounds both sides in time, so that no message has to arrive. A host lets fetches of a version end within 3 s of the last confirmation that the version is in use, enforced by the end that runners get with each fetch, in time of their own clock. The holder of the lease frees parts 3.1 s after it learned of a newer version and after it acquired the lease. Confirmations are answers of the key-value store, as of their call, and the lease itself, for a holder that knows all changes up to its acquisition; hosts pass them on as times of the runners' clock. A message that is lost, late or waits for a suspended host shortens fetches and never extends them. Transfers planned for weights that the runner has replaced meanwhile are dropped. A load notice holds one part less, to make room for the confirmation.

New log events: store_fetches_suspended, store_fetches_allowed.

--- a/packages/gateway/chiveshelf/gateway/CacheFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/CacheFollower.cpp
@@ -220,11 +220,11 @@
 
 asio::awaitable<void> CacheFollower::freeObsolete(std::shared_ptr<CacheContents> contents)
 {
-    const auto parts = contents->obsoleteParts([this](const CacheScope& scope) { return m_state.isObsolete(scope); }, maxFreedParts);
+    const auto parts = contents->obsoleteParts([this, now = bootTime()](const CacheScope& scope) { return m_state.isObsolete(scope, now); }, maxFreedParts);
     if (parts.empty())
         co_return;
     const auto freed = co_await platform::freeParts(m_client, contents->store().address, parts, contents->epoch());
-    logEvent(LogLevel::Info, "parts_freed", { { "store", toString(contents->store().address) }, { "parts", parts.size() }, { "done", freed ? "yes" : freed.error().message } });
+    logEvent(LogLevel::Info, "parts_freed", { { "store", toString(contents->store().address) }, { "parts", parts.size() }, { "first_scope", parts.front().scope }, { "done", freed ? "yes" : freed.error().message } });
     if (!freed)
         co_return;
     for (const auto& part : parts)
--- a/packages/gateway/chiveshelf/gateway/CacheFollower.h
+++ b/packages/gateway/chiveshelf/gateway/CacheFollower.h
@@ -8,7 +8,9 @@
 
 namespace chiveshelf {
 
-// Tracks the contents of the stores of cached parts, with one task per store, and frees parts whose weights are no longer used.
+// Tracks the contents of the stores of cached parts, with one task per store, and frees parts of old weights once no host can let
+// runners fetch them any more; see CacheRetention.
+//
 // A store accepts few callers at once. In a large fleet only the first hosts in the store's rendezvous hashing order poll it, and
 // the first of them sends the changes to the other hosts.
 //
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -467,6 +467,7 @@
     request.newestVersion = m_context.state.newestVersion(m_headers.prompt->model);
     request.requiredVersion = m_context.state.requiredVersion(m_headers.prompt->model, bootTime());
     request.weightsExpiry = [this](std::uint64_t version) { return m_context.state.weightsExpiry(m_headers.prompt->model, version); };
+    request.storeFetchTime = [this](std::uint64_t version) { return m_context.state.storeFetchTime(m_headers.prompt->model, version, bootTime()); };
     return request;
 }
 
@@ -494,6 +495,24 @@
     co_return false;
 }
 
+void ForwardTask::addTransfers(platform::RunnerRequestHeaders& order, const Placement& placement) const
+{
+    const auto bootNow = bootTime();
+    order.saveTo = placement.saveTo;
+    order.fetchFrom = placement.fetchFrom;
+    if (placement.maxFetchTime)
+        order.fetchUntilMs = m_context.state.runnerClock().after(*placement.maxFetchTime, bootNow);
+    if (!placement.fetchesFromStore)
+        return;
+    const auto end = m_context.state.storeFetchEnd(m_headers.prompt->model, *placement.transferVersion, bootNow);
+    if (!end) {
+        // The time has passed while the connection was established. The prompt is prefilled.
+        order.fetchFrom.clear();
+        return;
+    }
+    order.fetchUntilMs = std::min(order.fetchUntilMs.value_or(*end), *end);
+}
+
 std::string ForwardTask::formatRequestHeader(const Placement& placement) const
 {
     const auto& message = m_request.message;
@@ -512,10 +531,8 @@
         order.version = placement.runner->version(m_headers.prompt->model);
         // Cached parts must not be shared with other requests while the runner's version is unknown.
         order.cacheScope = order.version ? cacheScope(engineRequest(), *order.version).text() : "request/" + m_headers.requestId;
-        order.fetchFrom = placement.fetchFrom;
-        if (placement.maxFetchTime)
-            order.fetchUntilMs = m_context.state.runnerClock().after(*placement.maxFetchTime, bootTime());
-        order.saveTo = placement.saveTo;
+        if (order.version && order.version == placement.transferVersion)
+            addTransfers(order, placement);
     }
     order.lastEventId = m_cursor.lastId();
     platform::appendRunnerHeaders(out, message, order);
--- a/packages/gateway/chiveshelf/gateway/ForwardTask.h
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.h
@@ -112,6 +112,8 @@
 
     // Returns the header of the request. The body is sent from where the caller's request is kept.
     std::string formatRequestHeader(const Placement&) const;
+    // Adds the planned fetches and saves of cached parts, as far as they are still allowed.
+    void addTransfers(platform::RunnerRequestHeaders&, const Placement&) const;
     std::string formatResponseHeader(const Parser&, Framing) const;
     std::string applyFraming(std::string bytes, Framing) const;
     Framing framingFor(const Parser&) const;
--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -72,7 +72,7 @@
           [this] { return m_storeFollower.isInContact(); })
     , m_rolloutLeader(context, m_settings, m_client, m_store, m_state, m_storeFollower, m_exchange)
     , m_softwareLedger(context, m_store, m_state, m_storeFollower, m_rolloutLeader)
-    , m_cacheFollower(context, m_client, m_state, m_exchange, [this] { return m_rolloutLeader.isLeading(); })
+    , m_cacheFollower(context, m_client, m_state, m_exchange, [this] { return m_rolloutLeader.mayFreeParts(); })
     , m_memoryPlan(planMemory(m_settings))
     , m_bodyBudget(std::make_shared<BodyBudget>(BodyBudget::Limits { m_memoryPlan.bodyBytes, m_memoryPlan.smallBodyBytes, m_settings.slowBodyBytesPerSecond }))
     , m_forwardContext { context, m_settings, m_state, m_backends, m_exchange, m_client, m_metrics, std::make_shared<HeldBytesBudget>(m_memoryPlan.responseBytes) }
--- a/packages/gateway/chiveshelf/gateway/HostExchange.cpp
+++ b/packages/gateway/chiveshelf/gateway/HostExchange.cpp
@@ -442,6 +442,7 @@
     onStoreSpeeds(notice.storeSpeeds);
     for (const auto& version : notice.versions)
         m_state.acceptVersionAge(version.model, version.version, std::chrono::milliseconds(version.ageMs), bootTime());
+    m_state.acceptConfirmation({ notice.versionsHash, notice.versionsConfirmedMs });
     m_tables.onNews(from.ip, notice.tablesVersion, tablesPullDelay);
 }
 
@@ -697,6 +698,9 @@
     }
     notice.intervalMs = static_cast<std::uint16_t>(interval.count());
     notice.versions = versionAges();
+    const auto confirmation = m_state.versionsConfirmation();
+    notice.versionsHash = confirmation.versionsHash;
+    notice.versionsConfirmedMs = confirmation.clockMs;
     notice.storeSpeeds = std::move(storeSpeeds);
     const auto n = std::min(parts.size(), LoadNotice::maxParts);
     notice.parts.assign(parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(n));
--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -127,7 +127,7 @@
     static constexpr peer::DatagramType datagramType = peer::DatagramType::LoadNotice;
     // Entries of a notice, so that it fits into one Ethernet frame.
     static constexpr std::size_t maxLoads = 20;
-    static constexpr std::size_t maxParts = 10;
+    static constexpr std::size_t maxParts = 9;
     static constexpr std::size_t maxVersions = 3;
     static constexpr std::size_t maxStoreSpeeds = 16;
     // Age of the latest answer of the store while the sender's calls fail.
@@ -150,11 +150,15 @@
     // Recently announced versions.
     std::vector<VersionAge> versions;
     std::vector<StoreSpeedEntry> storeSpeeds;
+    // The sender's VersionsConfirmation. A time of the runners' clock, since an age would be wrong in a notice that waited for a
+    // suspended receiver.
+    std::uint64_t versionsHash = 0;
+    std::int64_t versionsConfirmedMs = 0;
 
     template <typename Archive>
     void serialize(Archive& archive)
     {
-        archive(host, dataCentre, tablesVersion, contactMs, answerAgeMs, intervalMs, firstRunner, lastRunner, loads, parts, versions, storeSpeeds);
+        archive(host, dataCentre, tablesVersion, contactMs, answerAgeMs, intervalMs, firstRunner, lastRunner, loads, parts, versions, storeSpeeds, versionsHash, versionsConfirmedMs);
     }
 };
 
--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.cpp
@@ -94,6 +94,9 @@
 {
     while (!m_isStopped) {
         co_await sleep(checkInterval);
+        // A former holder may have freed parts of a version that this host doesn't know to be old before it knows its own acquisition.
+        if (holdsLease() && m_follower.position() >= m_lease.acquiredAt())
+            m_state.confirmVersions(bootTime());
         if (isLeading() && !m_state.versions().empty())
             startUpdates();
     }
--- a/packages/gateway/chiveshelf/gateway/RolloutLeader.h
+++ b/packages/gateway/chiveshelf/gateway/RolloutLeader.h
@@ -23,6 +23,9 @@
 
     bool isLeading() const;
 
+    // Whether this host may free cached parts of old weights; see CacheRetention.
+    bool mayFreeParts() const { return isLeading() && m_lease.heldFor() >= CacheRetention::minTenure; }
+
     // Whether this host holds the lease, though it may have to wait before it sends orders.
     bool holdsLease() const { return !m_isStopped && m_lease.isHeld(std::chrono::milliseconds(0)); }
 
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -98,9 +98,9 @@
     return it == m_cacheStores.end() ? nullptr : *it;
 }
 
-bool ServingState::isObsolete(const CacheScope& scope) const
+bool ServingState::isObsolete(const CacheScope& scope, std::chrono::nanoseconds bootNow) const
 {
-    if (scope.version >= newestVersion(scope.model))
+    if (!m_cacheRetention.mayFree(scope.model, scope.version, bootNow))
         return false;
     return std::all_of(m_backendDirectory.all().begin(), m_backendDirectory.all().end(), [&](const auto& entry) {
         const auto version = entry.second->version(scope.model);
@@ -114,8 +114,11 @@
     // A newly started process doesn't know the age of the version. It keeps using older weights until other hosts report the age.
     const auto announced = m_contactHistory.hasAnswered() ? AnnouncedVersion { earliestChangeTime, earliestChangeTime != bootNow }
                                                           : AnnouncedVersion { bootNow - versionGrace() + assumedRemainingTime, true };
+    const auto formerNewest = newestVersion(target.model);
     if (!m_versions[target.model].add(target.version, announced))
         return;
+    m_versionsHash ^= (formerNewest == 0 ? 0 : hash64(target.model, formerNewest)) ^ hash64(target.model, target.version);
+    m_cacheRetention.onAnnounced(target.model, target.version, bootNow);
     logEvent(LogLevel::Info, "version_announced", { { "model", target.model }, { "version", target.version }, { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(bootNow - announced.since).count() } });
 }
 
@@ -127,6 +130,47 @@
     }
 }
 
+void ServingState::confirmVersions(std::chrono::nanoseconds at)
+{
+    if (const auto clockMs = m_runnerClock.read(at))
+        m_cacheRetention.confirm(*clockMs);
+}
+
+std::optional<std::chrono::milliseconds> ServingState::confirmationAge(std::chrono::nanoseconds bootNow) const
+{
+    const auto confirmedAt = m_cacheRetention.confirmedAt();
+    const auto clockMs = m_runnerClock.read(bootNow);
+    return confirmedAt && clockMs ? std::optional(std::chrono::milliseconds(*clockMs - *confirmedAt)) : std::nullopt;
+}
+
+void ServingState::acceptConfirmation(const VersionsConfirmation& confirmation)
+{
+    if (confirmation.clockMs > 0 && confirmation.versionsHash == m_versionsHash)
+        m_cacheRetention.confirm(confirmation.clockMs);
+}
+
+std::optional<std::int64_t> ServingState::storeFetchEnd(const std::string& model, std::uint64_t version, std::chrono::nanoseconds bootNow) const
+{
+    const auto end = m_cacheRetention.fetchEnd(model, version);
+    const auto clockMs = m_runnerClock.read(bootNow);
+    return end && clockMs && *clockMs < *end ? end : std::nullopt;
+}
+
+std::chrono::milliseconds ServingState::storeFetchTime(const std::string& model, std::uint64_t version, std::chrono::nanoseconds bootNow) const
+{
+    const auto end = storeFetchEnd(model, version, bootNow);
+    return std::chrono::milliseconds(end ? *end - m_runnerClock.read(bootNow).value_or(*end) : 0);
+}
+
+void ServingState::checkStoreFetches(std::chrono::nanoseconds bootNow)
+{
+    const auto age = confirmationAge(bootNow);
+    const bool mayFetch = age && *age < CacheRetention::retentionTime;
+    if (std::exchange(m_mayFetchFromStores, mayFetch) == mayFetch)
+        return;
+    logEvent(mayFetch ? LogLevel::Info : LogLevel::Warning, mayFetch ? "store_fetches_allowed" : "store_fetches_suspended", { { "confirmed_ms_ago", age ? age->count() : -1 } });
+}
+
 std::chrono::milliseconds ServingState::versionGrace() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.versionLimit * versionGraceShare);
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -3,6 +3,7 @@
 #include "chiveshelf/gateway/GatewaySettings.h"
 #include "chiveshelf/gateway/TablesHistory.h"
 #include "chiveshelf/keyvalue/StorePosition.h"
+#include "chiveshelf/placement/CacheRetention.h"
 #include "chiveshelf/placement/ContactHistory.h"
 #include "chiveshelf/placement/CrashEvidence.h"
 #include "chiveshelf/placement/EnginePlacement.h"
@@ -42,6 +43,16 @@
     std::chrono::milliseconds sinceNews { 0 };
 };
 
+// The newest announced versions of all models at a time of the runners' clock, as a host tells others.
+struct VersionsConfirmation {
+    // Identifies the models and their newest versions.
+    std::uint64_t versionsHash = 0;
+    // Time of the runners' clock in ms, 0 if nothing is confirmed.
+    std::int64_t clockMs = 0;
+
+    auto operator<=>(const VersionsConfirmation&) const = default;
+};
+
 // This host's view of tables, runners, versions and stores, and the policies that use it. Used only by the single thread of the
 // process. Tables and announced versions are only replaced by newer ones, whichever source they come from.
 class ServingState {
@@ -58,6 +69,24 @@
     // later. Ignores versions newer than the newest known one.
     void acceptVersionAge(std::uint64_t modelHash, std::uint64_t version, std::chrono::milliseconds age, std::chrono::nanoseconds bootNow);
 
+    // Records a confirmation of the known versions at `at`, a time of bootTime(); see CacheRetention. For an answer of the store, that is
+    // the time at which its call was sent; to be called after the answer's changes were applied.
+    void confirmVersions(std::chrono::nanoseconds at);
+    // Returns the age of the latest confirmation, or nothing if there is none.
+    std::optional<std::chrono::milliseconds> confirmationAge(std::chrono::nanoseconds bootNow) const;
+    // Applies what another host has confirmed. Ignored if that host knows other versions.
+    void acceptConfirmation(const VersionsConfirmation&);
+    VersionsConfirmation versionsConfirmation() const { return { m_versionsHash, m_cacheRetention.confirmedAt().value_or(0) }; }
+
+    // Returns the time in ms of the runners' clock at which fetches of a version's parts from stores must be over, or nothing if they
+    // may not begin.
+    std::optional<std::int64_t> storeFetchEnd(const std::string& model, std::uint64_t version, std::chrono::nanoseconds bootNow) const;
+    // Returns the time until then, 0 if no fetch may begin.
+    std::chrono::milliseconds storeFetchTime(const std::string& model, std::uint64_t version, std::chrono::nanoseconds bootNow) const;
+    // Logs when fetches from stores of the newest weights become impossible or possible, because this host lacks news of versions or
+    // has them again. To be called several times a second.
+    void checkStoreFetches(std::chrono::nanoseconds bootNow);
+
     // Sets whether the operator has ordered that the runners of a data centre get no requests. Takes effect with refreshRunners().
     void setEvacuated(const std::string& dataCentre, bool isEvacuated);
     // Replaces all such orders by those that the store lists.
@@ -115,8 +144,9 @@
 
     RunnerClock& runnerClock() { return m_runnerClock; }
 
-    // Whether a newer version than that of the scope is announced and no runner still uses the scope's version or an older one.
-    bool isObsolete(const CacheScope&) const;
+    // Whether parts of the scope may be freed at `bootNow`: no host can allow fetches of them any more, and none of the runners that
+    // this host knows uses the scope's version or an older one. The second alone would not do, since other hosts know other runners.
+    bool isObsolete(const CacheScope&, std::chrono::nanoseconds bootNow) const;
     CrashEvidence& crashEvidence() { return m_crashEvidence; }
 
     // Whether a request is probably the retry of a refused one: its time left is shorter than the longest time seen on its route
@@ -142,6 +172,9 @@
     RunnerRegistry m_registry;
     BackendDirectory m_backendDirectory;
     std::map<std::string, VersionHistory> m_versions;
+    std::uint64_t m_versionsHash = 0;
+    CacheRetention m_cacheRetention;
+    bool m_mayFetchFromStores = false;
     std::set<std::string> m_evacuatedDataCentres;
     std::map<std::string, PoolPolicies> m_policies;
     CacheStores m_cacheStores;
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -18,6 +18,10 @@
 
     // Longer watches need fewer calls, but a dead connection may be detected only at the end of a watch.
     constexpr std::chrono::milliseconds watchTimeout { 4'000 };
+    // Timeout while no other host confirms the announced versions: an answer confirms them only as of its call, and two watches have to
+    // fit into CacheRetention::retentionTime with time for a fetch.
+    constexpr std::chrono::milliseconds confirmingWatchTimeout { 1'000 };
+    constexpr std::chrono::milliseconds recentConfirmationAge { 1'500 };
     // Delay between a watch with changes and the next one, so that further changes are read together. Used in large fleets, whose
     // calls would otherwise come near the store's rate limit.
     constexpr std::chrono::milliseconds batchDelay { 600 };
@@ -127,6 +131,7 @@
     while (!m_isStopped) {
         co_await sleep(expiryInterval);
         m_state.contactHistory().tick(bootTime());
+        m_state.checkStoreFetches(bootTime());
         if (m_state.registry().expire(now()))
             refreshRunners();
         announceLeftRunners();
@@ -152,6 +157,7 @@
 asio::awaitable<bool> StoreFollower::readAll()
 {
     m_isReadingAll = true;
+    const auto before = bootTime();
     const auto pages = co_await readPages();
     m_isReadingAll = false;
     const auto previous = m_cursor.position();
@@ -164,6 +170,7 @@
     m_state.setStoreEra(position.era);
     logEvent(LogLevel::Info, "store_read", { { "era", position.era }, { "revision", position.revision }, { "previous_era", previous.era }, { "previous_revision", previous.revision }, { "items", items.size() } });
     applyAll(items, position.era);
+    m_state.confirmVersions(before);
     m_hasRead = true;
     co_return true;
 }
@@ -211,7 +218,7 @@
 {
     // The first watch is short, so that the others soon learn that this host watches. A watch may report that the history was
     // lost only at its end.
-    auto wait = isRelaying() ? firstWatchTimeout : watchTimeout;
+    auto wait = isRelaying() ? firstWatchTimeout : longWatchTimeout();
     while (!m_isStopped && !m_isReadingAll && !m_cursor.mustRead() && mustWatch()) {
         const auto from = m_cursor.position();
         const auto sentAt = now();
@@ -235,6 +242,7 @@
         if (!m_cursor.continues(from, batch->position))
             continue;
         applyBatch(*batch);
+        m_state.confirmVersions(before);
         const ChangeBatch relayed { withoutValues(batch->changes, platform::tablesKey()), batch->position };
         m_log.add(from, relayed.position, relayed.changes);
         if (isCurrent)
@@ -245,10 +253,16 @@
                                                                                        : batchDelay);
         // A loss of the history during the delay goes unnoticed, so the next watch is short.
         wait = isBatching ? shortWatchTimeout : isRelaying() ? WatcherElection::noticeInterval
-                                                             : watchTimeout;
+                                                             : longWatchTimeout();
     }
 }
 
+std::chrono::milliseconds StoreFollower::longWatchTimeout() const
+{
+    const auto age = m_state.confirmationAge(bootTime());
+    return age && *age <= recentConfirmationAge ? watchTimeout : confirmingWatchTimeout;
+}
+
 void StoreFollower::applyBatch(const ChangeBatch& batch)
 {
     bool hasChanged = false;
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.h
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.h
@@ -69,6 +69,8 @@
     void onRestored(StoreEra);
     boost::asio::awaitable<void> readRestored();
     boost::asio::awaitable<void> follow();
+    // Returns the timeout of a watch of a host that relays no changes.
+    std::chrono::milliseconds longWatchTimeout() const;
     boost::asio::awaitable<void> pullChanges(Address from);
     boost::asio::awaitable<void> sleep(std::chrono::milliseconds);
     // Returns a random time below the limit.
--- a/packages/gateway/chiveshelf/gateway/StoreLease.h
+++ b/packages/gateway/chiveshelf/gateway/StoreLease.h
@@ -43,6 +43,9 @@
     // store was restored.
     std::uint64_t fencingToken() const;
 
+    // The position of the store at which this host acquired the key.
+    StorePosition acquiredAt() const { return m_acquiredAt; }
+
     // Whether a holder from before a restore of the store may still act: it may not have heard of the restore, and goes on until its
     // lease ends by its own clock.
     bool mayHaveUnseenHolder() const;
--- a/packages/placement/chiveshelf/placement/EnginePlacement.cpp
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <limits>
 
 namespace chiveshelf {
 
@@ -181,8 +182,12 @@
             return std::nullopt;
         std::optional<Source> best;
         if (mechanisms.has(Mechanism::StoreFetches)) {
-            for (const auto* store : storesOf(*version)[i])
-                replaceIfEarlier(best, sourceOf(*store, target), request.prompt->parts[i].tokens);
+            const auto& versionStores = storesOf(*version);
+            for (const auto* store : versionStores.byPart[i]) {
+                auto source = sourceOf(*store, target);
+                if (source.transferEndMs(request.prompt->parts[i].tokens) <= versionStores.fetchTimeMs)
+                    replaceIfEarlier(best, std::move(source), request.prompt->parts[i].tokens);
+            }
         }
         if (best || !mechanisms.has(Mechanism::RunnerFetches))
             return best;
@@ -193,22 +198,32 @@
         return best;
     }
 
-    // Returns the stores that have each part in the scope of this version. Cached per version, since many runners have the same one.
-    const std::vector<std::vector<const CacheContents*>>& storesOf(std::uint64_t version) const
+    // The stores that have each part in the scope of one version, and the time in ms within which fetches from them must end.
+    struct VersionStores {
+        std::vector<std::vector<const CacheContents*>> byPart;
+        double fetchTimeMs = std::numeric_limits<double>::infinity();
+    };
+
+    // Returns the stores of a version. Cached per version, since many runners have the same one.
+    const VersionStores& storesOf(std::uint64_t version) const
     {
-        const auto [it, isNew] = storesByVersion.try_emplace(version, runnersByPart.size());
+        const auto [it, isNew] = storesByVersion.try_emplace(version);
+        auto& out = it->second;
         if (!isNew)
-            return it->second;
+            return out;
+        out.byPart.resize(runnersByPart.size());
+        if (request.storeFetchTime)
+            out.fetchTimeMs = toMilliseconds(request.storeFetchTime(version));
         const auto scopeOfVersion = cacheScope(request, version);
         for (const auto& store : stores) {
             if (!store->isConfirmed(context.bootNow))
                 continue;
             for (std::size_t i = 0; i < runnersByPart.size(); ++i) {
                 if (store->contains(scopeOfVersion, request.prompt->parts[i].id))
-                    it->second[i].push_back(store.get());
+                    out.byPart[i].push_back(store.get());
             }
         }
-        return it->second;
+        return out;
     }
 
     Source sourceOf(const CacheContents& contents, const BackendState& target) const
@@ -234,7 +249,7 @@
     Mechanisms mechanisms;
     std::uint64_t scope;
     std::vector<std::vector<const BackendState*>> runnersByPart;
-    mutable std::map<std::uint64_t, std::vector<std::vector<const CacheContents*>>> storesByVersion;
+    mutable std::map<std::uint64_t, VersionStores> storesByVersion;
 };
 
 CacheScope cacheScope(const EngineRequest& request, std::uint64_t version)
@@ -478,6 +493,7 @@
     planTransfers(request, context, locations, stores, out);
     if (prediction.isFetchSkipped) {
         out.fetchFrom.clear();
+        out.fetchesFromStore = false;
         out.storeFetches.clear();
     } else {
         out.maxFetchTime = roundedMs(prediction.maxFetchMs);
@@ -493,6 +509,7 @@
     const auto version = runner.version(request.prompt->model);
     if (!version || parts.size() < 2)
         return;
+    placement.transferVersion = version;
     placement.fetchFrom.resize(parts.size());
     placement.saveTo.resize(parts.size());
     const auto scope = cacheScope(request, *version);
@@ -504,8 +521,10 @@
         covered += parts[i].tokens;
         const auto source = isContinuous ? locations.find(i, runner) : std::nullopt;
         // The address of a store is included even if the runner probably has the part. The runner then uses its own copy.
-        if (source && (source->isStore || covered > cached))
+        if (source && (source->isStore || covered > cached)) {
             placement.fetchFrom[i] = source->address;
+            placement.fetchesFromStore = placement.fetchesFromStore || source->isStore;
+        }
         if (source && source->isStore && covered > cached)
             placement.storeFetches.push_back({ source->address, source->nominalMs(parts[i].tokens) });
         isContinuous = isContinuous && (source || covered <= cached);
@@ -583,7 +602,8 @@
         }
     }
     const auto version = placement.runner->version(request.prompt->model);
-    for (std::size_t i = 0; version && i < placement.saveTo.size(); ++i) {
+    // Nothing is saved for a runner that has changed its weights since it was chosen.
+    for (std::size_t i = 0; version && version == placement.transferVersion && i < placement.saveTo.size(); ++i) {
         for (const auto& store : stores) {
             if (placement.saveTo[i] == store->store().address)
                 store->recordSave(cacheScope(request, *version), parts[i].id, parts[i].tokens, now);
--- a/packages/placement/chiveshelf/placement/EnginePlacement.h
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.h
@@ -23,6 +23,8 @@
     std::uint64_t requiredVersion = 0;
     // Returns the bootTime() from which on requests may not begin on weights of a version, or nothing if there is none.
     std::function<std::optional<std::chrono::nanoseconds>(std::uint64_t version)> weightsExpiry;
+    // Returns the time for which parts of a version may still be fetched from stores. Unlimited if there is no function.
+    std::function<std::chrono::milliseconds(std::uint64_t version)> storeFetchTime;
 };
 
 // Stores of cached parts, with their known contents.
--- a/packages/placement/chiveshelf/placement/Placement.h
+++ b/packages/placement/chiveshelf/placement/Placement.h
@@ -66,6 +66,10 @@
     // For each part of the prompt, the address to fetch it from and the address to save it to. Empty if nothing is transferred.
     std::vector<std::optional<Address>> fetchFrom;
     std::vector<std::optional<Address>> saveTo;
+    // Version of the weights for which the transfers are planned. Nothing if there are none.
+    std::optional<std::uint64_t> transferVersion;
+    // Whether a part is fetched from a store.
+    bool fetchesFromStore = false;
     // Fetches from stores, for the load of their links.
     std::vector<StoreFetch> storeFetches;
     // Time limit of the fetches, after which the runner prefills the whole prompt.
--- a/packages/placement/chiveshelf/placement/placement.h
+++ b/packages/placement/chiveshelf/placement/placement.h
@@ -6,6 +6,7 @@
 // Dependencies: core, routing.
 
 #include "chiveshelf/placement/AttemptHistory.h"
+#include "chiveshelf/placement/CacheRetention.h"
 #include "chiveshelf/placement/EnginePlacement.h"
 #include "chiveshelf/placement/FleetRetryBudget.h"
 #include "chiveshelf/placement/RolloutSchedule.h"
--- a/tests/support/FakePlatform.cpp
+++ b/tests/support/FakePlatform.cpp
@@ -57,6 +57,11 @@
     return it != m_state.items.end() && !it->second.isRemoved;
 }
 
+std::string Store::valueOf(const std::string& key) const
+{
+    return contains(key) ? m_state.items.at(key).value : std::string();
+}
+
 std::uint64_t Store::leaseOf(const std::string& key) const
 {
     const auto it = m_state.items.find(key);
--- a/tests/support/FakePlatform.h
+++ b/tests/support/FakePlatform.h
@@ -52,6 +52,8 @@
     std::uint64_t grantLease(const std::string& key);
 
     bool contains(const std::string& key) const;
+    // The value of a key, empty if it doesn't exist.
+    std::string valueOf(const std::string& key) const;
     // The lease to which a key is bound, or 0.
     std::uint64_t leaseOf(const std::string& key) const;
     std::uint64_t revision() const { return m_state.revision; }
