Hold requests on kept connections to the limits in force when they arrive

A lowered limit came into force one request late.

Cause: GatewayServer::serve read the limits, and then waited for the next request; the copy was as old as the wait. Headers, the time for a header and the idle time had the same fault.

Change: a connection reads the limits when the first byte of a request arrives. If the limit of a body is raised while the body arrives, the higher one counts; one that is lowered meanwhile doesn't apply to it. New tables change the idle time of waiting connections at once, counted from the start of their wait. The limit of bodies is checked by the connection instead of the parser, whose limit can't change while it parses.

--- a/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
@@ -10,6 +10,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <limits>
+
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -123,17 +125,18 @@
     return out + "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
 }
 
-CallerConnection::CallerConnection(asio::ip::tcp::socket socket, std::shared_ptr<BodyBudget> budget)
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket, std::shared_ptr<BodyBudget> budget, std::function<CallerLimits()> limits)
     : m_socket(std::move(socket))
     , m_budget(std::move(budget))
+    , m_limits(std::move(limits))
     , m_timer(m_socket.get_executor())
     , m_disconnectTimer(m_socket.get_executor())
 {
 }
 
-void CallerConnection::expireAfter(std::chrono::milliseconds duration)
+void CallerConnection::expireAt(TimePoint time)
 {
-    m_expiry = std::chrono::steady_clock::now() + duration;
+    m_expiry = time;
     m_isExpiryExtended = false;
     if (m_expiry < m_timerAt)
         armTimer();
@@ -206,8 +209,12 @@
     co_return BodyResult::Complete;
 }
 
-asio::awaitable<CallerConnection::BodyResult> CallerConnection::readBody(Parser& parser, std::uint64_t maxBytes, HeldBody& held, std::string& body, boost::system::error_code& ec)
+asio::awaitable<CallerConnection::BodyResult> CallerConnection::readBody(Parser& parser, CallerLimits initialLimits, HeldBody& held, std::string& body, boost::system::error_code& ec)
 {
+    if (parser.content_length().value_or(0) > maxBodyBytes(initialLimits)) {
+        ec = beast::http::error::body_limit;
+        co_return BodyResult::Failed;
+    }
     const auto admission = co_await admitBody(parser, held, body);
     if (admission != BodyResult::Complete)
         co_return admission;
@@ -219,8 +226,11 @@
             co_await readPiece(parser, ec);
         if (ec || m_hasExpired || m_isBodyDropped)
             co_return BodyResult::Failed;
+        const auto maxBytes = maxBodyBytes(initialLimits);
         if (!takeBody(parser, maxBytes, held, body, ec))
             co_return BodyResult::NoRoom;
+        if (body.size() > maxBytes)
+            ec = beast::http::error::body_limit;
         isMoreNeeded = m_buffer.size() == 0 || ec == beast::http::error::need_more;
         if (ec == beast::http::error::need_more)
             ec = {};
@@ -289,14 +299,20 @@
     return isUnused ? std::optional(m_readSince) : std::nullopt;
 }
 
-asio::awaitable<std::optional<CallerRequest>> CallerConnection::read(CallerLimits limits)
+void CallerConnection::applyIdleTime()
+{
+    if (m_isReading && m_isIdle)
+        expireAt(m_readSince + m_limits().idleTime + idleMargin);
+}
+
+asio::awaitable<std::optional<CallerRequest>> CallerConnection::read()
 {
     boost::system::error_code ec;
     m_isIdle = true;
     m_isReading = true;
     m_readSince = std::chrono::steady_clock::now();
     if (m_buffer.size() == 0) {
-        expireAfter(limits.idleTime + idleMargin);
+        applyIdleTime();
         co_await m_socket.async_wait(asio::socket_base::wait_read, redirect_error(use_awaitable, ec));
         if (!m_socket.is_open())
             co_return std::nullopt;
@@ -319,11 +335,14 @@
     }
     m_isIdle = false;
     m_readSince = std::chrono::steady_clock::now();
+    // Only now: a connection may have been idle for longer than new limits take to come into force.
+    const auto limits = m_limits();
     expireAfter(limits.headerTime);
     Parser parser;
     m_buffer.max_size(std::max(limits.headerBytes + bufferReserve, m_buffer.size()));
     parser.header_limit(limits.headerBytes);
-    parser.body_limit(limits.bodyBytes);
+    // readBody() checks the body, since its limit may be raised while it arrives.
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     co_await beast::http::async_read_header(m_socket, m_buffer, parser, redirect_error(use_awaitable, ec));
     if (m_hasExpired)
         co_return co_await refuseRequest(408, "timeout", "timed out while receiving the request header");
@@ -335,7 +354,7 @@
     auto held = std::make_unique<HeldBody>(m_budget, std::chrono::steady_clock::now(), [this] { dropBody(); });
     m_arrivingBody = held.get();
     std::string body;
-    const auto result = co_await readBody(parser, limits.bodyBytes, *held, body, ec);
+    const auto result = co_await readBody(parser, limits, *held, body, ec);
     m_arrivingBody = nullptr;
     if (result != BodyResult::Complete) {
         held.reset();
--- a/packages/gateway/chiveshelf/gateway/CallerConnection.h
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.h
@@ -16,6 +16,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -70,14 +71,21 @@
 // A connection of a caller. Reads complete requests, writes responses and detects when the caller disconnects.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
-    CallerConnection(boost::asio::ip::tcp::socket, std::shared_ptr<BodyBudget>);
+    // `limits` returns the limits that are in force at the time of the call.
+    CallerConnection(boost::asio::ip::tcp::socket, std::shared_ptr<BodyBudget>, std::function<CallerLimits()> limits);
     CallerConnection(const CallerConnection&) = delete;
     CallerConnection& operator=(const CallerConnection&) = delete;
 
     // Reads the next request. Returns nullopt if the connection was closed or has to be closed. A malformed, oversized or
     // incomplete request, or one whose body doesn't fit the budget, has then been answered with an error response, if the caller is
     // still connected. A request that arrives together with the close of its caller is not read.
-    boost::asio::awaitable<std::optional<CallerRequest>> read(CallerLimits);
+    //
+    // A request is held to the limits that are in force when its first byte arrives. If the limit of the body is raised while the request
+    // arrives, the higher one applies.
+    boost::asio::awaitable<std::optional<CallerRequest>> read();
+
+    // Applies a changed idle time to a connection that is waiting for a request, counted from the start of the wait.
+    void applyIdleTime();
 
     // Writes bytes. Returns false if the caller has disconnected.
     boost::asio::awaitable<bool> write(std::string bytes);
@@ -128,7 +136,8 @@
         Failed,
     };
 
-    void expireAfter(std::chrono::milliseconds);
+    void expireAfter(std::chrono::milliseconds duration) { expireAt(std::chrono::steady_clock::now() + duration); }
+    void expireAt(TimePoint);
     void disableExpiry() { m_expiry = TimePoint::max(); }
     void armTimer();
     void awaitReadable();
@@ -142,7 +151,10 @@
     void handleDisconnect();
     // Counts a body against the budget, as far as its length is known, and asks for it if the caller waits for that.
     boost::asio::awaitable<BodyResult> admitBody(const Parser&, HeldBody&, std::string& body);
-    boost::asio::awaitable<BodyResult> readBody(Parser&, std::uint64_t maxBytes, HeldBody&, std::string& body, boost::system::error_code&);
+    // `initialLimits` are those that were in force when the request began to arrive.
+    boost::asio::awaitable<BodyResult> readBody(Parser&, CallerLimits initialLimits, HeldBody&, std::string& body, boost::system::error_code&);
+    // Returns the limit of the body of a request that is arriving.
+    std::uint64_t maxBodyBytes(const CallerLimits& initialLimits) const { return std::max(initialLimits.bodyBytes, m_limits().bodyBytes); }
     // Reads at most as many bytes as the body still needs, as far as its length is known.
     boost::asio::awaitable<void> readPiece(const Parser&, boost::system::error_code&);
     // Moves the received bytes to the body. Returns false if the budget has no room for them.
@@ -156,6 +168,7 @@
 
     boost::asio::ip::tcp::socket m_socket;
     std::shared_ptr<BodyBudget> m_budget;
+    std::function<CallerLimits()> m_limits;
     // The body that is being read.
     HeldBody* m_arrivingBody = nullptr;
     // Since when a request is awaited or read.
--- a/packages/gateway/chiveshelf/gateway/Gateway.cpp
+++ b/packages/gateway/chiveshelf/gateway/Gateway.cpp
@@ -82,6 +82,7 @@
           [this](std::shared_ptr<CallerConnection> caller, CallerRequest request) { return serve(std::move(caller), std::move(request)); })
     , m_admin(context, adminLimits, [this](http::Exchange& exchange) { return serveAdmin(exchange); })
 {
+    m_state.setTablesHandler([this] { m_server.applyIdleTime(); });
     m_exchange.setItemHandlers([this] { return m_storeFollower.relayItems(); },
         [this](const std::vector<std::pair<std::string, std::string>>& items) { m_storeFollower.applyRelayedItems(items); });
 }
--- a/packages/gateway/chiveshelf/gateway/GatewayServer.cpp
+++ b/packages/gateway/chiveshelf/gateway/GatewayServer.cpp
@@ -81,6 +81,12 @@
     return {};
 }
 
+void GatewayServer::applyIdleTime()
+{
+    for (const auto& connection : m_connections)
+        connection->applyIdleTime();
+}
+
 void GatewayServer::closeIdle()
 {
     for (const auto& connection : m_connections) {
@@ -125,7 +131,7 @@
             return;
     }
     setOptions(socket);
-    auto connection = std::make_shared<CallerConnection>(std::move(socket), m_bodyBudget);
+    auto connection = std::make_shared<CallerConnection>(std::move(socket), m_bodyBudget, m_limits);
     m_connections.insert(connection);
     spawnTask(m_context, "gateway_server.serve", serve(connection));
 }
@@ -175,7 +181,7 @@
 {
     try {
         while (true) {
-            auto request = co_await connection->read(m_limits());
+            auto request = co_await connection->read();
             if (!request)
                 break;
             if (m_isClosing)
--- a/packages/gateway/chiveshelf/gateway/GatewayServer.h
+++ b/packages/gateway/chiveshelf/gateway/GatewayServer.h
@@ -28,7 +28,7 @@
         auto operator<=>(const Bounds&) const = default;
     };
 
-    // `limits` is called before each request, since the limits change with the routing tables. A connection beyond the bound takes the
+    // `limits` returns the limits that are in force, which change with the routing tables. A connection beyond the bound takes the
     // place of one that is not in use, or is closed at once.
     GatewayServer(boost::asio::io_context&, const Bounds&, std::shared_ptr<BodyBudget>, std::function<CallerLimits()> limits, Handler);
     GatewayServer(const GatewayServer&) = delete;
@@ -41,6 +41,9 @@
     void announceClose() { m_isClosing = true; }
     bool isClosing() const { return m_isClosing; }
 
+    // Applies a changed idle time to the connections that are waiting for a request.
+    void applyIdleTime();
+
     // Closes the connections that have neither a request in progress nor unread input.
     void closeIdle();
 
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -50,6 +50,8 @@
     updateCacheStores();
     updateStreamLifetime();
     refreshRunners();
+    if (m_tablesHandler)
+        m_tablesHandler();
     return true;
 }
 
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -17,6 +17,7 @@
 #include "chiveshelf/placement/VersionHistory.h"
 #include "chiveshelf/routing/RouteIndex.h"
 
+#include <functional>
 #include <memory>
 #include <random>
 #include <set>
@@ -59,6 +60,9 @@
 public:
     explicit ServingState(const GatewaySettings&);
 
+    // Sets a function to be called after newer tables came into force.
+    void setTablesHandler(std::function<void()> handler) { m_tablesHandler = std::move(handler); }
+
     // Applies tables if their version is higher than the current one, and returns whether it is.
     bool acceptTables(RoutingTables, const TablesArrival&);
 
@@ -165,6 +169,7 @@
     std::optional<WarmUpBound> warmUpBound(const std::string& pool) const;
 
     const GatewaySettings& m_settings;
+    std::function<void()> m_tablesHandler;
     std::shared_ptr<const RouteIndex> m_routes;
     TablesHistory m_tablesHistory;
     std::map<std::string, std::uint64_t> m_tablesArrivals;
