Apply changed limits of engines to pools that are in use

Prompts were placed by the slots, memory and links that a pool's engines had in the tables at the first request for the pool, until the process ended. A pool that became one of engines later was served as a plain service.

Cause: ServingState::policies() makes the policies of a pool once.

Change: new tables renew the engine's placement where its limits differ. The retry budget and the schedule of returns are kept. The number of idle connections to a runner follows the tables at the end of a request.

Result: ServingStateTest::changedEngineLimitsApplyToKnownPool passes; it needs a new accessor, so that it was not run on the code before.

--- a/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
+++ b/packages/gateway/chiveshelf/gateway/ForwardTask.cpp
@@ -1084,7 +1084,8 @@
     }
     const auto keepAliveTime = headers.keepAlive ? std::chrono::milliseconds(*headers.keepAlive) : defaultKeepAlive;
     m_connection->idleLimit = std::max(keepAliveTime - keepAliveMargin, std::chrono::milliseconds(0));
-    const auto* pool = m_index->findPool(m_pool);
+    // The present tables, since the request may have taken long.
+    const auto* pool = m_context.state.routes()->findPool(m_pool);
     const auto maxIdle = BackendPool::maxIdle(pool ? pool->maxConnections : 0, m_context.exchange.hostCount());
     m_context.backends.putBack(use.placement().runner->record(), std::move(m_connection), maxIdle, std::chrono::steady_clock::now());
 }
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -48,6 +48,7 @@
     ++m_tablesArrivals[std::string(arrival.way)];
     logEvent(LogLevel::Info, "tables_in_force", { { "version", version }, { "source", arrival.way }, { "routes", m_routes->tables().routes.size() }, { "organisations", m_routes->tables().organisations.size() }, { "bytes", arrival.bytes }, { "decode_ms", arrival.decodeTime.count() }, { "since_news_ms", arrival.sinceNews.count() } });
     updateCacheStores();
+    updatePolicies();
     updateStreamLifetime();
     refreshRunners();
     if (m_tablesHandler)
@@ -260,13 +261,31 @@
     if (it != m_policies.end())
         return it->second;
     const auto* row = m_routes ? m_routes->findPool(pool) : nullptr;
+    return m_policies.emplace(pool, makePolicies(row ? row->engine : std::nullopt)).first->second;
+}
+
+PoolPolicies ServingState::makePolicies(const std::optional<EngineLimits>& limits) const
+{
     // The learned times of engines have another unit, so that requests without a prompt are placed there by slots.
-    const bool isService = !row || !row->engine;
-    PoolPolicies policies { std::nullopt, ServicePlacement(m_settings.learnsCapacity && isService), FleetRetryBudget(m_settings.retryShare, m_settings.retryReserve, m_settings.retryWindow), {} };
-    if (row && row->engine) {
-        policies.engine.emplace(*row->engine, m_settings.mechanisms, m_settings.learnsCapacity);
+    PoolPolicies out { std::nullopt, ServicePlacement(m_settings.learnsCapacity && !limits), FleetRetryBudget(m_settings.retryShare, m_settings.retryReserve, m_settings.retryWindow), {} };
+    if (limits)
+        out.engine.emplace(*limits, m_settings.mechanisms, m_settings.learnsCapacity);
+    return out;
+}
+
+void ServingState::updatePolicies()
+{
+    for (auto& [pool, policies] : m_policies) {
+        const auto* row = m_routes->findPool(pool);
+        const auto& engine = policies.engine;
+        const bool isUnchanged = !row || (row->engine ? engine && engine->limits() == *row->engine : !engine);
+        if (isUnchanged)
+            continue;
+        // The retries that were sent and the callers that were told to return count on.
+        auto renewed = makePolicies(row->engine);
+        policies.engine = std::move(renewed.engine);
+        policies.service = std::move(renewed.service);
     }
-    return m_policies.emplace(pool, std::move(policies)).first->second;
 }
 
 }
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -138,6 +138,7 @@
     // Returns the bootTime() from which requests must not start on weights of this version, or nothing while it is the newest.
     std::optional<std::chrono::nanoseconds> weightsExpiry(const std::string& model, std::uint64_t version) const;
 
+    // Returns the policies of a pool. New tables may replace the engine's, so references to it must not be kept over a wait.
     PoolPolicies& policies(const std::string& pool);
 
     // The stores of cached parts that the tables list.
@@ -162,6 +163,9 @@
 
 private:
     void updateCacheStores();
+    // Applies the engine limits of the tables to the policies that exist already.
+    void updatePolicies();
+    PoolPolicies makePolicies(const std::optional<EngineLimits>&) const;
     // Sets how long a stream can last with all its resumptions, by the tables.
     void updateStreamLifetime();
     std::chrono::milliseconds versionGrace() const;
--- a/packages/placement/chiveshelf/placement/EnginePlacement.h
+++ b/packages/placement/chiveshelf/placement/EnginePlacement.h
@@ -56,6 +56,8 @@
     // `learnsCapacity` tells whether the prefill speed of a runner is learned by its load, and from the samples of all hosts.
     explicit EnginePlacement(const EngineLimits&, Mechanisms = {}, bool learnsCapacity = false);
 
+    const EngineLimits& limits() const { return m_limits; }
+
     // Returns the chosen runner with its transfers, or a refusal. `random` is uniform in 0 to 1. It adds jitter to costs and to the
     // retry delays of refused callers.
     PlacementResult choose(const EngineRequest&, const PlacementContext&, const BackendDirectory::RunnerList&, const CacheStores&, double random) const;
--- a/tests/unit/gateway/ServingStateTest.cpp
+++ b/tests/unit/gateway/ServingStateTest.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(versionAgeWithStoreContactIsOnlyMovedEarlier);
     CPPUNIT_TEST(oldWeightsAreRejectedBeforeVersionLimit);
     CPPUNIT_TEST(tablesWithOlderOrEqualVersionAreIgnored);
+    CPPUNIT_TEST(changedEngineLimitsApplyToKnownPool);
     CPPUNIT_TEST(requestWithLessTimeLeftIsLikelyRetry);
     CPPUNIT_TEST(incompleteEventIsHeldBackByEventCursor);
     CPPUNIT_TEST_SUITE_END();
@@ -87,6 +88,21 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), m_state.tablesVersion());
     }
 
+    // Guards against prompts that are placed by the slots, memory and links of an older configuration until the process ends.
+    void changedEngineLimitsApplyToKnownPool()
+    {
+        const EngineLimits former { 64, 100'000, 1'000, 10 };
+        const EngineLimits changed { 16, 50'000, 1'000, 10 };
+        acceptEngine(1, std::nullopt);
+        CPPUNIT_ASSERT(!m_state.policies("models").engine);
+        acceptEngine(2, former);
+        CPPUNIT_ASSERT(m_state.policies("models").engine && m_state.policies("models").engine->limits() == former);
+        acceptEngine(3, changed);
+        CPPUNIT_ASSERT(m_state.policies("models").engine->limits() == changed);
+        acceptEngine(4, std::nullopt);
+        CPPUNIT_ASSERT(!m_state.policies("models").engine);
+    }
+
     void requestWithLessTimeLeftIsLikelyRetry()
     {
         CPPUNIT_ASSERT(!m_state.isLikelyRetry("r", milliseconds(12'000), milliseconds(1'200)));
@@ -108,6 +124,18 @@
     }
 
 private:
+    // Applies tables with one pool.
+    void acceptEngine(std::uint64_t tablesVersion, std::optional<EngineLimits> limits)
+    {
+        RoutingTables tables;
+        tables.version = tablesVersion;
+        RegisteredPool pool;
+        pool.name = "models";
+        pool.engine = limits;
+        tables.pools.push_back(pool);
+        CPPUNIT_ASSERT(m_state.acceptTables(std::move(tables), { "store" }));
+    }
+
     const AnnouncedVersion& announcedVersion(std::uint64_t version) const { return m_state.versions().at("m").versions().at(version); }
 
     GatewaySettings m_settings;
