--- a/review/standins-3/record3.py
+++ b/review/standins-3/record3.py
@@ -13,8 +13,8 @@
 
 
 class Case:
-    def __init__(self, folder):
-        self.path = Path(folder) / "record.txt"
+    def __init__(self, path):
+        self.path = Path(path)
         self.lines = []
         self.start = time.monotonic()
         self.trouble = os.environ.get("TROUBLE") != "0"
@@ -42,11 +42,11 @@
     pass
 
 
-def run(folder, body, limit_s=100):
-    """Runs `body(case)`, which returns whether the rule held, and exits with 0, 1 or 2."""
+def run(path, body, limit_s=100):
+    """Runs `body(case)`, which returns whether the rule held, writes the record to `path` and exits with 0, 1 or 2."""
 
     async def main():
-        case = Case(folder)
+        case = Case(path)
         case.note(f"disruption: {'yes' if case.trouble else 'no'}")
         try:
             if not (ROOT / "target/bin/chiveshelfd").exists():
