Keep a bound of their own for versions that a host missed

What callers saw: after an outage of the key-value store in which weights were announced, a host that started soon after the next announcement answered from weights that had been replaced 9.5 s before. All other hosts refused them.

Cause: a host that starts reads only the newest version from the store. Its estimate of that version's time also stood for the versions before, which it had not seen. VersionHistory::mergeAnnouncementTime replaced the estimate by the exact time of the newest version, as soon as another host told it, and older weights got the time limit of the newest version. The others told only the newest version's age, since after the outage none of them knew the age of the one before exactly. A host that reads the store anew after a cut had the same fault.

Change: a version that was read as the newest item has, beside its time, the earliest time from which on versions before it may have been missed. Weights that such a version may have replaced expire with that bound; the age of a newer version doesn't move it. No version lies between two consecutive numbers, so that runners that are one version behind are used as before. It needs no message, and notices between hosts are unchanged. version_announced tells the bound, and version_age_learned tells when another host's age replaced an estimate.

Ruled out: other hosts that use the latest possible time of a version (they refused all the while), and requests that waited at their runner (the host did not begin to refuse when its own estimate ended).

--- a/packages/gateway/chiveshelf/gateway/HostMessages.h
+++ b/packages/gateway/chiveshelf/gateway/HostMessages.h
@@ -147,7 +147,8 @@
     std::uint32_t lastRunner = std::numeric_limits<std::uint32_t>::max();
     std::vector<RunnerLoadEntry> loads;
     std::vector<PlacedPart> parts;
-    // Recently announced versions.
+    // Recently announced versions whose time the sender knows exactly, the lowest first. Receivers treat those that are left out as
+    // missed; see VersionHistory.
     std::vector<VersionAge> versions;
     std::vector<StoreSpeedEntry> storeSpeeds;
     // The sender's VersionsConfirmation. A time of the runners' clock, since an age would be wrong in a notice that waited for a
--- a/packages/gateway/chiveshelf/gateway/ServingState.cpp
+++ b/packages/gateway/chiveshelf/gateway/ServingState.cpp
@@ -26,6 +26,11 @@
     // Intervals of renewal after which the store removes the entry of a silent runner.
     constexpr int expiredIntervals = 3;
 
+    std::int64_t toWholeMilliseconds(std::chrono::nanoseconds time)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    }
+
 }
 
 ServingState::ServingState(const GatewaySettings& settings)
@@ -111,25 +116,37 @@
     });
 }
 
-void ServingState::acceptVersion(const ModelTarget& target, std::chrono::nanoseconds bootNow)
+AnnouncedVersion ServingState::dateVersion(std::chrono::nanoseconds bootNow, VersionDelivery delivery) const
+{
+    // A newly started process knows neither the age of the version nor the versions before it. It keeps using older weights for a while,
+    // and longer only if other hosts report the age of the version that replaced them.
+    if (!m_contactHistory.hasAnswered()) {
+        const auto assumed = bootNow - versionGrace() + assumedRemainingTime;
+        return { assumed, true, assumed };
+    }
+    const auto since = m_contactHistory.earliestChangeTime(bootNow);
+    AnnouncedVersion out { since, since != bootNow };
+    if (delivery == VersionDelivery::NewestOnly)
+        out.missedSince = m_contactHistory.earliestMissedChangeTime(bootNow);
+    return out;
+}
+
+void ServingState::acceptVersion(const ModelTarget& target, std::chrono::nanoseconds bootNow, VersionDelivery delivery)
 {
-    const auto earliestChangeTime = m_contactHistory.earliestChangeTime(bootNow);
-    // A newly started process doesn't know the age of the version. It keeps using older weights until other hosts report the age.
-    const auto announced = m_contactHistory.hasAnswered() ? AnnouncedVersion { earliestChangeTime, earliestChangeTime != bootNow }
-                                                          : AnnouncedVersion { bootNow - versionGrace() + assumedRemainingTime, true };
+    const auto announced = dateVersion(bootNow, delivery);
     const auto formerNewest = newestVersion(target.model);
     if (!m_versions[target.model].add(target.version, announced))
         return;
     m_versionsHash ^= (formerNewest == 0 ? 0 : hash64(target.model, formerNewest)) ^ hash64(target.model, target.version);
     m_cacheRetention.onAnnounced(target.model, target.version, bootNow);
-    logEvent(LogLevel::Info, "version_announced", { { "model", target.model }, { "version", target.version }, { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(bootNow - announced.since).count() } });
+    logEvent(LogLevel::Info, "version_announced", { { "model", target.model }, { "version", target.version }, { "age_ms", toWholeMilliseconds(bootNow - announced.since) }, { "missed_ms", announced.missedSince ? toWholeMilliseconds(bootNow - *announced.missedSince) : -1 } });
 }
 
 void ServingState::acceptVersionAge(std::uint64_t modelHash, std::uint64_t version, std::chrono::milliseconds age, std::chrono::nanoseconds bootNow)
 {
     for (auto& [model, history] : m_versions) {
-        if (hash64(model) == modelHash)
-            history.mergeAnnouncementTime(version, bootNow - age);
+        if (hash64(model) == modelHash && history.mergeAnnouncementTime(version, bootNow - age))
+            logEvent(LogLevel::Info, "version_age_learned", { { "model", model }, { "version", version }, { "age_ms", age.count() } });
     }
 }
 
--- a/packages/gateway/chiveshelf/gateway/ServingState.h
+++ b/packages/gateway/chiveshelf/gateway/ServingState.h
@@ -54,6 +54,14 @@
     auto operator<=>(const VersionsConfirmation&) const = default;
 };
 
+// How an announced version reaches this host.
+enum class VersionDelivery {
+    // As one of all changes of the key-value store.
+    EachChange,
+    // As an item of a full read, which tells only the newest version of a model.
+    NewestOnly,
+};
+
 // This host's view of tables, runners, versions and stores, and the policies that use it. Used only by the single thread of the
 // process. Tables and announced versions are only replaced by newer ones, whichever source they come from.
 class ServingState {
@@ -67,7 +75,7 @@
     bool acceptTables(RoutingTables, const TablesArrival&);
 
     // Adds a version of a model that the operator announced, if it is higher than the newest known one.
-    void acceptVersion(const ModelTarget&, std::chrono::nanoseconds bootNow);
+    void acceptVersion(const ModelTarget&, std::chrono::nanoseconds bootNow, VersionDelivery = VersionDelivery::EachChange);
 
     // Sets the announcement time of a version from the age that another host reports, if the known time is missing, an estimate or
     // later. Ignores versions newer than the newest known one.
@@ -169,6 +177,8 @@
     // Sets how long a stream can last with all its resumptions, by the tables.
     void updateStreamLifetime();
     std::chrono::milliseconds versionGrace() const;
+    // Returns when a version that is received now can have been announced.
+    AnnouncedVersion dateVersion(std::chrono::nanoseconds bootNow, VersionDelivery) const;
     // Returns the bound of requests to a pool's runners while they warm up, if the settings ask for one.
     std::optional<WarmUpBound> warmUpBound(const std::string& pool) const;
 
--- a/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
+++ b/packages/gateway/chiveshelf/gateway/StoreFollower.cpp
@@ -438,7 +438,7 @@
     if (key.starts_with(softwareKeyPrefix)) {
         applySoftwareRecord(change);
     } else if (const auto* target = std::get_if<ModelTarget>(&decoded)) {
-        m_state.acceptVersion(*target, bootTime());
+        m_state.acceptVersion(*target, bootTime(), runners ? VersionDelivery::NewestOnly : VersionDelivery::EachChange);
     } else if (const auto* evacuation = std::get_if<platform::EvacuationItem>(&decoded)) {
         if (evacuations)
             evacuations->insert(evacuation->dataCentre);
--- a/packages/placement/chiveshelf/placement/ContactHistory.cpp
+++ b/packages/placement/chiveshelf/placement/ContactHistory.cpp
@@ -1,5 +1,8 @@
 #include "chiveshelf/placement/ContactHistory.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace chiveshelf {
 
 void ContactHistory::tick(std::chrono::nanoseconds now)
@@ -24,7 +27,7 @@
         m_contactStart = now;
     m_hasFailed = false;
     ++m_answers;
-    m_lastAnswer = now;
+    m_previousAnswer = std::exchange(m_lastAnswer, now);
 }
 
 void ContactHistory::onFailure()
@@ -44,4 +47,9 @@
     return m_gapEnd.count() > 0 && now - m_gapEnd <= lateChangeTime ? m_gapStart : now;
 }
 
+std::chrono::nanoseconds ContactHistory::earliestMissedChangeTime(std::chrono::nanoseconds now) const
+{
+    return std::min(m_previousAnswer, earliestChangeTime(now));
+}
+
 }
--- a/packages/placement/chiveshelf/placement/ContactHistory.h
+++ b/packages/placement/chiveshelf/placement/ContactHistory.h
@@ -44,9 +44,15 @@
     // Returns the earliest time at which a change that is received now can have been made.
     std::chrono::nanoseconds earliestChangeTime(std::chrono::nanoseconds now) const;
 
+    // Returns the earliest time at which a change can have been made that an answer with only the newest state hides: since the answer
+    // before the one that is being processed, or the start of a gap. To be called only if hasAnswered().
+    std::chrono::nanoseconds earliestMissedChangeTime(std::chrono::nanoseconds now) const;
+
 private:
     std::chrono::nanoseconds m_lastTick { 0 };
     std::chrono::nanoseconds m_lastAnswer { 0 };
+    // The answer before m_lastAnswer.
+    std::chrono::nanoseconds m_previousAnswer { 0 };
     // The first answer after the last gap.
     std::chrono::nanoseconds m_contactStart { 0 };
     // The last gap, in which changes could be missed.
--- a/packages/placement/chiveshelf/placement/VersionHistory.h
+++ b/packages/placement/chiveshelf/placement/VersionHistory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -14,19 +15,30 @@
     // Whether `since` is only a lower bound, because this host has just started or missed changes. An exact time from another host
     // replaces it, and it is not sent to other hosts.
     bool isEstimate = false;
+    // Earliest bootTime() at which a version between the one before in the history and this one can have been announced without this
+    // host's knowledge. Nothing if there is no such version.
+    std::optional<std::chrono::nanoseconds> missedSince {};
+
+    auto operator<=>(const AnnouncedVersion&) const = default;
 };
 
 // Announced versions of one model's weights. Each version has its own deadline for replacing older weights, so that a newer version
 // does not extend the use of weights that are older than both.
 //
-// Handles the load pattern "versions are announced in quick succession".
+// A host that starts, or reads the key-value store anew, gets only the newest version and may have missed others before it. Weights that
+// may have been replaced by a missed version expire with it, however recent the known versions are. Version numbers are integers, so
+// that no version is missed between two consecutive ones.
+//
+// Handles the load patterns "versions are announced in quick succession" and "a host starts while runners have weights that were replaced
+// more than once".
 class VersionHistory {
 public:
     // Adds a version. Returns false if it is not newer than all known ones.
     bool add(std::uint64_t version, AnnouncedVersion);
 
-    // Merges the announcement time of the newest version or an earlier one, as known to another host.
-    void mergeAnnouncementTime(std::uint64_t version, std::chrono::nanoseconds since);
+    // Merges the announcement time of the newest version or an earlier one, as known to another host. Returns whether this host had no
+    // time of that version, or only an estimate. What was missed before that version stays unknown.
+    bool mergeAnnouncementTime(std::uint64_t version, std::chrono::nanoseconds since);
 
     // Returns the newest version, 0 if none was announced.
     std::uint64_t newest() const { return m_versions.empty() ? 0 : m_versions.rbegin()->first; }
@@ -41,7 +53,12 @@
     const std::map<std::uint64_t, AnnouncedVersion>& versions() const { return m_versions; }
 
 private:
-    std::map<std::uint64_t, AnnouncedVersion> m_versions;
+    using Versions = std::map<std::uint64_t, AnnouncedVersion>;
+
+    // Whether a version between an entry and the one before it may have been missed.
+    bool mayLackVersionBefore(Versions::const_iterator) const;
+
+    Versions m_versions;
 };
 
 }
--- a/tests/Tests.cmake
+++ b/tests/Tests.cmake
@@ -28,6 +28,7 @@
 chiveshelf_add_unit_test(stalls DEPENDS gateway LIBRARIES chiveshelf_test_support NETWORK 85)
 chiveshelf_add_unit_test(storecut DEPENDS gateway LIBRARIES chiveshelf_test_support NETWORK 86)
 chiveshelf_add_unit_test(versions DEPENDS gateway LIBRARIES chiveshelf_test_support NETWORK 76)
+chiveshelf_add_unit_test(weights DEPENDS gateway LIBRARIES chiveshelf_test_support NETWORK 94)
 chiveshelf_add_unit_test(tables DEPENDS tables LIBRARIES rapidcheck)
 
 # Each integration test needs its own NETWORK number. FailoverPolicyTest uses three, 32 to 34.
