Leave out the body of own answers to HEAD

What callers saw: a host that answered HEAD itself, for example with 502 while the runners of a service were down, sent a body after the header and kept the connection. The body lay where the answer to the next request was due, so that the caller could not tell whether that request had run.

Cause: CallerConnection::respond and formatLocalResponse did not know the method of the request. http::Exchange, which serves the own interface, the admin address and requests between processes, did not look at it. Answers of runners to HEAD were relayed correctly.

Change: both leave the body out and keep Content-Length, as RFC 9110, 9.3.2 asks. A stream that answers HEAD consists of its header. A request whose header can't be read to its end is judged by its first line.

--- a/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.cpp
@@ -112,7 +112,7 @@
     return "error";
 }
 
-std::string formatLocalResponse(const LocalResponse& response, bool isKeepAlive)
+std::string formatLocalResponse(const LocalResponse& response, bool isKeepAlive, bool hasBody)
 {
     const nlohmann::json body { { "error", { { "code", response.code }, { "message", response.message } } } };
     const auto text = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
@@ -122,7 +122,7 @@
         out += "Retry-After: " + secondsText(*response.retryAfter) + "\r\n";
     if (!isKeepAlive)
         out += "Connection: close\r\n";
-    return out + "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+    return out + "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" + (hasBody ? text : "");
 }
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket, std::shared_ptr<BodyBudget> budget, std::function<CallerLimits()> limits)
@@ -344,6 +344,8 @@
     // readBody() checks the body, since its limit may be raised while it arrives.
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     co_await beast::http::async_read_header(m_socket, m_buffer, parser, redirect_error(use_awaitable, ec));
+    // The method is known even if the rest of the header is invalid.
+    m_isHeadRequest = parser.get().method() == beast::http::verb::head;
     if (m_hasExpired)
         co_return co_await refuseRequest(408, "timeout", "timed out while receiving the request header");
     if (ec)
@@ -381,7 +383,7 @@
 
 asio::awaitable<void> CallerConnection::respond(LocalResponse response)
 {
-    auto bytes = formatLocalResponse(response, m_isKeepAlive);
+    auto bytes = formatLocalResponse(response, m_isKeepAlive, !m_isHeadRequest);
     co_await write(std::move(bytes));
 }
 
--- a/packages/gateway/chiveshelf/gateway/CallerConnection.h
+++ b/packages/gateway/chiveshelf/gateway/CallerConnection.h
@@ -90,7 +90,7 @@
     // Writes bytes. Returns false if the caller has disconnected.
     boost::asio::awaitable<bool> write(std::string bytes);
 
-    // Sends a response that this host generates itself.
+    // Sends a response that this host generates itself. A response to a HEAD request has no body.
     boost::asio::awaitable<void> respond(LocalResponse);
 
     // Calls `onDisconnected` once if the caller closes the connection before stopWatching(). Bytes of a pipelined request don't
@@ -187,6 +187,8 @@
     bool m_isReading = false;
     bool m_isBodyDropped = false;
     bool m_isKeepAlive = true;
+    // Whether the request that was read last, as far as it could be read, has the method HEAD.
+    bool m_isHeadRequest = false;
     bool m_hasExpired = false;
     // Whether the expiry was put off because bytes had arrived that were not read yet.
     bool m_isExpiryExtended = false;
@@ -194,7 +196,8 @@
     std::size_t m_droppedBytes = 0;
 };
 
-// Formats a response that this host generates itself, header and body.
-std::string formatLocalResponse(const LocalResponse&, bool isKeepAlive);
+// Formats a response that this host generates itself. Its header states the length of the body also if `hasBody` is false, for a HEAD
+// request.
+std::string formatLocalResponse(const LocalResponse&, bool isKeepAlive, bool hasBody);
 
 }
--- a/packages/http/chiveshelf/http/Server.cpp
+++ b/packages/http/chiveshelf/http/Server.cpp
@@ -83,9 +83,13 @@
     m_keepAlive = m_keepAlive && !m_isClosing;
     response.keep_alive(m_keepAlive);
     response.prepare_payload();
+    beast::http::response_serializer<Response::body_type> serializer { response };
     boost::system::error_code ec;
     m_stream.expires_after(m_limits.write);
-    co_await beast::http::async_write(m_stream, response, redirect_error(use_awaitable, ec));
+    if (hasBody())
+        co_await beast::http::async_write(m_stream, serializer, redirect_error(use_awaitable, ec));
+    else
+        co_await beast::http::async_write_header(m_stream, serializer, redirect_error(use_awaitable, ec));
     if (ec) {
         m_keepAlive = false;
         co_return tl::unexpected(writeError(ec));
@@ -117,7 +121,7 @@
 
 asio::awaitable<Result<void>> Exchange::write(std::string_view data)
 {
-    if (data.empty())
+    if (data.empty() || !hasBody())
         co_return Result<void> {};
     boost::system::error_code ec;
     m_stream.expires_after(m_limits.write);
@@ -131,6 +135,8 @@
 
 asio::awaitable<Result<void>> Exchange::finishStream()
 {
+    if (!hasBody())
+        co_return Result<void> {};
     boost::system::error_code ec;
     m_stream.expires_after(m_limits.write);
     co_await asio::async_write(m_stream, beast::http::make_chunk_last(), redirect_error(use_awaitable, ec));
@@ -284,7 +290,10 @@
     if (ec) {
         const auto status = statusForReadError(ec);
         if (status) {
-            Exchange exchange(connection.stream, Request {}, m_limits, m_isClosing);
+            Request request;
+            if (parser.get().method() == Verb::head)
+                request.method(Verb::head);
+            Exchange exchange(connection.stream, std::move(request), m_limits, m_isClosing);
             exchange.disableKeepAlive();
             co_await exchange.respond(makeResponse(*status, errorBody(*status)));
         }
--- a/packages/http/chiveshelf/http/Server.h
+++ b/packages/http/chiveshelf/http/Server.h
@@ -26,7 +26,8 @@
     std::chrono::milliseconds write { 10'000 };
 };
 
-// A request and its response. Call either respond() once, or startStream(), any number of times write(), and finishStream().
+// A request and its response. Call either respond() once, or startStream(), any number of times write(), and finishStream(). The response
+// to a HEAD request has the same header as one to GET and no body.
 // Each call fails with Cancelled if the peer has disconnected or does not accept the data within the write limit.
 class Exchange {
 public:
@@ -62,6 +63,8 @@
     void disableKeepAlive() { m_keepAlive = false; }
 
 private:
+    bool hasBody() const { return m_request.method() != Verb::head; }
+
     boost::beast::tcp_stream& m_stream;
     Request m_request;
     ServerLimits m_limits;
--- a/tests/integration/BrokenAnswerTest.cpp
+++ b/tests/integration/BrokenAnswerTest.cpp
@@ -129,6 +129,7 @@
                     bytes.replace(bytes.find("HTTP/1.1"), 8, "HTTP/1.0");
                 const auto response = fetch(bytes);
                 CPPUNIT_ASSERT_MESSAGE(name(framing) + " cut at " + std::to_string(cut), response.isBroken || response.status >= 500);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(name(framing) + " cut at " + std::to_string(cut), std::size_t(0), response.surplusBytes);
             }
         }
     }
--- a/tests/support/GatewayFixture.h
+++ b/tests/support/GatewayFixture.h
@@ -43,6 +43,8 @@
     std::string retryAfter;
     // Whether the connection was closed before the response was complete.
     bool isBroken = false;
+    // Received bytes after the response, such as a body that a response to HEAD must not have.
+    std::size_t surplusBytes = 0;
 };
 
 // Runs one or more gateways in this process with a fake store and fake backend servers.
@@ -235,12 +237,14 @@
         co_await boost::asio::async_write(socket, boost::asio::buffer(bytes), boost::asio::redirect_error(boost::asio::use_awaitable, ec));
         boost::beast::flat_buffer buffer;
         boost::beast::http::response_parser<boost::beast::http::string_body> parser;
+        parser.skip(bytes.starts_with("HEAD "));
         co_await boost::beast::http::async_read(socket, buffer, parser, boost::asio::redirect_error(boost::asio::use_awaitable, ec));
         ReceivedResponse response;
         response.isBroken = static_cast<bool>(ec);
         response.status = parser.get().result_int();
         response.body = parser.get().body();
         response.retryAfter = std::string(parser.get()["Retry-After"]);
+        response.surplusBytes = buffer.size();
         *out = std::move(response);
     }
 
